Node: SIGHUP reads the configuration anew and moves the watch

Ruled out: a panic or a limit; the log has no line, memory was 1 MB, and 129 is what a shell reports for a process ended by signal 1. Cause: main.rs installed SIGTERM's handler only, and discovery.rs watched the one address of the start. Change: both signals are handled before the configuration is read; SIGHUP reads it again, a bad file is one line and changes nothing, and a new address ends the watch and begins it there from the last revision. ANSWER_WITHIN 2 s -> 1 s, so that a second try still fits into the 4 s of a move. Test: after_sighup_the_watch_goes_on_at_the_new_address_and_all_is_served; seen to fail before.

--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -14,8 +14,8 @@
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
-use tokio::time::{sleep, timeout};
+use tokio::sync::{Notify, watch};
+use tokio::time::timeout;
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::config::Config;
@@ -25,8 +25,9 @@
 /// A watch that says nothing for this long is dead: a line comes every 2 s. A change counts as told after
 /// 6 s at the latest, so a second watch has to be up by then.
 const SILENCE: Duration = Duration::from_millis(3200);
-/// How long a connection and the head of its answer may take.
-const ANSWER_WITHIN: Duration = Duration::from_secs(2);
+/// How long a connection, and the head of its answer, may take. After a move to another address the watch
+/// has to be up within 4 s, a second try included.
+const ANSWER_WITHIN: Duration = Duration::from_secs(1);
 /// The wait before a watch is begun anew lies between this and twice this, times the failures so far.
 const AGAIN: Duration = Duration::from_millis(150);
 /// The most failures that the wait grows with.
@@ -109,23 +110,42 @@
     }
 }
 
-/// Starts from the list that the configuration holds and watches from there on, for ever.
-pub async fn follow(config: Rc<Config>, servers: Rc<Servers>, engine: Mailbox, subscribe: Rc<Notify>) {
+/// Starts from the list that the configuration holds and watches from there on, for ever; when discovery
+/// moves, it does so at the new address, from where it was.
+pub async fn follow(
+    config: Rc<Config>,
+    mut address: watch::Receiver<SocketAddr>,
+    servers: Rc<Servers>,
+    engine: Mailbox,
+    subscribe: Rc<Notify>,
+) {
     let reader = Reader::new(&config);
     reader.tell(&config.known, true, &servers, &engine);
     let mut rev = config.known.rev;
     let mut failures = 0;
     let mut random = fastrand::Rng::with_seed(config.seed);
     let asked = config.settings.discovery != Discovery::Pushed;
+    let mut moved = false;
     loop {
-        if asked {
+        if asked && !moved {
             subscribe.notified().await;
         }
+        let at = *address.borrow_and_update();
         let heard = |update: &Update| {
             failures = 0;
             reader.tell(update, false, &servers, &engine);
         };
-        let Err(why) = watch(&config, &mut rev, heard).await;
+        let why = tokio::select! {
+            biased;
+            // The old address takes no new watch and ends the one it has.
+            true = changed(&mut address) => {
+                moved = true;
+                failures = 0;
+                continue;
+            }
+            Err(why) = watch_at(at, &mut rev, heard) => why,
+        };
+        moved = false;
         failures += 1;
         // A line for each try of a long outage would say nothing new.
         if failures == 1 {
@@ -136,23 +156,32 @@
             engine.send(Happening::Module(Event::DiscoveryFailed));
         } else {
             let longer = AGAIN * failures.min(AGAIN_MOST);
-            sleep(longer + longer.mul_f64(random.f64())).await;
+            // A move must not wait for what befell the old address.
+            let _ = timeout(longer + longer.mul_f64(random.f64()), changed(&mut address)).await;
         }
     }
 }
 
+/// Waits until discovery has moved; for ever, if nothing can move it any more.
+async fn changed(address: &mut watch::Receiver<SocketAddr>) -> bool {
+    match address.changed().await {
+        Ok(()) => true,
+        Err(_) => std::future::pending().await,
+    }
+}
+
 /// One watch, until it fails.
-async fn watch(
-    config: &Config,
+async fn watch_at(
+    address: SocketAddr,
     rev: &mut u64,
     mut tell: impl FnMut(&Update),
 ) -> Result<Infallible, Box<dyn Error>> {
-    let stream = timeout(ANSWER_WITHIN, TcpStream::connect(config.discovery)).await??;
+    let stream = timeout(ANSWER_WITHIN, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
     let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
     let _connection = AbortOnDropHandle::new(tokio::task::spawn_local(connection));
     let request = Request::get(format!("/catalog/members?watch=1&from={rev}"))
-        .header(header::HOST, config.discovery.to_string())
+        .header(header::HOST, address.to_string())
         .body(Empty::<Bytes>::new())?;
     let response = timeout(ANSWER_WITHIN, sender.send_request(request)).await??;
     if response.status() != StatusCode::OK {
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -9,14 +9,15 @@
 mod servers;
 
 use std::error::Error;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 
 use cherryusher::Balancer;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::Notify;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::{Notify, watch};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{sleep, timeout};
 
@@ -32,9 +33,11 @@
 /// What comes on top of the longest deadline, and what the last answers may take.
 const LAST_ANSWERS: Duration = Duration::from_millis(100);
 
-async fn run(config: Config) -> Result<(), Box<dyn Error>> {
-    let config = Rc::new(config);
-    let mut terminate = signal(SignalKind::terminate())?;
+async fn run() -> Result<(), Box<dyn Error>> {
+    // From the first moment: unhandled, both signals end the process.
+    let (hang_up, mut terminate) = (signal(SignalKind::hangup())?, signal(SignalKind::terminate())?);
+    let path = std::env::var("GW_CONFIG").map_err(|_| "GW_CONFIG does not name a configuration file")?;
+    let config = Rc::new(Config::read(&path).map_err(|error| format!("{path}: {error}"))?);
     let listener = TcpListener::bind(config.listen).await?;
     eprintln!("dunelink: {} listens on {}", config.name, listener.local_addr()?);
     let (mailbox, inbox) = Mailbox::new(config.seed);
@@ -44,7 +47,9 @@
     spawn_local(engine.run(inbox));
     let swept = servers.clone();
     spawn_local(async move { swept.sweep().await });
-    spawn_local(discovery::follow(config.clone(), servers.clone(), mailbox.clone(), subscribe));
+    let (moved, address) = watch::channel(config.discovery);
+    spawn_local(reread(path, hang_up, moved));
+    spawn_local(discovery::follow(config.clone(), address, servers.clone(), mailbox.clone(), subscribe));
     let clients = Rc::new(Clients::new(config.clone(), mailbox, servers));
     let stop = Rc::new(Notify::new());
     let accepting = spawn_local(clients.clone().accept(listener, stop.clone()));
@@ -64,11 +69,23 @@
     Ok(())
 }
 
+/// Reads the configuration anew at each SIGHUP. Only discovery moves while the node runs; a file that is
+/// wrong changes nothing.
+async fn reread(path: String, mut hang_up: Signal, moved: watch::Sender<SocketAddr>) {
+    while hang_up.recv().await.is_some() {
+        match Config::read(&path) {
+            Ok(config) => {
+                eprintln!("dunelink: {path} read anew; discovery is at {}", config.discovery);
+                moved.send_if_modified(|at| std::mem::replace(at, config.discovery) != config.discovery);
+            }
+            Err(error) => eprintln!("dunelink: {path}: {error}; the configuration stays as it was"),
+        }
+    }
+}
+
 fn start() -> Result<(), Box<dyn Error>> {
-    let path = std::env::var("GW_CONFIG").map_err(|_| "GW_CONFIG does not name a configuration file")?;
-    let config = Config::read(&path).map_err(|error| format!("{path}: {error}"))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, run(config))
+    LocalSet::new().block_on(&runtime, run())
 }
 
 fn main() -> ExitCode {
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -290,6 +290,30 @@
     drop(watch);
 }
 
+#[test]
+fn after_sighup_the_watch_goes_on_at_the_new_address_and_all_is_served() {
+    let (one, two) = (Server::new(|_, _| Act::Wait), Server::new(|_, _| ok("two")));
+    let node = Node::new(&[ready("a", &one)]);
+    let mut watch = Watch::accept(&node.discovery);
+    watch.changes(57, &[]);
+    let mut waiting = node.client();
+    waiting.send(&request("POST", "/order/1", "9", "", "yen"));
+    one.request();
+    // Nothing can be made of this file: the node goes on as before.
+    node.reconfigure("{\"name\": 3}");
+    watch.changes(58, &[target("a", one.address, 1, "draining"), ready("b", &two)]);
+    while node.client().ask(&view()).status() != 200 {}
+    // The first request is still open: it has lost neither its server nor its client.
+    let elsewhere = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    node.reconfigure(&node.config_with(&elsewhere));
+    let mut moved = Watch::accept(&elsewhere);
+    assert_eq!(moved.request.first, "GET /catalog/members?watch=1&from=58 HTTP/1.1");
+    assert_eq!(node.client().ask(&view()).body, b"two", "the list stays");
+    moved.changes(59, &[target("b", two.address, 1, "gone")]);
+    assert_eq!(two.ended(), 0);
+    assert_eq!(waiting.answer().status(), 504);
+}
+
 #[test]
 fn a_crowd_of_idle_clients_does_not_shut_others_out() {
     let server = Server::new(|_, _| ok("slip"));
--- a/tests/node/peers.rs
+++ b/tests/node/peers.rs
@@ -187,6 +187,8 @@
 pub struct Node {
     pub address: SocketAddr,
     pub discovery: TcpListener,
+    config: Value,
+    path: String,
     child: Child,
 }
 
@@ -214,14 +216,15 @@
             "discovery": discovery.local_addr().unwrap().to_string(),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
             "known": {"rev": 41, "all": true, "targets": targets}, "settings": settings()});
-        let mut child = command.env("GW_CONFIG", write(&config.to_string())).spawn().unwrap();
+        let path = write(&config.to_string());
+        let mut child = command.env("GW_CONFIG", &path).spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let mut line = String::new();
         log.read_line(&mut line).unwrap();
         let address = line.trim().rsplit(' ').next().unwrap().parse().expect(&line);
         // The log goes on to be read, lest the node waits for it.
         thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        Node { address, discovery, child }
+        Node { address, discovery, config, path, child }
     }
 
     pub fn client(&self) -> Client {
@@ -231,7 +234,24 @@
     }
 
     pub fn terminate(&self) {
-        Command::new("kill").arg(self.child.id().to_string()).status().unwrap();
+        self.signal("-TERM");
+    }
+
+    /// Replaces the configuration and says so.
+    pub fn reconfigure(&self, text: &str) {
+        std::fs::write(&self.path, text).unwrap();
+        self.signal("-HUP");
+    }
+
+    /// The configuration with discovery elsewhere.
+    pub fn config_with(&self, discovery: &TcpListener) -> String {
+        let mut config = self.config.clone();
+        config["discovery"] = discovery.local_addr().unwrap().to_string().into();
+        config.to_string()
+    }
+
+    fn signal(&self, signal: &str) {
+        Command::new("kill").args([signal, &self.child.id().to_string()]).status().unwrap();
     }
 
     pub fn exit(&mut self) -> ExitStatus {
