Node: only a whole answer made for its request counts; connections rest before reuse; one timer a request

Probes over loopback sockets against the old build: a second copy 2 ms behind an answer WAS served as the next request's answer; an answer that ends with its connection was passed on cut short; one that stopped half-way was waited for until the deadline. Ruled out: hyper's own look at idle connections is not enough, as `keep` gave them out at once. Lines at fault: keep, take_idle and finish in servers.rs; Wake in engine.rs (timers outlived requests). Change: an idle connection rests 5 ms and the kernel is asked for stray bytes before reuse; an answer has to state its end in one way and be whole 0.3 s after its first byte, hints aside; a connection is bound to the start of its server; the engine keeps one timer a request and drops it with the request.

--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -14,6 +14,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 use tokio_util::time::DelayQueue;
+use tokio_util::time::delay_queue::Key;
 
 use crate::servers::{Outgoing, Servers};
 
@@ -79,6 +80,8 @@
     answer: Option<oneshot::Sender<Answer>>,
     attempts: Vec<Attempt>,
     timed_out: bool,
+    /// The one time at which the module wants to look at it.
+    timer: Option<(Key, Micros)>,
 }
 
 struct Attempt {
@@ -131,7 +134,7 @@
                     None => return,
                 },
                 Some(due) = poll_fn(|cx| self.timers.poll_expired(cx)), if !self.timers.is_empty() => {
-                    self.queue.push_back(Event::Woken(due.into_inner()));
+                    self.woken(due.into_inner());
                 }
             }
             self.work();
@@ -142,7 +145,13 @@
         match happening {
             Happening::Module(event) => self.queue.push_back(event),
             Happening::Arrived(request, outgoing, answer) => {
-                let open = Open { outgoing, answer: Some(answer), attempts: Vec::new(), timed_out: false };
+                let open = Open {
+                    outgoing,
+                    answer: Some(answer),
+                    attempts: Vec::new(),
+                    timed_out: false,
+                    timer: None,
+                };
                 self.open.insert(request.id, open);
                 self.queue.push_back(Event::Arrived(request));
             }
@@ -205,13 +214,34 @@
                 self.answer(request, Answer::Failed { timed_out });
             }
             Action::Cancel(request, attempt) => self.attempt_ended(request, attempt, Outcome::Cancelled),
-            Action::Wake { after, token } => {
-                self.timers.insert(token, Duration::from_micros(after).min(WAKE_MOST));
-            }
+            Action::Wake { after, token } => self.wake(after, token),
             Action::Subscribe => self.subscribe.notify_one(),
         }
     }
 
+    /// Sets a timer. The module asks again only for an earlier look, so one for each request is enough.
+    fn wake(&mut self, after: Micros, token: u64) {
+        let wait = Duration::from_micros(after).min(WAKE_MOST);
+        let now = self.now();
+        let then = now + wait.as_micros() as Micros;
+        match self.open.get_mut(&token) {
+            Some(Open { timer: Some((key, due)), .. }) if *due > now => {
+                self.timers.reset(key, wait);
+                *due = then;
+            }
+            Some(open) => open.timer = Some((self.timers.insert(token, wait), then)),
+            None => drop(self.timers.insert(token, wait)),
+        }
+    }
+
+    fn woken(&mut self, token: u64) {
+        let now = self.now();
+        if let Some(open) = self.open.get_mut(&token) {
+            open.timer.take_if(|(_, due)| *due <= now);
+        }
+        self.queue.push_back(Event::Woken(token));
+    }
+
     fn send(&mut self, request: RequestId, server: ServerId) {
         let sent_at = self.now();
         let Some(open) = self.open.get_mut(&request) else { return };
@@ -241,7 +271,8 @@
     fn let_go(&mut self, id: RequestId) {
         let over = |open: &Open| open.answer.is_none() && open.attempts.iter().all(|a| a.task.is_none());
         if self.open.get(&id).is_some_and(over) {
-            self.open.remove(&id);
+            let timer = self.open.remove(&id).and_then(|open| open.timer);
+            timer.into_iter().for_each(|(key, _)| drop(self.timers.try_remove(&key)));
         }
     }
 }
--- a/src/node/servers.rs
+++ b/src/node/servers.rs
@@ -4,25 +4,28 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::pin::pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
 use cherryusher::{Micros, Outcome, ServerEntry, ServerId, ServerState};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Body;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::ext::on_informational;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::config::Config;
+use crate::socket::{Line, Place, ServerSocket};
 
 /// The most that a body may hold, in either direction.
 pub const BODY_MOST: usize = 64 * 1024;
@@ -35,6 +38,13 @@
 const DECLINED: HeaderName = HeaderName::from_static("srv-declined");
 /// An idle connection is retired after this part of the time for which servers keep it.
 const IDLE_PART: f64 = 0.7;
+/// How long an idle connection rests before it is used again: what a server sends behind an answer comes right
+/// behind it, and must have come before the next request goes out.
+const REST: Duration = Duration::from_millis(5);
+/// An answer that has begun to come is whole after this, or will never be.
+const WHOLE_WITHIN: Duration = Duration::from_millis(300);
+/// The most hints (1xx) ahead of an answer.
+const HINTS_MOST: usize = 16;
 /// A server that answers nothing for this long may have vanished.
 const SILENT: Duration = Duration::from_secs(1);
 /// How often idle connections are looked through.
@@ -73,74 +83,13 @@
     (first + " HTTP/1.1\r\n".len() + 1 + headers + 2 + body) as u64
 }
 
-/// A socket that counts itself and the bytes written to it.
-struct Socket {
-    stream: TcpStream,
-    written: Rc<Cell<u64>>,
-    _place: Place,
-}
-
-/// A place in the budget for connections to servers.
-struct Place(Rc<Cell<usize>>);
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
-impl Socket {
-    fn count(&self, polled: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if let Poll::Ready(Ok(bytes)) = &polled {
-            self.written.set(self.written.get() + *bytes as u64);
-        }
-        polled
-    }
-}
-
-impl AsyncRead for Socket {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
-    }
-}
-
-impl AsyncWrite for Socket {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.count(polled)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let polled = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.count(polled)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
-
 /// A connection to a server; dropping it closes it.
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
-    written: Rc<Cell<u64>>,
+    line: Rc<Line>,
     endpoint: SocketAddr,
+    /// When its server had started as it was opened.
+    started: Micros,
     idle_since: Instant,
     _task: AbortOnDropHandle<()>,
 }
@@ -221,17 +170,20 @@
         members.retain(|_, m| m.ready);
     }
 
-    /// Where to reach the server, if it takes requests.
-    fn endpoint(&self, server: ServerId) -> Option<SocketAddr> {
-        self.members.borrow().get(&server).map(|m| m.endpoint)
+    /// Where to reach the server and when it started, if it takes requests.
+    fn whereabouts(&self, server: ServerId) -> Option<(SocketAddr, Micros)> {
+        self.members.borrow().get(&server).map(|m| (m.endpoint, m.started))
     }
 
-    /// The freshest idle connection; older ones stay idle and are retired in time.
+    /// The freshest idle connection that has rested and is quiet; older ones are retired in time.
     fn take_idle(&self, server: ServerId) -> Option<Connection> {
         let mut members = self.members.borrow_mut();
         let idle = &mut members.get_mut(&server)?.idle;
-        while let Some(connection) = idle.pop() {
-            if connection.sender.is_ready() && connection.idle_since.elapsed() < self.idle_most {
+        while let Some(at) = idle.iter().rposition(|c| c.idle_since.elapsed() >= REST) {
+            let connection = idle.remove(at);
+            let fresh = connection.idle_since.elapsed() < self.idle_most;
+            // What has come since would be read as the next request's answer.
+            if fresh && connection.sender.is_ready() && connection.line.is_quiet() {
                 return Some(connection);
             }
         }
@@ -240,12 +192,13 @@
 
     /// Keeps a connection for the next attempt, if the server still takes any.
     async fn keep(&self, server: ServerId, mut connection: Connection) {
-        if connection.sender.ready().await.is_err() {
+        // hyper says it is ready once it has found nothing behind the answer that it has read.
+        if !matches!(timeout(WHOLE_WITHIN, connection.sender.ready()).await, Ok(Ok(()))) {
             return;
         }
         connection.idle_since = Instant::now();
         if let Some(member) = self.members.borrow_mut().get_mut(&server) {
-            if member.endpoint == connection.endpoint {
+            if (member.endpoint, member.started) == (connection.endpoint, connection.started) {
                 member.idle.push(connection);
             }
         }
@@ -289,12 +242,11 @@
         }
     }
 
-    async fn connect(&self, endpoint: SocketAddr) -> Result<Connection, Outcome> {
+    async fn connect(&self, (endpoint, started): (SocketAddr, Micros)) -> Result<Connection, Outcome> {
         if self.open.get() >= self.most && !self.evict() {
             return Err(Outcome::NotSent);
         }
-        self.open.set(self.open.get() + 1);
-        let place = Place(self.open.clone());
+        let place = Place::taken(&self.open);
         let stream = match timeout(self.connect_timeout, TcpStream::connect(endpoint)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) if out_of_sockets(&error) => {
@@ -304,16 +256,16 @@
             _ => return Err(Outcome::ConnectFailed),
         };
         stream.set_nodelay(true).map_err(|_| Outcome::ConnectFailed)?;
-        let written = Rc::new(Cell::new(0));
-        let socket = Socket { stream, written: written.clone(), _place: place };
-        let builder = http1::Builder::new().max_buf_size(BUFFER_MOST).handshake(TokioIo::new(socket)).await;
+        let line = Rc::new(Line::new(stream, place));
+        let socket = TokioIo::new(ServerSocket(line.clone()));
+        let builder = http1::Builder::new().max_buf_size(BUFFER_MOST).handshake(socket).await;
         let (sender, connection) = builder.map_err(|_| Outcome::ConnectFailed)?;
         let task = tokio::task::spawn_local(async move {
             // Its errors show in the attempts.
             let _ = connection.await;
         });
         let _task = AbortOnDropHandle::new(task);
-        Ok(Connection { sender, written, endpoint, idle_since: Instant::now(), _task })
+        Ok(Connection { sender, line, endpoint, started, idle_since: Instant::now(), _task })
     }
 
     /// One attempt, to its end.
@@ -341,23 +293,36 @@
             let (mut connection, fresh) = match self.take_idle(server) {
                 Some(connection) => (connection, false),
                 None => {
-                    let Some(endpoint) = self.endpoint(server) else { return (Outcome::NotSent, None) };
-                    match self.connect(endpoint).await {
+                    let Some(there) = self.whereabouts(server) else { return (Outcome::NotSent, None) };
+                    match self.connect(there).await {
                         Ok(connection) => (connection, true),
                         Err(outcome) => return (outcome, None),
                     }
                 }
             };
             // A drain may have been heard of while the connection came up.
-            if self.endpoint(server) != Some(connection.endpoint) {
+            if self.whereabouts(server) != Some((connection.endpoint, connection.started)) {
                 return (Outcome::NotSent, None);
             }
-            let Some(request) = outgoing.request() else { return (Outcome::NotSent, None) };
-            let (before, whole) = (connection.written.get(), length(&request, outgoing.body.len()));
+            let Some(mut request) = outgoing.request() else { return (Outcome::NotSent, None) };
+            let hints = Arc::new(AtomicUsize::new(0));
+            let heard_hint = hints.clone();
+            on_informational(&mut request, move |_| {
+                heard_hint.fetch_add(1, Ordering::Relaxed);
+            });
+            let line = connection.line.clone();
+            let (before, whole) = (line.written(), length(&request, outgoing.body.len()));
             begun.set(true);
             let _unanswered = Unanswered { servers: self, server, sent: Instant::now() };
-            let answered = connection.sender.send_request(request).await;
-            let written = connection.written.get() - before;
+            line.forget_what_came();
+            let mut stuck = pin!(stuck(&line, &hints));
+            let answered = tokio::select! {
+                biased;
+                answered = connection.sender.send_request(request) => answered,
+                // What has come is no answer, nor will be one.
+                () = stuck.as_mut() => return (Outcome::Reset, None),
+            };
+            let written = line.written() - before;
             let response = match answered {
                 Ok(response) => {
                     self.heard(server);
@@ -372,7 +337,11 @@
                 Err(_) if written < whole => return (Outcome::ConnectFailed, None),
                 Err(_) => return (Outcome::Reset, None),
             };
-            return self.finish(server, connection, response).await;
+            return tokio::select! {
+                biased;
+                finished = self.finish(server, connection, response) => finished,
+                () = stuck.as_mut() => (Outcome::Reset, None),
+            };
         }
     }
 
@@ -384,11 +353,12 @@
         response: Response<hyper::body::Incoming>,
     ) -> (Outcome, Option<Response<Bytes>>) {
         let (mut parts, body) = response.into_parts();
-        let body = match Limited::new(body, BODY_MOST).collect().await {
-            Ok(body) => body.to_bytes(),
-            Err(error) if error.is::<LengthLimitError>() => return (Outcome::Error, None),
-            Err(_) => return (Outcome::Reset, None),
-        };
+        // Of an answer that ends with its connection, a part looks whole.
+        if !states_its_end(&parts.headers) || body.size_hint().lower() > BODY_MOST as u64 {
+            return (Outcome::Reset, None);
+        }
+        let Ok(body) = Limited::new(body, BODY_MOST).collect().await else { return (Outcome::Reset, None) };
+        let body = body.to_bytes();
         let servers = self.clone();
         tokio::task::spawn_local(async move { servers.keep(server, connection).await });
         let declined = parts.headers.get(DECLINED).is_some_and(|v| v.as_bytes() == b"1");
@@ -405,6 +375,31 @@
     }
 }
 
+/// Ends when an answer has begun to come and is not whole after some time. Hints (1xx) may come long before
+/// the answer, but not without end.
+async fn stuck(line: &Line, hints: &AtomicUsize) {
+    let mut before = 0;
+    loop {
+        line.something_came().await;
+        sleep(WHOLE_WITHIN).await;
+        let now = hints.load(Ordering::Relaxed);
+        if now == before || now > HINTS_MOST {
+            return;
+        }
+        before = now;
+    }
+}
+
+/// Whether an answer says where it ends, and in one way.
+fn states_its_end(headers: &HeaderMap) -> bool {
+    let encodings: Vec<&HeaderValue> = headers.get_all(header::TRANSFER_ENCODING).iter().collect();
+    match (&encodings[..], headers.contains_key(header::CONTENT_LENGTH)) {
+        ([], length) => length,
+        ([one], length) => one.as_bytes().eq_ignore_ascii_case(b"chunked") && !length,
+        _ => false,
+    }
+}
+
 /// Whether the node or its machine has no descriptor left.
 pub fn out_of_sockets(error: &io::Error) -> bool {
     const ENFILE: i32 = 23;
--- a/tests/node/peers.rs
+++ b/tests/node/peers.rs
@@ -60,6 +60,8 @@
     Say(Vec<u8>),
     /// Writes these bytes and closes.
     SayAndClose(Vec<u8>),
+    /// Writes some bytes, and after a while others.
+    SayMore(Vec<u8>, Duration, Vec<u8>),
     /// Says nothing.
     Wait,
 }
@@ -110,6 +112,11 @@
                                 drop(stream.write_all(&bytes));
                                 break;
                             }
+                            Act::SayMore(bytes, later, more) => {
+                                drop(stream.write_all(&bytes));
+                                thread::sleep(later);
+                                drop(stream.write_all(&more));
+                            }
                             Act::Wait => {}
                         }
                     }
@@ -347,6 +354,11 @@
     .into_bytes()
 }
 
+/// Lets connections to servers rest for far longer than they have to before they are used again.
+pub fn rested() {
+    thread::sleep(Duration::from_millis(200));
+}
+
 pub fn view() -> Vec<u8> {
     request("GET", "/view/7f3a?x=1", "14.0", "", "")
 }
