--- a/src/node/engine.rs
+++ b/src/node/engine.rs
@@ -271,8 +271,9 @@
     fn let_go(&mut self, id: RequestId) {
         let over = |open: &Open| open.answer.is_none() && open.attempts.iter().all(|a| a.task.is_none());
         if self.open.get(&id).is_some_and(over) {
-            let timer = self.open.remove(&id).and_then(|open| open.timer);
-            timer.into_iter().for_each(|(key, _)| drop(self.timers.try_remove(&key)));
+            if let Some((key, _)) = self.open.remove(&id).and_then(|open| open.timer) {
+                self.timers.try_remove(&key);
+            }
         }
     }
 }
