Module: what was never sent gives up early and is told to stay away; failures count beyond the usual

Cause: a held request waited to the end of its time (in share) or until its aim was missed (beyond it); where clients try for 40% of the class's time only, both are past half of it. look_at and give_up in decide.rs. Change: with no attempt that may have run, over-share work gives up its place at 0.45 of its time, in-share work then or when its aim is out of reach, whichever is later; both with Retry-After. Only failures beyond the pool's mean count against a server. Tests: two scenarios and one over sockets (503 with Retry-After), each seen to fail before.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -4,8 +4,6 @@
 
 use std::collections::BTreeMap;
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
 use crate::api::*;
 use crate::state::*;
 
@@ -41,19 +39,11 @@
 const LEND: f64 = 0.5;
 /// An answer is counted on within this multiple of the usual time; half of all take longer than usual.
 const TIMELY: f64 = 1.5;
+/// A held request gives up its place after this part of its time: by half of it clients expect to hear so.
+const PLACE: f64 = 0.45;
 /// How far one outcome moves what is learned.
 const STEP: f64 = 0.05;
 
-/// The same at every node, so that all of them build the same pools.
-fn hash(what: u64, salt: u64) -> u64 {
-    xxh3_64_with_seed(&what.to_le_bytes(), salt)
-}
-
-/// A hash as a number from 0 to 1.
-fn unit(hash: u64) -> f64 {
-    hash as f64 / u64::MAX as f64
-}
-
 /// The decision module of one node.
 pub struct Balancer {
     settings: Settings,
@@ -260,8 +250,9 @@
         let ask = Ask { id: request.id, class: request.class, in_share, aim_at };
         let pool = request.tenant.map_or(LABELS, |t| self.label(t.into(), self.salt));
         let give_up_at = self.now + request.remaining.saturating_sub(2 * self.settings.step);
+        let place_until = self.now + (request.remaining as f64 * PLACE) as Micros;
         self.held[pool].push(ask);
-        let job = Job { ask, pool, key: request.key, give_up_at, held: true, ..Job::default() };
+        let job = Job { ask, pool, key: request.key, give_up_at, place_until, held: true, ..Job::default() };
         self.jobs.insert(request.id, job);
         // One that comes with no time left must not be sent: its answer would be late in any case.
         if give_up_at <= self.now || self.random.f64() >= self.admitted(&ask) {
@@ -399,7 +390,7 @@
         let by = job.key.filter(|_| self.settings.warm_keys).unwrap_or(chance);
         let late = |i: usize| {
             let s = &self.servers[i];
-            -unit(hash(by, s.entry.id)).ln() * self.pace(s) / s.share
+            -unit(hash(by, s.entry.id)).ln() * s.pace_at(self.now) / s.share
         };
         let mut fits: Vec<(f64, usize)> = fits.into_iter().map(|i| (late(i), i)).collect();
         let second = 1.min(fits.len().checked_sub(1)?);
@@ -416,16 +407,10 @@
         }
     }
 
-    /// How slow it is; one that has not been tried for long gets a trial.
-    fn pace(&self, server: &Server) -> f64 {
-        let fresh = (self.now.saturating_sub(server.last_sent) as f64) < MEMORY;
-        if fresh { server.pace } else { 1.0 }
-    }
-
     fn room(&self, i: usize) -> f64 {
         let server = &self.servers[i];
         let part = self.limit / f64::from(self.settings.balancers);
-        part * server.size * self.ramp(&server.entry) / self.pace(server)
+        part * server.size * self.ramp(&server.entry) / server.pace_at(self.now)
     }
 
     /// Own requests in flight against what the server carries. Recent failures count as load: a server
@@ -433,7 +418,7 @@
     /// node sees its servers; where all counts are 0, it would send nearly all to the largest.
     fn load(&self, i: usize) -> f64 {
         let (s, own) = (&self.servers[i], f64::from(u8::from(self.blindness() == 0.0)));
-        (f64::from(s.in_flight) + own + s.failures.now(self.now)) / self.room(i)
+        (f64::from(s.in_flight) + own + s.excess(self.now)) / self.room(i)
     }
 
     fn send(&mut self, id: RequestId, i: usize) {
@@ -459,7 +444,8 @@
     fn wake(&mut self, id: RequestId) {
         let Some(job) = self.jobs.get(&id) else { return };
         let hopeless = (job.ask.aim_at as f64 - TIMELY * self.times[job.ask.class].usual) as Micros;
-        let times = [Some(job.give_up_at), self.overdue_at(job), job.held.then_some(hopeless)];
+        let held = |at: Micros| job.held.then_some(at);
+        let times = [Some(job.give_up_at), self.overdue_at(job), held(hopeless), held(job.place_until)];
         let next = times.into_iter().flatten().filter(|t| *t > self.now).min().unwrap_or(self.now);
         if next > self.now && (job.wake_at <= self.now || next < job.wake_at) {
             self.actions.push(Action::Wake { after: next - self.now, token: id });
@@ -473,8 +459,11 @@
             return;
         }
         let worthless = !job.ask.in_share || self.settings.classes[job.ask.class].late_worth == 0.0;
-        let hopeless = job.held && (self.ready.is_empty() || worthless && self.too_late(&job.ask));
-        if self.now >= job.give_up_at || hopeless {
+        // To be told late that it was never sent costs a client more than a poor chance of a turn is worth.
+        let waited = self.now >= job.place_until && job.never_ran();
+        let late = self.too_late(&job.ask) && (worthless || waited);
+        let hopeless = self.ready.is_empty() || late || waited && !job.ask.in_share;
+        if self.now >= job.give_up_at || job.held && hopeless {
             return self.give_up(id);
         }
         // A pausing server shows as an overdue attempt: a copy goes elsewhere if nothing waits. But copies of
@@ -549,7 +538,11 @@
         } else if !matches!(end.outcome, Outcome::Cancelled | Outcome::NotSent) {
             // One that fails again and again is left alone for longer each time, then tried anew.
             server.failures.add(self.now, 1.0);
-            server.avoid_until = self.now + (server.failures.value * RETREAT) as Micros;
+            let pool = self.pools.iter().find(|pool| pool.contains(&i)).unwrap_or(&self.ready);
+            let usual = Fading::mean(pool.iter().map(|i| self.servers[*i].failures), self.now);
+            pool.iter().for_each(|i| self.servers[*i].usual_failures = usual);
+            let excess = self.servers[i].excess(self.now);
+            self.servers[i].avoid_until = self.now + (excess * RETREAT) as Micros;
         }
     }
 
@@ -567,9 +560,11 @@
         let Some(job) = self.jobs.get(&id) else { return };
         let harmless = match self.settings.classes[job.ask.class].effect {
             Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
-            _ => job.attempts.iter().all(|a| a.fate == Fate::NeverRan),
+            _ => job.never_ran(),
         };
-        let retry_after = if job.ask.in_share { 0 } else { self.settings.max_retry_after };
+        // What would come back into the same crowd, and too late, is asked to stay away.
+        let stay = !job.ask.in_share || job.never_ran() && self.too_late(&job.ask);
+        let retry_after = if stay { self.settings.max_retry_after } else { 0 };
         let refusal = Action::Refuse { request: id, retry_after };
         self.actions.push(if harmless { refusal } else { Action::Fail(id) });
         self.finish(id);
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,19 @@
 //! What the decision module keeps of servers and requests. Nothing is decided here.
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use crate::api::*;
 
+/// The same at every node, so that all of them build the same pools.
+pub(crate) fn hash(what: u64, salt: u64) -> u64 {
+    xxh3_64_with_seed(&what.to_le_bytes(), salt)
+}
+
+/// A hash as a number from 0 to 1.
+pub(crate) fn unit(hash: u64) -> f64 {
+    hash as f64 / u64::MAX as f64
+}
+
 /// How fast what was seen of a server is forgotten.
 pub(crate) const MEMORY: f64 = 3_000_000.0;
 /// A rate is told over this time at least.
@@ -25,6 +37,12 @@
         *self = Fading { value: self.now(now) + amount, at: now, since };
     }
 
+    /// The mean of several.
+    pub(crate) fn mean(of: impl ExactSizeIterator<Item = Fading>, now: Micros) -> Fading {
+        let many = of.len().max(1) as f64;
+        Fading { value: of.map(|f| f.now(now)).sum::<f64>() / many, at: now, since: now }
+    }
+
     /// How much is added per microsecond; what is younger than its memory has not been added up in full.
     pub(crate) fn rate(&self, now: Micros) -> f64 {
         let age = now.saturating_sub(self.since).max(RATE_FROM) as f64;
@@ -40,10 +58,25 @@
     pub(crate) in_flight: u32,
     pub(crate) pace: f64,
     pub(crate) failures: Fading,
+    /// The mean of those in its pool.
+    pub(crate) usual_failures: Fading,
     pub(crate) avoid_until: Micros,
     pub(crate) last_sent: Micros,
 }
 
+impl Server {
+    /// How slow it is; one that has not been tried for long gets a trial.
+    pub(crate) fn pace_at(&self, now: Micros) -> f64 {
+        let fresh = (now.saturating_sub(self.last_sent) as f64) < MEMORY;
+        if fresh { self.pace } else { 1.0 }
+    }
+
+    /// Recent failures beyond the usual in its pool: what befalls all alike tells nothing of one.
+    pub(crate) fn excess(&self, now: Micros) -> f64 {
+        (self.failures.now(now) - self.usual_failures.now(now)).max(0.0)
+    }
+}
+
 #[derive(Clone, Copy, PartialEq)]
 pub(crate) enum Fate {
     Out,
@@ -72,6 +105,8 @@
     pub(crate) pool: usize,
     pub(crate) key: Option<u64>,
     pub(crate) give_up_at: Micros,
+    /// Until when it keeps its place among the held without having been sent.
+    pub(crate) place_until: Micros,
     pub(crate) attempts: Vec<Attempt>,
     pub(crate) held: bool,
     pub(crate) done: bool,
@@ -79,6 +114,11 @@
 }
 
 impl Job {
+    /// Whether no attempt can have run.
+    pub(crate) fn never_ran(&self) -> bool {
+        self.attempts.iter().all(|a| a.fate == Fate::NeverRan)
+    }
+
     pub(crate) fn out(&self) -> usize {
         self.attempts.iter().filter(|a| a.fate == Fate::Out).count()
     }
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -472,6 +472,18 @@
     assert_eq!(waiting.answer().status(), 504);
 }
 
+#[test]
+fn what_was_never_sent_is_refused_early_and_told_to_come_back_later() {
+    let server = Server::new(|_, _| Act::Wait);
+    let node = Node::new(&[ready("a", &server)]);
+    // More than the one server has room for: the others are held, and never sent.
+    let mut clients: Vec<Client> = (0..8).map(|_| node.client()).collect();
+    clients.iter_mut().for_each(|client| client.send(&request("GET", "/view/1", "6", "", "")));
+    let answers: Vec<Message> = clients.iter_mut().map(|client| client.answer()).collect();
+    let told = answers.iter().filter(|a| a.header("retry-after") == Some("2.000")).count();
+    assert!(told > 0 && answers.iter().all(|a| a.status() == 503), "{answers:?}");
+}
+
 #[test]
 fn a_crowd_of_idle_clients_does_not_shut_others_out() {
     let server = Server::new(|_, _| ok("slip"));
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -494,6 +494,51 @@
     assert!(refused(&node.wake(id, 10 * MS), id));
 }
 
+/// A refusal late in a request's time, with nothing ever sent for it, leaves its client no time for anything.
+#[test]
+fn what_was_never_sent_is_given_up_within_half_of_its_time_and_asked_to_stay_away() {
+    let stays =
+        |actions: &[Action], id| actions.contains(&Action::Refuse { request: id, retry_after: 2 * S });
+    let held = |node: &mut Node| {
+        let arrivals: Vec<_> = (0..100).map(|_| node.arrive(SAFE, Some(0))).collect();
+        arrivals.iter().rev().find(|(id, a)| sends(a, *id).is_empty() && !refused(a, *id)).unwrap().0
+    };
+    let mut node = Node::new(Settings { max_retry_after: 2 * S, ..settings() }, servers(1..9));
+    let id = held(&mut node);
+    // It may still be in time; then it is too late for its aim, but not yet for its client.
+    assert!(!refused(&node.wake(id, 200 * MS), id));
+    assert!(!refused(&node.wake(id, 100 * MS), id));
+    assert!(stays(&node.wake(id, 151 * MS), id));
+    // Beyond its tenant's share it does not wait for a miss of the aim.
+    let tenants = vec![Tenant { quota_per_s: 4.0, share: 1.0 }];
+    let classes = vec![Class { aim: 800 * MS, ..class(Effect::Safe) }];
+    let tight = Settings { max_retry_after: 2 * S, tenants, classes, ..settings() };
+    let mut node = Node::new(tight, servers(1..9));
+    let id = held(&mut node);
+    assert!(!refused(&node.wake(id, 400 * MS), id));
+    assert!(stays(&node.wake(id, 51 * MS), id));
+}
+
+/// Where answers come spoilt from all servers alike, to avoid each for its part of them would only cost room.
+#[test]
+fn failures_that_befall_all_servers_alike_let_none_be_avoided() {
+    let mut node = Node::new(settings(), servers(1..9));
+    let one = |node: &mut Node, outcome| {
+        let (id, actions) = node.arrive(UNSAFE, Some(0));
+        node.now += MS;
+        node.end(id, 0, outcome, MS);
+        sends(&actions, id)[0]
+    };
+    for _ in 0..20 {
+        one(&mut node, Outcome::Error);
+    }
+    node.now += S;
+    let last = one(&mut node, Outcome::Error);
+    node.now += 200 * MS;
+    let open: Vec<_> = (0..12).map(|_| node.arrive(UNSAFE, Some(0))).collect();
+    assert!(open.iter().any(|(id, actions)| sends(actions, *id).contains(&last)));
+}
+
 /// Many nodes: where each server's place in a pool is one of hundreds of nodes' choices.
 fn many(nodes: u32, rank: u32) -> Settings {
     Settings { balancers: nodes, rank, ..settings() }
