Node: what must not run twice avoids kept connections for 10 s after one broke

Ruled out: a close that could have been seen; the kernel is asked right before reuse, and those that are closed behind an answer are found in the 5 ms of rest. Lines at fault: send in servers.rs gave unsafe requests any kept connection; a reset under one leaves open whether it ran, so it can neither go again nor be refused. Change: after a kept connection broke with no answer, unsafe requests get new connections for 10 s. Test: what_must_not_run_twice_avoids_kept_connections_once_one_broke; fails (2 lost, not 1) with the condition off.

--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -374,7 +374,8 @@
             headers.insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
         }
         headers.entry(header::HOST).or_insert(HeaderValue::from_static("origin.svc"));
-        let outgoing = Rc::new(Outgoing { method: head.method, target, headers, body, deadline });
+        let once = class.effect == Effect::Unsafe;
+        let outgoing = Rc::new(Outgoing { method: head.method, target, headers, body, deadline, once });
         Ok(Taken { request, outgoing, _unique: unique })
     }
 
--- a/src/node/servers.rs
+++ b/src/node/servers.rs
@@ -43,6 +43,8 @@
 const REST: Duration = Duration::from_millis(5);
 /// An answer that has begun to come is whole after this, or will never be.
 const WHOLE_WITHIN: Duration = Duration::from_millis(300);
+/// For how long kept connections are not trusted with what must not run twice, after one broke.
+const WARY: Duration = Duration::from_secs(10);
 /// The most hints (1xx) ahead of an answer.
 const HINTS_MOST: usize = 16;
 /// A server that answers nothing for this long may have vanished.
@@ -60,6 +62,8 @@
     pub body: Bytes,
     /// When no answer is of use any more.
     pub deadline: Instant,
+    /// Whether it must never run twice.
+    pub once: bool,
 }
 
 impl Outgoing {
@@ -126,6 +130,8 @@
     most: usize,
     connect_timeout: Duration,
     idle_most: Duration,
+    /// Until when kept connections are known to break at their next request.
+    wary_until: Cell<Option<Instant>>,
 }
 
 impl Servers {
@@ -136,9 +142,16 @@
             most: config.sockets / 3,
             connect_timeout: Duration::from_micros(config.connect_timeout_us),
             idle_most: Duration::from_micros(config.keepalive_us).mul_f64(IDLE_PART),
+            wary_until: Cell::new(None),
         }
     }
 
+    /// Whether this request should have a new connection: one that breaks under a request leaves open
+    /// whether it ran, and this one could then neither go again nor be refused.
+    fn wary(&self, outgoing: &Outgoing) -> bool {
+        outgoing.once && self.wary_until.get().is_some_and(|until| until > Instant::now())
+    }
+
     /// How many connections to servers there may be.
     pub fn most(&self) -> usize {
         self.most
@@ -290,7 +303,8 @@
         begun: &Cell<bool>,
     ) -> (Outcome, Option<Response<Bytes>>) {
         loop {
-            let (mut connection, fresh) = match self.take_idle(server) {
+            let kept = if self.wary(outgoing) { None } else { self.take_idle(server) };
+            let (mut connection, fresh) = match kept {
                 Some(connection) => (connection, false),
                 None => {
                     let Some(there) = self.whereabouts(server) else { return (Outcome::NotSent, None) };
@@ -335,7 +349,13 @@
                 }
                 // A server begins a request when its last byte has come.
                 Err(_) if written < whole => return (Outcome::ConnectFailed, None),
-                Err(_) => return (Outcome::Reset, None),
+                Err(error) => {
+                    // Nothing came: not a spoilt answer, but the end of a connection that had looked well.
+                    if !fresh && !error.is_parse() {
+                        self.wary_until.set(Some(Instant::now() + WARY));
+                    }
+                    return (Outcome::Reset, None);
+                }
             };
             return tokio::select! {
                 biased;
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -421,6 +421,24 @@
     assert_eq!(connections[3], 2, "the last request came on a connection of its own: {connections:?}");
 }
 
+#[test]
+fn what_must_not_run_twice_avoids_kept_connections_once_one_broke() {
+    // Kept connections break under their next request; new ones are fine.
+    let met = std::sync::Mutex::new(HashSet::new());
+    let server = Server::on(move |connection, _| match met.lock().unwrap().insert(connection) {
+        true => ok("paid"),
+        false => Act::SayAndClose(Vec::new()),
+    });
+    let node = Node::new(&[ready("a", &server)]);
+    let mut client = node.client();
+    let mut lost = 0;
+    for _ in 0..5 {
+        lost += usize::from(client.ask(&order()).status() != 200);
+        rested();
+    }
+    assert_eq!(lost, 1, "the first that broke tells of the others");
+}
+
 #[test]
 fn a_watch_that_ends_or_speaks_garbage_is_begun_anew_from_where_it_was() {
     let server = Server::new(|_, _| ok("slip"));
--- a/tests/node/peers.rs
+++ b/tests/node/peers.rs
@@ -92,6 +92,12 @@
 impl Server {
     /// A server that does as the script says; the script is told how many requests came before.
     pub fn new(script: impl Fn(usize, &Message) -> Act + Send + Sync + 'static) -> Server {
+        let count = AtomicUsize::new(0);
+        Server::on(move |_, request| script(count.fetch_add(1, Ordering::SeqCst), request))
+    }
+
+    /// A server whose script is told on which connection the request came.
+    pub fn on(script: impl Fn(usize, &Message) -> Act + Send + Sync + 'static) -> Server {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let (tell, seen) = channel();
@@ -104,7 +110,8 @@
                     let Ok(mut stream) = stream else { return };
                     let mut reader = BufReader::new(stream.try_clone().unwrap());
                     while let Some(request) = Message::read(&mut reader) {
-                        let act = script(count.fetch_add(1, Ordering::SeqCst), &request);
+                        count.fetch_add(1, Ordering::SeqCst);
+                        let act = script(number, &request);
                         let _ = tell.send(Seen::Request(number, request));
                         match act {
                             Act::Say(bytes) => drop(stream.write_all(&bytes)),
