Node: connections are kept between requests only up to a quarter of the budget

So connections kept for nothing keep other clients from connecting: not the node's CPU, queues, module or refusals, all ruled out before. Line at fault: Clients::over(), which let idle connections fill the whole budget. Change: from a quarter on, idle ones are ended and answers end their connection; busy ones still have the whole budget. Test: connections_end_with_their_answers_long_before_the_budget_is_full, seen to fail before.

--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -56,6 +56,8 @@
 const CLOSE_WITHIN: Duration = Duration::from_secs(1);
 /// How long a body may take in any case.
 const BODY_LEAST: Duration = Duration::from_millis(20);
+/// Connections are kept open between requests up to this part of all.
+const KEPT_PART: usize = 4;
 /// What a client is told when the node has no connection left to serve it with.
 const CROWDED: Duration = Duration::from_secs(1);
 
@@ -187,11 +189,13 @@
         self.config.sockets - self.servers.most()
     }
 
-    /// Whether there are more connections than are served: the last tenth is for refusals.
+    /// Whether there are so many connections that idle ones are ended and answers end theirs: what clients
+    /// keep without asking anything more on it keeps others from connecting.
     fn over(&self) -> bool {
-        self.connections.borrow().len() - self.closing.get() > self.served()
+        self.connections.borrow().len() - self.closing.get() > self.config.sockets / KEPT_PART
     }
 
+    /// How many are served; the last tenth is for refusals.
     fn served(&self) -> usize {
         self.most() - self.most() / 10
     }
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -527,6 +527,18 @@
     }
 }
 
+#[test]
+fn connections_end_with_their_answers_long_before_the_budget_is_full() {
+    let server = Server::new(|_, _| Act::Wait);
+    let node = Node::with(&[ready("a", &server)], 128);
+    let mut clients: Vec<Client> = (0..30).map(|_| node.client()).collect();
+    clients.iter_mut().for_each(|client| client.send(&request("GET", "/view/1", "9", "", "")));
+    // There is room for twice as many; but one that is kept for nothing takes another client's place.
+    let mut more = node.client();
+    assert_eq!(more.ask(b"GET /_health HTTP/1.1\r\nHost: n\r\n\r\n").header("connection"), Some("close"));
+    assert!(more.ended());
+}
+
 #[test]
 fn a_node_without_descriptors_lives_on() {
     let server = Server::new(|_, _| ok("slip"));
