Node: a request that comes in pieces keeps its connection in a crowd

Cause: spare_since took a kept connection for idle although a part of the next request had come. Ruled out: new connections, which hyper does not close on a part of a head. Change: one on which a request has begun is not spare. Test: a_request_that_comes_in_pieces_is_not_cut_off_by_a_crowd; fails without the condition.

--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -77,13 +77,16 @@
     /// Whether it was told to end.
     closing: Cell<bool>,
     close: Notify,
+    /// What has passed on its socket.
+    seen: Rc<Seen>,
 }
 
 impl Connection {
     /// Since when it can be closed. Between requests a client takes that well; but a new connection was
     /// opened for a request that may be in the kernel already, and to close on that one would lose it.
     fn spare_since(&self) -> Option<Instant> {
-        let since = self.idle_since.get().filter(|_| !self.closing.get())?;
+        // A request that comes in pieces has begun, and may be whole in the kernel by now.
+        let since = self.idle_since.get().filter(|_| !self.closing.get() && !self.seen.has_begun())?;
         // One just answered may carry the next request already: its answers say `Connection: close` instead.
         let least = if self.fresh.get() { FIRST_WITHIN } else { IDLE_LEAST };
         (since.elapsed() >= least).then_some(since)
@@ -165,18 +168,20 @@
     fn adopt(self: Rc<Self>, number: u64, stream: TcpStream) {
         // It costs speed only.
         let _ = stream.set_nodelay(true);
+        let (socket, seen) = ClientSocket::new(stream);
         let connection = Rc::new(Connection {
             idle_since: Cell::new(Some(Instant::now())),
             fresh: Cell::new(true),
             closing: Cell::new(false),
             close: Notify::new(),
+            seen,
         });
         self.connections.borrow_mut().insert(number, connection.clone());
         if self.over() {
             self.make_room();
         }
         tokio::task::spawn_local(async move {
-            self.serve(&connection, stream).await;
+            self.serve(&connection, socket).await;
             self.connections.borrow_mut().remove(&number);
             self.closing.set(self.closing.get() - usize::from(connection.closing.get()));
             self.freed.notify_one();
@@ -226,10 +231,9 @@
         }
     }
 
-    async fn serve(self: &Rc<Self>, connection: &Rc<Connection>, stream: TcpStream) {
-        let (socket, seen) = ClientSocket::new(stream);
+    async fn serve(self: &Rc<Self>, connection: &Rc<Connection>, socket: ClientSocket) {
         let service = service_fn(|request| {
-            let (clients, connection, seen) = (self.clone(), connection.clone(), seen.clone());
+            let (clients, connection, seen) = (self.clone(), connection.clone(), connection.seen.clone());
             async move {
                 let since = connection.idle_since.take().unwrap_or_else(Instant::now);
                 let busy = Counted::one_more(&clients.busy);
--- a/src/node/socket.rs
+++ b/src/node/socket.rs
@@ -75,6 +75,11 @@
 }
 
 impl Seen {
+    /// Whether some of a request has come.
+    pub fn has_begun(&self) -> bool {
+        self.passing.borrow().begun
+    }
+
     /// Whether the head of the request at hand may state a length, which hyper drops if the request has a
     /// `Transfer-Encoding` too.
     pub fn has_length(&self) -> bool {
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -539,6 +539,24 @@
     assert!(more.ended());
 }
 
+#[test]
+fn a_request_that_comes_in_pieces_is_not_cut_off_by_a_crowd() {
+    let server = Server::new(|_, _| ok("slip"));
+    let node = Node::with(&[ready("a", &server)], 128);
+    let mut slow = node.client();
+    assert_eq!(slow.ask(&view()).body, b"slip");
+    let text = request("GET", "/view/slow", "9", "", "");
+    slow.send(&text[..30]);
+    rested();
+    rested();
+    let _crowd: Vec<Client> = (0..40).map(|_| node.client()).collect();
+    // It was taken in after the crowd, so by now room has been made for that.
+    let health = b"GET /_health HTTP/1.1\r\nHost: n\r\n\r\n";
+    assert_eq!(node.client().ask(health).status(), 200);
+    slow.send(&text[30..]);
+    assert_eq!(slow.answer().body, b"slip");
+}
+
 #[test]
 fn a_node_without_descriptors_lives_on() {
     let server = Server::new(|_, _| ok("slip"));
