--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -57,7 +57,7 @@
 /// How long a body may take in any case.
 const BODY_LEAST: Duration = Duration::from_millis(20);
 /// Connections are kept open between requests up to this part of all.
-const KEPT_PART: usize = 4;
+const KEPT_PART: usize = 3;
 /// What a client is told when the node has no connection left to serve it with.
 const CROWDED: Duration = Duration::from_secs(1);
 
