--- a/src/decide.rs
+++ b/crates/cherryusher/src/decide.rs
@@ -1,4 +1,4 @@
-//! Every decision of a node. Its types, events and actions are in `src/api.rs`.
+//! Every decision of a node. Its types, events and actions are in `api.rs`.
 //! A tenant's label names a small pool of servers; of two random members the one with less of this node's
 //! own work gets the request. `docs/design.md` says what was added to that and why.
 
--- a/src/lib.rs
+++ b/crates/cherryusher/src/lib.rs
@@ -41,13 +41,10 @@
 //!
 //! What the node owes the module: each [`Action::Send`] is followed by one [`Event::AttemptEnded`]; the first
 //! answer goes to the client at once and finishes its request; time-outs are cut to the client's patience.
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 
 pub mod api;
 mod decide;
 mod state;
-pub mod wire;
 
 pub use api::*;
 pub use decide::Balancer;
@@ -57,4 +54,9 @@
     pub fn requests_kept(&self) -> usize {
         self.jobs.len()
     }
+
+    /// How many requests wait in the queue for a server with room: a gauge for the node that embeds it.
+    pub fn requests_held(&self) -> usize {
+        self.jobs.values().filter(|job| job.held).count()
+    }
 }
--- a/tests/common/mod.rs
+++ b/crates/cherryusher/tests/common/mod.rs
@@ -1,5 +1,5 @@
 //! A small bench of hands for scenario tests: settings, servers and a node to talk to.
-#![allow(dead_code)]
+#![allow(dead_code, unreachable_pub)]
 
 use cherryusher::*;
 
--- a/tests/scenarios.rs
+++ b/crates/cherryusher/tests/scenarios.rs
@@ -323,7 +323,7 @@
         let mut out = std::collections::VecDeque::new();
         for _ in 0..200 {
             let (id, actions) = node.arrive(SAFE, Some(0));
-            own += usize::from(sends(&actions, id)[0] % 2 == 0);
+            own += usize::from(sends(&actions, id)[0].is_multiple_of(2));
             out.push_back(id);
             if out.len() > 1 {
                 node.now += 10 * MS;
@@ -342,7 +342,8 @@
 /// Servers of three times the size carry three times as much of this node's work once all are full.
 #[test]
 fn room_follows_weight() {
-    let sized = |s: ServerEntry| ServerEntry { weight: if s.id % 2 == 0 { 30.0 } else { 10.0 }, ..s };
+    let sized =
+        |s: ServerEntry| ServerEntry { weight: if s.id.is_multiple_of(2) { 30.0 } else { 10.0 }, ..s };
     let list: Vec<_> = servers(1..13).into_iter().map(sized).collect();
     let mut node = Node::new(Settings { balancers: 1, ..settings() }, list);
     let mut in_flight = [0, 0];
@@ -574,7 +575,7 @@
 /// full while small ones idled.
 #[test]
 fn idle_members_are_drawn_by_size_at_many_nodes() {
-    let sized = |s: ServerEntry| ServerEntry { weight: if s.id % 2 == 0 { 3.0 } else { 1.0 }, ..s };
+    let sized = |s: ServerEntry| ServerEntry { weight: if s.id.is_multiple_of(2) { 3.0 } else { 1.0 }, ..s };
     let (mut large, mut small) = (0, 0);
     for rank in 0..200 {
         let list: Vec<_> = servers(1..41).into_iter().map(sized).collect();
--- a/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -1,13 +1,12 @@
 //! Hosts decision modules, one a node, on standard input and output.
-#![forbid(unsafe_code)]
 
 use std::collections::BTreeMap;
 use std::error::Error;
 use std::io::{self, Read, Write};
 use std::process::ExitCode;
 
-use cherryusher::wire::{Decoder, Record, Reply, WireError};
 use cherryusher::{Action, Balancer, Event};
+use cherryusher_drill::wire::{Decoder, Record, Reply, WireError};
 
 /// A node: its module, and whether its site has tenants.
 struct Node {
--- a/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
-use crate::api::*;
+use cherryusher::*;
 
 /// What was wrong with a frame.
 #[derive(Debug, PartialEq, Eq)]
--- a/tests/wire.rs
+++ b/crates/drill/tests/wire.rs
@@ -3,8 +3,8 @@
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 
-use cherryusher::wire::{Batch, Decoder, Record, Reply, parse_settings};
 use cherryusher::*;
+use cherryusher_drill::wire::{Batch, Decoder, Record, Reply, parse_settings};
 
 /// Bytes from hex text; spaces and line ends are for the eye.
 fn hex(text: &str) -> Vec<u8> {
@@ -206,7 +206,7 @@
 
 #[test]
 fn what_is_stated_of_weights_and_cold_servers_is_read() {
-    let read = |text: &str| cherryusher::wire::parse_settings(text.as_bytes()).unwrap();
+    let read = |text: &str| cherryusher_drill::wire::parse_settings(text.as_bytes()).unwrap();
     let stated = read("weights=live\nobligations.fall_multiple=2.5\n");
     assert!(stated.live_weights && stated.fall_multiple == 2.5);
     let silent = read("weights=nominal\n");
--- /dev/null
+++ b/crates/dunelink/src/config/mod.rs
@@ -0,0 +1,573 @@
+//! What a node is told at its start.
+//!
+//! [`Config`] is one typed value. It is written and read as TOML by people ([`Config::from_toml`]), and read
+//! from the platform's JSON ([`Config::from_platform`]). Whatever is wrong is a [`ConfigError`] that names the
+//! file, the line, the key and what was expected.
+
+mod error;
+mod platform;
+mod text;
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use cherryusher as policy;
+use serde::{Deserialize, Serialize};
+
+pub use error::ConfigError;
+use error::Problem;
+
+use crate::types::{Server, Update};
+
+/// Descriptors for all but connections: standard streams, epoll, wake-ups, signals, the listener, discovery.
+const SPARE_SOCKETS: usize = 24;
+/// No deadline is longer, whatever the settings say.
+const LONGEST: Duration = Duration::from_secs(3600);
+
+/// Everything a node goes by. [`Config::default`] is one node with no classes and no servers; it wants at least
+/// a class.
+///
+/// ```
+/// let config = dunelink::Config::from_toml(r#"
+///     [[classes]]
+///     name = "view"
+///     effect = "safe"
+///     deadline = "2s"
+/// "#)?;
+/// assert_eq!(config.classes[0].aim(), std::time::Duration::from_secs(2));
+/// # Ok::<(), dunelink::config::ConfigError>(())
+/// ```
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Config {
+    /// The node's name, for its log and its thread.
+    pub name: String,
+    /// Where the daemon listens. The library has no listener and passes it over.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub listen: Option<SocketAddr>,
+    /// For random numbers, hexadecimal; drawn from the clock and the name if absent.
+    #[serde(skip_serializing_if = "Option::is_none", with = "text::hex")]
+    pub seed: Option<u64>,
+    /// What a request beyond its tenant's share is worth, as a part of its class's worth.
+    pub over_share_worth: f64,
+    /// What the node may hold.
+    pub limits: Limits,
+    /// What a request has to bring along.
+    pub intake: Intake,
+    /// What may be done for a request after its first attempt.
+    pub attempts: Attempts,
+    /// The fleet as a whole, and this node's place in it.
+    pub fleet: Fleet,
+    /// Where the list of servers comes from.
+    pub roster: RosterConfig,
+    /// The list as it was last held: where the node starts from, until the roster says more.
+    #[serde(skip_serializing_if = "is_default")]
+    pub known: Update,
+    /// The classes of requests; at least one.
+    pub classes: Vec<Class>,
+    /// The tenants and their shares; may be empty.
+    pub tenants: Vec<Tenant>,
+}
+
+/// What the node may hold.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Descriptors of the process, for connections of both sides and all else.
+    pub sockets: usize,
+    /// Connections to servers at once; a third of what is left for connections if absent.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub server_connections: Option<usize>,
+    /// Requests open at once. What comes beyond is refused at once, or waits in `poll_ready`.
+    pub requests: usize,
+    /// Bytes in a body, in either direction.
+    pub body: usize,
+}
+
+/// What a request has to bring along.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Intake {
+    /// Whether a request without an id is an error, or gets one.
+    pub id: Absent,
+    /// Whether a request without a deadline is an error, or has its class's.
+    pub deadline: Absent,
+}
+
+/// What to do when something is absent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Absent {
+    /// Go by the default.
+    #[default]
+    Default,
+    /// Turn the request down as invalid.
+    Refuse,
+}
+
+/// What may be done for a request after its first attempt.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Attempts {
+    /// The most attempts that one request may have.
+    pub most: u16,
+    /// Whether attempts may be cancelled, by closing their connection.
+    pub cancel: bool,
+    /// Whether a second attempt may be sent while the first is out (hedged requests).
+    pub hedge: bool,
+    /// The longest stay away that a refused client honours; 0 for none, and then none is told.
+    #[serde(with = "humantime_serde")]
+    pub retry_after: Duration,
+}
+
+/// The fleet as a whole, and this node's place in it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Fleet {
+    /// How many nodes share the work.
+    pub nodes: u32,
+    /// This node's number among them, from 0.
+    pub rank: u32,
+    /// The zone that this node is in, one of `zones`.
+    #[serde(skip_serializing_if = "String::is_empty")]
+    pub zone: String,
+    /// The names of zones.
+    pub zones: Vec<String>,
+    /// The names of kinds of machine.
+    pub kinds: Vec<String>,
+    /// A starting server has at least this part of its capacity (slow start).
+    pub cold_from: f64,
+    /// A server is warm after this time at most.
+    #[serde(with = "humantime_serde")]
+    pub warm_up: Duration,
+    /// A cold server falls over when it is sent this multiple of what it can do at that moment.
+    pub fall_multiple: f64,
+    /// A connection that is not up after this has failed.
+    #[serde(with = "humantime_serde")]
+    pub connect_timeout: Duration,
+    /// Servers close a connection that has been idle for this long.
+    #[serde(with = "humantime_serde")]
+    pub keepalive: Duration,
+    /// Whether related requests are cheaper on a server that met their key lately.
+    pub warm_keys: bool,
+    /// Whether weights shrink while a server holds requests, and so tell of load as well as of size.
+    pub live_weights: bool,
+    /// What crossing zones costs, for every request once, as a part of all worth.
+    pub cross_zone_price: f64,
+    /// The longest time between two looks at the clock.
+    #[serde(with = "humantime_serde")]
+    pub step: Duration,
+}
+
+/// Where the list of servers comes from.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "from", rename_all = "lowercase", deny_unknown_fields)]
+pub enum RosterConfig {
+    /// From the host program, through [`crate::Builder::roster`]; without one, `known` is all there is.
+    #[default]
+    Host,
+    /// From the list here, which never changes.
+    Fixed {
+        /// The servers.
+        servers: Vec<Server>,
+    },
+    /// From a TOML file with `[[servers]]` entries, read again when it changes.
+    File {
+        /// Where it is.
+        path: PathBuf,
+        /// How often to look.
+        #[serde(default = "File::every", with = "humantime_serde")]
+        every: Duration,
+    },
+    /// From the platform's discovery, by a watch over HTTP.
+    Watch {
+        /// Where it answers.
+        address: SocketAddr,
+        /// Whether it wants to be asked at least this often, and sends nothing by itself; it is asked when the
+        /// decision module says so.
+        #[serde(default, skip_serializing_if = "Option::is_none", with = "humantime_serde")]
+        ask_every: Option<Duration>,
+    },
+}
+
+/// Defaults of a file roster.
+struct File;
+
+impl File {
+    fn every() -> Duration {
+        Duration::from_millis(500)
+    }
+}
+
+/// What may happen to a request that is sent more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Effect {
+    /// Repeats do no harm. Sent as `GET`, without a body.
+    Safe,
+    /// Servers drop a repeat with the same `Idempotency-Key`, within the class's `dedup`. Sent as `POST`.
+    Keyed,
+    /// It must never run twice. Sent as `POST`.
+    Unsafe,
+}
+
+/// Which servers drop each other's repeats, and for how long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Dedup {
+    /// Which servers share what they remember.
+    pub group: Group,
+    /// For how long after the first attempt was sent.
+    #[serde(with = "humantime_serde")]
+    pub window: Duration,
+}
+
+/// Which servers share what they remember.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Group {
+    /// All.
+    All,
+    /// Those of one zone.
+    Zone,
+    /// Those of one cell.
+    Cell,
+}
+
+/// A class of requests.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Class {
+    /// Its name: the first part of the path, unless an extension says otherwise.
+    pub name: String,
+    /// What a repeat does.
+    pub effect: Effect,
+    /// Keyed classes: where and for how long repeats are dropped.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub dedup: Option<Dedup>,
+    /// A client's whole wait; up to an hour.
+    #[serde(with = "humantime_serde")]
+    pub deadline: Duration,
+    /// An answer within this time earns the full worth; the deadline if absent.
+    #[serde(default, skip_serializing_if = "Option::is_none", with = "humantime_serde")]
+    pub aim: Option<Duration>,
+    /// The aim grows by this multiple of the request's expected work, up to the deadline.
+    #[serde(default)]
+    pub aim_stretch: f64,
+    /// What an answer in time is worth against other classes'.
+    #[serde(default = "one")]
+    pub worth: f64,
+    /// The part of the worth that a late answer earns.
+    #[serde(default)]
+    pub late_worth: f64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
+
+impl Class {
+    /// A class of this name, with a worth of 1.
+    pub fn new(name: impl Into<String>, effect: Effect, deadline: Duration) -> Class {
+        Class {
+            name: name.into(),
+            effect,
+            dedup: None,
+            deadline,
+            aim: None,
+            aim_stretch: 0.0,
+            worth: 1.0,
+            late_worth: 0.0,
+        }
+    }
+
+    /// The time within which an answer earns the full worth.
+    pub fn aim(&self) -> Duration {
+        self.aim.unwrap_or(self.deadline)
+    }
+}
+
+/// A tenant and its share.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tenant {
+    /// Its name, as requests have it.
+    pub name: String,
+    /// Requests a second, over all nodes, that are within its share.
+    pub quota_per_s: f64,
+    /// The part of the service that it has a right to, from 0 to 1.
+    pub share: f64,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config {
+            name: "dunelink".into(),
+            listen: None,
+            seed: None,
+            over_share_worth: 1.0,
+            limits: Limits::default(),
+            intake: Intake::default(),
+            attempts: Attempts::default(),
+            fleet: Fleet::default(),
+            roster: RosterConfig::Host,
+            known: Update::default(),
+            classes: Vec::new(),
+            tenants: Vec::new(),
+        }
+    }
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits { sockets: 1024, server_connections: None, requests: 10_000, body: 64 * 1024 }
+    }
+}
+
+impl Limits {
+    /// How many connections there may be, of clients and to servers together.
+    pub fn connections(&self) -> usize {
+        self.sockets.saturating_sub(SPARE_SOCKETS).max(8)
+    }
+
+    /// How many connections to servers there may be.
+    pub fn to_servers(&self) -> usize {
+        self.server_connections.unwrap_or(self.connections() / 3)
+    }
+}
+
+impl Default for Attempts {
+    fn default() -> Attempts {
+        Attempts { most: 3, cancel: true, hedge: true, retry_after: Duration::from_secs(2) }
+    }
+}
+
+impl Default for Fleet {
+    fn default() -> Fleet {
+        Fleet {
+            nodes: 1,
+            rank: 0,
+            zone: String::new(),
+            zones: Vec::new(),
+            kinds: Vec::new(),
+            cold_from: 0.1,
+            warm_up: Duration::from_secs(30),
+            fall_multiple: 2.0,
+            connect_timeout: Duration::from_millis(250),
+            keepalive: Duration::from_secs(5),
+            warm_keys: false,
+            live_weights: false,
+            cross_zone_price: 0.0,
+            step: Duration::from_millis(5),
+        }
+    }
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
+impl Config {
+    /// Reads an operator's TOML file.
+    pub fn read_toml(path: impl AsRef<Path>) -> Result<Config, ConfigError> {
+        let path = path.as_ref();
+        let text = error::read(path)?;
+        Config::from_toml(&text).map_err(|e| e.in_file(path))
+    }
+
+    /// Reads an operator's TOML. Unknown keys are errors.
+    pub fn from_toml(toml: &str) -> Result<Config, ConfigError> {
+        let config: Config = text::parse_toml(toml)?;
+        config.check().map_err(|problem| text::toml_problem(toml, problem))?;
+        Ok(config)
+    }
+
+    /// The configuration as TOML that [`Config::from_toml`] reads back to the same value.
+    ///
+    /// # Errors
+    ///
+    /// Numbers that TOML has no form for: a seed is written as text, so only sizes beyond 63 bits.
+    pub fn to_toml(&self) -> Result<String, ConfigError> {
+        toml::to_string_pretty(self).map_err(|e| ConfigError::of(e.to_string()))
+    }
+
+    /// Reads the platform's JSON file, which `GW_CONFIG` names.
+    pub fn read_platform(path: impl AsRef<Path>) -> Result<Config, ConfigError> {
+        let path = path.as_ref();
+        let text = error::read(path)?;
+        Config::from_platform(&text).map_err(|e| e.in_file(path))
+    }
+
+    /// Reads the platform's JSON. Unknown keys are passed over.
+    pub fn from_platform(json: &str) -> Result<Config, ConfigError> {
+        platform::parse(json)
+    }
+
+    /// Whether everything in it holds together; [`crate::Builder::start`] asks this too.
+    pub fn validate(&self) -> Result<(), ConfigError> {
+        self.check().map_err(ConfigError::from)
+    }
+
+    /// The longest that any client waits.
+    pub fn longest(&self) -> Duration {
+        self.classes.iter().map(|class| class.deadline.min(LONGEST)).max().unwrap_or_default()
+    }
+
+    /// What the decision module is told.
+    pub fn settings(&self) -> policy::Settings {
+        let group = |group| match group {
+            Group::All => policy::Group::All,
+            Group::Zone => policy::Group::Zone,
+            Group::Cell => policy::Group::Cell,
+        };
+        let class = |class: &Class| policy::Class {
+            aim: micros(class.aim()),
+            aim_stretch: class.aim_stretch,
+            deadline: micros(class.deadline.min(LONGEST)),
+            worth: class.worth,
+            late_worth: class.late_worth,
+            effect: match (class.effect, class.dedup) {
+                (Effect::Safe, _) => policy::Effect::Safe,
+                (Effect::Unsafe, _) => policy::Effect::Unsafe,
+                (Effect::Keyed, Some(dedup)) => {
+                    policy::Effect::Keyed { group: group(dedup.group), window: micros(dedup.window) }
+                }
+                // Checked before; without a window nothing may go again.
+                (Effect::Keyed, None) => policy::Effect::Keyed { group: policy::Group::Cell, window: 0 },
+            },
+        };
+        let f = &self.fleet;
+        policy::Settings {
+            balancers: f.nodes,
+            rank: f.rank,
+            zone: f.zones.iter().position(|z| *z == f.zone).and_then(|z| z.try_into().ok()).unwrap_or(0),
+            classes: self.classes.iter().map(class).collect(),
+            tenants: self
+                .tenants
+                .iter()
+                .map(|t| policy::Tenant { quota_per_s: t.quota_per_s, share: t.share })
+                .collect(),
+            over_share_worth: self.over_share_worth,
+            max_attempts: self.attempts.most,
+            cancelling: self.attempts.cancel,
+            second_copies: self.attempts.hedge,
+            warm_keys: f.warm_keys,
+            cross_zone_price: f.cross_zone_price,
+            live_weights: f.live_weights,
+            discovery: match &self.roster {
+                RosterConfig::Watch { ask_every: Some(every), .. } => {
+                    policy::Discovery::Asked { every: micros(*every) }
+                }
+                _ => policy::Discovery::Pushed,
+            },
+            cold_from: f.cold_from,
+            warm_up: micros(f.warm_up),
+            fall_multiple: f.fall_multiple,
+            step: micros(f.step),
+            max_retry_after: micros(self.attempts.retry_after),
+        }
+    }
+
+    /// Checks what types cannot say; the first problem names its key.
+    fn check(&self) -> Result<(), Problem> {
+        let want = |kept: bool, key: &str, expected: &str| match kept {
+            true => Ok(()),
+            false => Err(Problem::new(key, expected)),
+        };
+        let positive = |x: f64| x.is_finite() && x >= 0.0;
+        let l = &self.limits;
+        want(l.requests > 0, "limits.requests", "expected at least 1")?;
+        want(l.requests <= 1 << 24, "limits.requests", "expected at most 16777216")?;
+        want(l.to_servers() > 0, "limits.server_connections", "expected at least 1")?;
+        want(l.body > 0 && l.body <= 1 << 30, "limits.body", "expected 1 to 1073741824 bytes")?;
+        want(positive(self.over_share_worth), "over_share_worth", "expected a number of 0 or more")?;
+        want(self.attempts.most > 0, "attempts.most", "expected at least 1")?;
+        let f = &self.fleet;
+        want(f.nodes > 0, "fleet.nodes", "expected at least 1")?;
+        want(f.rank < f.nodes, "fleet.rank", "expected a number below fleet.nodes")?;
+        want(
+            f.zone.is_empty() || f.zones.contains(&f.zone),
+            "fleet.zone",
+            "expected one of the names in fleet.zones",
+        )?;
+        want(f.zones.len() < 255, "fleet.zones", "expected fewer than 255 names")?;
+        want(f.kinds.len() < 255, "fleet.kinds", "expected fewer than 255 names")?;
+        want(
+            f.cold_from > 0.0 && f.cold_from <= 1.0,
+            "fleet.cold_from",
+            "expected a number above 0, up to 1",
+        )?;
+        want(positive(f.fall_multiple), "fleet.fall_multiple", "expected a number of 0 or more")?;
+        want(positive(f.cross_zone_price), "fleet.cross_zone_price", "expected a number of 0 or more")?;
+        want(!f.connect_timeout.is_zero(), "fleet.connect_timeout", "expected a time above 0")?;
+        want(!f.step.is_zero(), "fleet.step", "expected a time above 0")?;
+        want(!self.classes.is_empty(), "classes", "expected at least one [[classes]] entry")?;
+        let mut names = HashSet::new();
+        for (i, class) in self.classes.iter().enumerate() {
+            let want = |kept, key: &str, expected: &str| want(kept, &format!("classes[{i}].{key}"), expected);
+            want(!class.name.is_empty(), "name", "expected a name")?;
+            want(!class.name.contains('/'), "name", "expected a name without '/': it is one part of a path")?;
+            want(names.insert(&class.name), "name", "expected a name that no other class has")?;
+            want(!class.deadline.is_zero(), "deadline", "expected a time above 0")?;
+            want(!class.aim().is_zero(), "aim", "expected a time above 0")?;
+            want(positive(class.aim_stretch), "aim_stretch", "expected a number of 0 or more")?;
+            want(positive(class.worth), "worth", "expected a number of 0 or more")?;
+            want(positive(class.late_worth), "late_worth", "expected a number of 0 or more")?;
+            let keyed = class.effect == Effect::Keyed;
+            want(
+                !keyed || class.dedup.is_some(),
+                "dedup",
+                "expected { group = \"all\", \"zone\" or \"cell\", window = a time } for a keyed class",
+            )?;
+            want(keyed || class.dedup.is_none(), "dedup", "expected no dedup: the class is not keyed")?;
+        }
+        let mut names = HashSet::new();
+        for (i, tenant) in self.tenants.iter().enumerate() {
+            let want = |kept, key: &str, expected: &str| want(kept, &format!("tenants[{i}].{key}"), expected);
+            want(!tenant.name.is_empty(), "name", "expected a name")?;
+            want(names.insert(&tenant.name), "name", "expected a name that no other tenant has")?;
+            want(positive(tenant.quota_per_s), "quota_per_s", "expected a number of 0 or more")?;
+            want(positive(tenant.share), "share", "expected a number of 0 or more")?;
+        }
+        if let RosterConfig::Fixed { servers } = &self.roster {
+            check_servers("roster.servers", servers, true)?;
+        }
+        check_servers("known.servers", &self.known.servers, false)?;
+        self.settings().check().map_err(|e| Problem::new("", e.0))
+    }
+}
+
+/// Checks a list of servers that stands at this key; of a list that a roster made, the last entry counts.
+fn check_servers(key: &str, servers: &[Server], unique: bool) -> Result<(), Problem> {
+    let mut names = HashSet::new();
+    for (i, server) in servers.iter().enumerate() {
+        let problem = |part: &str, expected: &str| Err(Problem::new(format!("{key}[{i}].{part}"), expected));
+        if unique && (server.uid.is_empty() || !names.insert(&server.uid)) {
+            return problem("uid", "expected a name that no other server has");
+        }
+        if !(server.weight.is_finite() && server.weight >= 0.0) {
+            return problem("weight", "expected a number of 0 or more");
+        }
+    }
+    Ok(())
+}
+
+/// Reads a list of servers from TOML: `rev`, if wanted, and `[[servers]]` entries. It is a whole list.
+pub(crate) fn servers_from_toml(toml: &str) -> Result<Update, ConfigError> {
+    #[derive(Deserialize)]
+    #[serde(deny_unknown_fields)]
+    struct List {
+        #[serde(default)]
+        rev: u64,
+        servers: Vec<Server>,
+    }
+    let list: List = text::parse_toml(toml)?;
+    check_servers("servers", &list.servers, true).map_err(|problem| text::toml_problem(toml, problem))?;
+    Ok(Update { rev: list.rev, whole: true, servers: list.servers })
+}
--- /dev/null
+++ b/crates/dunelink/src/config/platform.rs
@@ -0,0 +1,354 @@
+//! The platform's JSON: its keys, its units and its leniency, mapped onto [`Config`].
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::de::{Deserializer, Error, IgnoredAny, Unexpected, Visitor};
+use serde::{Deserialize, de};
+
+use super::error::{ConfigError, Problem};
+use super::*;
+use crate::roster::watch;
+
+/// Reads the platform's JSON.
+pub(super) fn parse(json: &str) -> Result<Config, ConfigError> {
+    let mut deserializer = serde_json::Deserializer::from_str(json);
+    let file: File = serde_path_to_error::deserialize(&mut deserializer).map_err(|e| {
+        let key = match e.path().to_string() {
+            root if root == "." => String::new(),
+            key => key,
+        };
+        let e = e.into_inner();
+        // serde's own words end with a place; the line is told once.
+        let what = e.to_string();
+        let what = what.split(" at line ").next().unwrap_or_default();
+        ConfigError::of(what).at((e.line() > 0).then_some(e.line()), key)
+    })?;
+    deserializer
+        .end()
+        .map_err(|e| ConfigError::of("expected nothing behind the object").at(Some(e.line()), ""))?;
+    let config = file.config();
+    config.check().map_err(|problem| {
+        let key = key_here(&problem);
+        ConfigError::of(problem.expected).at(text::find_in_json(json, &key), key)
+    })?;
+    Ok(config)
+}
+
+/// The platform's name for a key of ours.
+fn key_here(problem: &Problem) -> String {
+    let pairs = [
+        ("classes", "settings.services"),
+        ("tenants", "settings.parties"),
+        ("known.servers", "known.targets"),
+        ("fleet.nodes", "settings.balancers"),
+        ("fleet.rank", "settings.rank"),
+        ("fleet.zone", "settings.zone"),
+        ("fleet.cold_from", "settings.obligations.cold_from"),
+        ("fleet.fall_multiple", "settings.obligations.fall_multiple"),
+        ("fleet.cross_zone_price", "settings.prices.cross_zone"),
+        ("fleet.connect_timeout", "settings.allowed.connect_timeout_us"),
+        ("fleet.step", "settings.step_us"),
+        ("attempts.most", "settings.allowed.max_attempts"),
+        ("over_share_worth", "settings.over_share_worth"),
+        ("limits.server_connections", "limits.sockets"),
+        ("limits.requests", "limits.sockets"),
+    ];
+    let key = pairs
+        .iter()
+        .find_map(|(ours, theirs)| problem.key.strip_prefix(ours).map(|rest| format!("{theirs}{rest}")));
+    let key = key.unwrap_or_else(|| problem.key.clone());
+    let ends = [
+        ("].deadline", "].deadline_us"),
+        ("].aim", "].goal_time_us"),
+        ("].worth", "].points"),
+        ("].late_worth", "].late_value"),
+        ("].quota_per_s", "].quota_rps"),
+        ("].weight", "].capacity_hint"),
+    ];
+    let end =
+        ends.iter().find_map(|(ours, theirs)| key.strip_suffix(ours).map(|start| format!("{start}{theirs}")));
+    end.unwrap_or(key)
+}
+
+#[derive(Deserialize)]
+struct File {
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    #[serde(default)]
+    seed: String,
+    #[serde(default)]
+    limits: FileLimits,
+    #[serde(default)]
+    known: watch::Line,
+    settings: Settings,
+}
+
+#[derive(Default, Deserialize)]
+struct FileLimits {
+    sockets: Option<usize>,
+}
+
+/// The settings as the simulator gives them.
+#[derive(Deserialize)]
+struct Settings {
+    services: Vec<Service>,
+    #[serde(default)]
+    parties: Vec<Party>,
+    #[serde(default)]
+    zones: Names,
+    #[serde(default)]
+    skus: Names,
+    #[serde(default)]
+    allowed: Allowed,
+    #[serde(default)]
+    obligations: Obligations,
+    #[serde(default)]
+    domain: Domain,
+    #[serde(default)]
+    prices: Prices,
+    balancers: Option<u32>,
+    rank: Option<u32>,
+    zone: Option<u8>,
+    over_share_worth: Option<f64>,
+    weights: Option<String>,
+    discovery: Option<Discovery>,
+    step_us: Option<f64>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Discovery {
+    Automatic,
+    Subscribe,
+}
+
+#[derive(Deserialize)]
+struct Service {
+    #[serde(default)]
+    name: String,
+    #[serde(default)]
+    idempotency: Idempotency,
+    #[serde(default)]
+    dedup_scope: Scope,
+    window_us: Option<f64>,
+    goal_time_us: Option<f64>,
+    deadline_us: Option<f64>,
+    aim_stretch: Option<f64>,
+    points: Option<f64>,
+    late_value: Option<f64>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Idempotency {
+    Pure,
+    Token,
+    #[default]
+    SideEffect,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Scope {
+    #[default]
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Deserialize)]
+struct Party {
+    #[serde(default)]
+    name: String,
+    #[serde(default)]
+    quota_rps: f64,
+    #[serde(default)]
+    share: f64,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct Allowed {
+    max_attempts: Option<u16>,
+    cancelling: Flag,
+    second_copies: Flag,
+    retry_after: Flag,
+    max_retry_after_us: f64,
+    connect_timeout_us: Option<f64>,
+    keepalive_us: Option<f64>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct Obligations {
+    ask_every_us: Option<f64>,
+    cold_from: Option<f64>,
+    warm_up_us: Option<f64>,
+    fall_multiple: Option<f64>,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct Domain {
+    warm_keys: Flag,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct Prices {
+    cross_zone: f64,
+}
+
+/// A boolean that may also be written as a number.
+#[derive(Clone, Copy, Default)]
+struct Flag(bool);
+
+impl<'de> Deserialize<'de> for Flag {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Flag, D::Error> {
+        struct Either;
+        impl Visitor<'_> for Either {
+            type Value = Flag;
+            fn expecting(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                f.write_str("true, false, 1 or 0")
+            }
+            fn visit_bool<E: Error>(self, value: bool) -> Result<Flag, E> {
+                Ok(Flag(value))
+            }
+            fn visit_u64<E: Error>(self, value: u64) -> Result<Flag, E> {
+                match value {
+                    0 | 1 => Ok(Flag(value == 1)),
+                    other => Err(E::invalid_value(Unexpected::Unsigned(other), &self)),
+                }
+            }
+        }
+        from.deserialize_any(Either)
+    }
+}
+
+/// A list of names; one stands for a list of one, and a number for its digits.
+#[derive(Default)]
+struct Names(Vec<String>);
+
+impl<'de> Deserialize<'de> for Names {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Names, D::Error> {
+        struct Some;
+        impl<'de> Visitor<'de> for Some {
+            type Value = Names;
+            fn expecting(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                f.write_str("a name or a list of names")
+            }
+            fn visit_str<E: Error>(self, value: &str) -> Result<Names, E> {
+                Ok(Names(vec![value.to_string()]))
+            }
+            fn visit_u64<E: Error>(self, value: u64) -> Result<Names, E> {
+                Ok(Names(vec![value.to_string()]))
+            }
+            fn visit_unit<E: Error>(self) -> Result<Names, E> {
+                Ok(Names::default())
+            }
+            fn visit_seq<A: de::SeqAccess<'de>>(self, mut items: A) -> Result<Names, A::Error> {
+                let mut names = Vec::new();
+                while let Option::Some(Names(name)) = items.next_element()? {
+                    names.extend(name);
+                }
+                Ok(Names(names))
+            }
+            fn visit_map<A: de::MapAccess<'de>>(self, mut map: A) -> Result<Names, A::Error> {
+                while map.next_entry::<IgnoredAny, IgnoredAny>()?.is_some() {}
+                Err(A::Error::invalid_type(Unexpected::Map, &self))
+            }
+        }
+        from.deserialize_any(Some)
+    }
+}
+
+/// A time in microseconds; a fraction does no harm.
+fn time(us: f64) -> Duration {
+    Duration::from_micros(us as u64)
+}
+
+impl File {
+    fn config(self) -> Config {
+        let (s, absent) = (self.settings, Fleet::default());
+        let or = |us: Option<f64>, absent: Duration| us.map_or(absent, time);
+        let mut zones = s.zones.0;
+        let zone = usize::from(s.zone.unwrap_or(0));
+        // A node may be in a zone that has no name.
+        while zone > 0 && zones.len() <= zone {
+            zones.push(format!("zone-{}", zones.len()));
+        }
+        let ask = s.obligations.ask_every_us.unwrap_or(10_000_000.0);
+        let asked = matches!(s.discovery, Some(Discovery::Subscribe));
+        let sockets = self.limits.sockets.unwrap_or(1024);
+        Config {
+            name: self.name,
+            listen: Some(self.listen),
+            seed: u64::from_str_radix(&self.seed, 16).ok(),
+            over_share_worth: s.over_share_worth.unwrap_or(1.0),
+            // A request has a connection of its own, so that descriptors bound requests too.
+            limits: Limits { sockets, requests: sockets.max(8), ..Limits::default() },
+            intake: Intake { id: Absent::Refuse, deadline: Absent::Refuse },
+            attempts: Attempts {
+                most: s.allowed.max_attempts.unwrap_or(1),
+                cancel: s.allowed.cancelling.0,
+                hedge: s.allowed.second_copies.0,
+                retry_after: match s.allowed.retry_after.0 {
+                    true => time(s.allowed.max_retry_after_us),
+                    false => Duration::ZERO,
+                },
+            },
+            fleet: Fleet {
+                nodes: s.balancers.unwrap_or(absent.nodes),
+                rank: s.rank.unwrap_or(absent.rank),
+                zone: zones.get(zone).cloned().unwrap_or_default(),
+                zones,
+                kinds: s.skus.0,
+                cold_from: s.obligations.cold_from.unwrap_or(absent.cold_from),
+                warm_up: or(s.obligations.warm_up_us, absent.warm_up),
+                fall_multiple: s.obligations.fall_multiple.unwrap_or(absent.fall_multiple),
+                connect_timeout: or(s.allowed.connect_timeout_us, absent.connect_timeout),
+                keepalive: or(s.allowed.keepalive_us, absent.keepalive),
+                warm_keys: s.domain.warm_keys.0,
+                live_weights: s.weights.as_deref() == Some("live"),
+                cross_zone_price: s.prices.cross_zone,
+                step: or(s.step_us, absent.step),
+            },
+            roster: RosterConfig::Watch { address: self.discovery, ask_every: asked.then(|| time(ask)) },
+            known: self.known.into(),
+            classes: s.services.into_iter().map(Service::class).collect(),
+            tenants: s
+                .parties
+                .into_iter()
+                .map(|p| Tenant { name: p.name, quota_per_s: p.quota_rps, share: p.share })
+                .collect(),
+        }
+    }
+}
+
+impl Service {
+    fn class(self) -> Class {
+        let group = match self.dedup_scope {
+            Scope::All => Group::All,
+            Scope::Zone => Group::Zone,
+            Scope::Cell => Group::Cell,
+        };
+        let window = time(self.window_us.unwrap_or(0.0));
+        let (effect, dedup) = match self.idempotency {
+            Idempotency::Pure => (Effect::Safe, None),
+            Idempotency::Token => (Effect::Keyed, Some(Dedup { group, window })),
+            Idempotency::SideEffect => (Effect::Unsafe, None),
+        };
+        Class {
+            name: self.name,
+            effect,
+            dedup,
+            deadline: time(self.deadline_us.unwrap_or(1_000_000.0)),
+            aim: self.goal_time_us.map(time),
+            aim_stretch: self.aim_stretch.unwrap_or(0.0),
+            worth: self.points.unwrap_or(1.0),
+            late_worth: self.late_value.unwrap_or(0.0),
+        }
+    }
+}
--- a/src/node/engine.rs
+++ b/crates/dunelink/src/engine.rs
@@ -1,10 +1,11 @@
 //! The engine: the decision module, its clock and timers, and the table of open requests. What happens on
 //! sockets comes in as a [`Happening`]; the module's actions are carried out here, and nowhere else.
 
-use std::cell::Cell;
 use std::collections::{HashMap, VecDeque};
-use std::future::poll_fn;
+use std::future::{pending, poll_fn};
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
@@ -12,70 +13,65 @@
 use hyper::Response;
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::task::AbortHandle;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
 use tokio_util::time::DelayQueue;
 use tokio_util::time::delay_queue::Key;
 
-use crate::servers::{Outgoing, Servers};
+use crate::servers::Servers;
+use crate::snapshot::{ServerView, Snapshot, Tally};
+use crate::types::{Answer, Outgoing};
 
 /// The longest sleep that timers take.
 const WAKE_MOST: Duration = Duration::from_secs(3600);
 
-/// The one final answer to a request.
-pub enum Answer {
-    /// The first whole 200 of a server.
-    Served(Response<Bytes>),
-    /// Turned away; nothing ran, or a repeat is harmless. How long the client should stay away, if told.
-    Refused(Option<Duration>),
-    /// No promise; whether it was time that ran out.
-    Failed {
-        /// An attempt was still out or had timed out.
-        timed_out: bool,
-    },
-}
-
 /// What the other parts tell the engine.
-pub enum Happening {
-    /// A list, or what befell the watch: the module's concern alone.
+pub(crate) enum Happening {
+    /// A list, or what befell its source: the module's concern alone.
     Module(Event),
     /// A request was taken.
-    Arrived(Request, Rc<Outgoing>, oneshot::Sender<Answer>),
-    /// The client has closed its connection.
+    Arrived(Request, Arc<Outgoing>, oneshot::Sender<Answer>),
+    /// The client has left.
     Left(RequestId),
     /// An attempt is over.
     Ended(RequestId, AttemptNo, Outcome, Option<Response<Bytes>>),
+    /// Someone wants to know how things stand.
+    Look(oneshot::Sender<Snapshot>),
+    /// The process is out of descriptors.
+    Evict,
+    /// Nothing more will be taken: the engine ends when all is answered, or at this time.
+    Shutdown(Instant),
 }
 
-/// The way to the engine.
+/// The way to the engine, from any thread.
 #[derive(Clone)]
-pub struct Mailbox {
+pub(crate) struct Mailbox {
     sender: mpsc::UnboundedSender<Happening>,
-    next: Rc<Cell<RequestId>>,
+    next: Arc<AtomicU64>,
 }
 
 impl Mailbox {
-    /// The mailbox and what the engine reads from it. It holds no more than the open connections cause.
-    pub fn new(seed: u64) -> (Mailbox, mpsc::UnboundedReceiver<Happening>) {
+    /// The mailbox and what the engine reads from it. It holds no more than the open requests cause.
+    pub(crate) fn new(seed: u64) -> (Mailbox, mpsc::UnboundedReceiver<Happening>) {
         let (sender, receiver) = mpsc::unbounded_channel();
         // The module hashes ids with servers: nodes must not all count from the same number. The highest
         // bits stay clear of the module's own timer tokens.
-        (Mailbox { sender, next: Rc::new(Cell::new(seed >> 2)) }, receiver)
+        (Mailbox { sender, next: Arc::new(AtomicU64::new(seed >> 2)) }, receiver)
     }
 
-    /// Tells the engine; at the very end there may be none.
-    pub fn send(&self, happening: Happening) {
-        let _ = self.sender.send(happening);
+    /// Tells the engine; whether there still is one.
+    pub(crate) fn send(&self, happening: Happening) -> bool {
+        self.sender.send(happening).is_ok()
     }
 
     /// A number for a request. A client's `Req-Id` might come twice, this does not.
-    pub fn number(&self) -> RequestId {
-        self.next.replace(self.next.get() + 1)
+    pub(crate) fn number(&self) -> RequestId {
+        self.next.fetch_add(1, Ordering::Relaxed)
     }
 }
 
 /// An open request, or one that is answered with attempts still out.
 struct Open {
-    outgoing: Rc<Outgoing>,
+    outgoing: Arc<Outgoing>,
     /// Taken once the final answer is given or the client has left.
     answer: Option<oneshot::Sender<Answer>>,
     attempts: Vec<Attempt>,
@@ -85,13 +81,14 @@
 }
 
 struct Attempt {
+    server: ServerId,
     sent_at: Micros,
     /// Gone once the module was told how it ended.
     task: Option<AbortHandle>,
 }
 
 /// Owns the decision module.
-pub struct Engine {
+pub(crate) struct Engine {
     balancer: Balancer,
     servers: Rc<Servers>,
     mailbox: Mailbox,
@@ -101,11 +98,20 @@
     timers: DelayQueue<u64>,
     open: HashMap<RequestId, Open>,
     queue: VecDeque<Event>,
+    tally: Arc<Tally>,
+    /// When it ends at the latest, once it was told to.
+    ends: Option<Instant>,
 }
 
 impl Engine {
     /// An engine around the module.
-    pub fn new(balancer: Balancer, servers: Rc<Servers>, mailbox: Mailbox, subscribe: Rc<Notify>) -> Engine {
+    pub(crate) fn new(
+        balancer: Balancer,
+        servers: Rc<Servers>,
+        mailbox: Mailbox,
+        subscribe: Rc<Notify>,
+        tally: Arc<Tally>,
+    ) -> Engine {
         // One clock: Unix time, so that the servers' start times compare, moved on by the monotonic one.
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Engine {
@@ -118,6 +124,8 @@
             timers: DelayQueue::new(),
             open: HashMap::new(),
             queue: VecDeque::new(),
+            tally,
+            ends: None,
         }
     }
 
@@ -125,20 +133,85 @@
         self.started_us + self.started.elapsed().as_micros() as Micros
     }
 
-    /// Works for as long as anyone holds a mailbox.
-    pub async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Happening>) {
+    /// Works until it is told to end. Everything taken has its answer then.
+    pub(crate) async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Happening>) {
         loop {
+            if self.ends.is_some() && self.open.values().all(|open| open.answer.is_none()) {
+                break;
+            }
+            let ends = self.ends;
+            let late = async move {
+                match ends {
+                    Some(at) => sleep_until(at).await,
+                    None => pending().await,
+                }
+            };
             tokio::select! {
                 happening = inbox.recv() => match happening {
                     Some(happening) => self.take(happening),
-                    None => return,
+                    None => break,
                 },
                 Some(due) = poll_fn(|cx| self.timers.poll_expired(cx)), if !self.timers.is_empty() => {
                     self.woken(due.into_inner());
                 }
+                () = late, if ends.is_some() => break,
             }
             self.work();
         }
+        self.last_call(inbox);
+    }
+
+    /// Answers what is still open as failed: no answer at all would be worse. What was told but not yet heard
+    /// was not sent either.
+    fn last_call(&mut self, mut inbox: mpsc::UnboundedReceiver<Happening>) {
+        inbox.close();
+        while let Ok(happening) = inbox.try_recv() {
+            match happening {
+                Happening::Arrived(_, _, answer) => {
+                    self.tally.arrived();
+                    self.tally.answered(answer, Answer::Refused { retry_after: None });
+                }
+                Happening::Ended(id, _, Outcome::Served, Some(response)) => {
+                    self.answer(id, Answer::Served(response));
+                }
+                Happening::Left(id)
+                    if self.open.get_mut(&id).and_then(|open| open.answer.take()).is_some() =>
+                {
+                    self.tally.left();
+                }
+                Happening::Look(ask) => drop(ask.send(self.look())),
+                _ => {}
+            }
+        }
+        for (_, open) in self.open.drain() {
+            if let Some(answer) = open.answer {
+                self.tally.answered(answer, Answer::Failed { timed_out: true });
+            }
+            open.attempts.iter().filter_map(|a| a.task.as_ref()).for_each(AbortHandle::abort);
+        }
+    }
+
+    fn look(&self) -> Snapshot {
+        let attempts = || self.open.values().flat_map(|open| &open.attempts).filter(|a| a.task.is_some());
+        let mut in_flight: HashMap<ServerId, usize> = HashMap::new();
+        attempts().for_each(|a| *in_flight.entry(a.server).or_default() += 1);
+        let view = |(id, uid, endpoint, idle)| ServerView {
+            in_flight: in_flight.get(&id).copied().unwrap_or(0),
+            uid,
+            endpoint,
+            idle,
+        };
+        let mut servers: Vec<ServerView> = self.servers.view().into_iter().map(view).collect();
+        servers.sort_by(|a, b| a.uid.cmp(&b.uid));
+        Snapshot {
+            servers,
+            open: self.open.values().filter(|open| open.answer.is_some()).count(),
+            kept: self.open.len().max(self.balancer.requests_kept()),
+            held: self.balancer.requests_held(),
+            in_flight: attempts().count(),
+            connections: self.servers.connections(),
+            counts: self.tally.counts(),
+        }
     }
 
     fn take(&mut self, happening: Happening) {
@@ -152,14 +225,19 @@
                     timed_out: false,
                     timer: None,
                 };
+                self.tally.arrived();
                 self.open.insert(request.id, open);
                 self.queue.push_back(Event::Arrived(request));
             }
             Happening::Left(id) => {
                 if self.open.get_mut(&id).and_then(|open| open.answer.take()).is_some() {
+                    self.tally.left();
                     self.queue.push_back(Event::Left(id));
                 }
             }
+            Happening::Look(ask) => drop(ask.send(self.look())),
+            Happening::Evict => drop(self.servers.evict()),
+            Happening::Shutdown(at) => self.ends = Some(self.ends.map_or(at, |before| before.min(at))),
             Happening::Ended(id, attempt, outcome, response) => {
                 if let (Outcome::Served, Some(response)) = (outcome, response) {
                     self.answer(id, Answer::Served(response));
@@ -206,7 +284,7 @@
             Action::Send { request, server } => self.send(request, server),
             Action::Refuse { request, retry_after } => {
                 let stay_away = (retry_after > 0).then(|| Duration::from_micros(retry_after));
-                self.answer(request, Answer::Refused(stay_away));
+                self.answer(request, Answer::Refused { retry_after: stay_away });
             }
             Action::Fail(request) => {
                 let out = |open: &Open| open.timed_out || open.attempts.iter().any(|a| a.task.is_some());
@@ -256,13 +334,13 @@
             };
             mailbox.send(Happening::Ended(request, number, outcome, response));
         });
-        open.attempts.push(Attempt { sent_at, task: Some(task.abort_handle()) });
+        open.attempts.push(Attempt { server, sent_at, task: Some(task.abort_handle()) });
     }
 
     fn answer(&mut self, id: RequestId, answer: Answer) {
         if let Some(waiting) = self.open.get_mut(&id).and_then(|open| open.answer.take()) {
             // A client that is just leaving hears no answer; its `Left` then finds the request finished.
-            let _ = waiting.send(answer);
+            self.tally.answered(waiting, answer);
         }
         self.let_go(id);
     }
@@ -270,10 +348,10 @@
     /// Forgets a request that is answered and has no attempt out.
     fn let_go(&mut self, id: RequestId) {
         let over = |open: &Open| open.answer.is_none() && open.attempts.iter().all(|a| a.task.is_none());
-        if self.open.get(&id).is_some_and(over) {
-            if let Some((key, _)) = self.open.remove(&id).and_then(|open| open.timer) {
-                self.timers.try_remove(&key);
-            }
+        if self.open.get(&id).is_some_and(over)
+            && let Some((key, _)) = self.open.remove(&id).and_then(|open| open.timer)
+        {
+            self.timers.try_remove(&key);
         }
     }
 }
--- /dev/null
+++ b/crates/dunelink/src/error.rs
@@ -0,0 +1,85 @@
+//! What can go wrong before a request is taken, and at a node's start.
+
+use std::time::Duration;
+
+use http::StatusCode;
+
+/// An error of any kind, as tower's middleware hands them on.
+pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
+
+/// Why a request was not taken. Nothing of it was sent to a server.
+#[derive(Debug, thiserror::Error)]
+#[non_exhaustive]
+pub enum CallError {
+    /// The request is not one that the node can take; the sender has to mend it.
+    #[error("{0}")]
+    Invalid(#[from] Invalid),
+    /// Its body could not be read.
+    #[error("{0}")]
+    Body(#[from] BodyError),
+    /// The node was shut down. Nothing ran; another node may be asked.
+    #[error("the node was shut down")]
+    Closed,
+}
+
+impl CallError {
+    /// The HTTP status for it: 4xx but never 429 for what the sender has to mend, 503 where a repeat elsewhere
+    /// is harmless.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            CallError::Invalid(invalid) => invalid.status,
+            CallError::Body(BodyError::TooLarge { .. }) => StatusCode::PAYLOAD_TOO_LARGE,
+            CallError::Body(BodyError::TimedOut { .. }) => StatusCode::REQUEST_TIMEOUT,
+            CallError::Body(BodyError::Broken(_)) => StatusCode::BAD_REQUEST,
+            CallError::Closed => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+}
+
+/// What is wrong with a request.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{reason}")]
+pub struct Invalid {
+    /// The status that tells its sender.
+    pub status: StatusCode,
+    /// What is wrong, in words.
+    pub reason: &'static str,
+}
+
+/// What became of a body that could not be used.
+#[derive(Debug, thiserror::Error)]
+#[non_exhaustive]
+pub enum BodyError {
+    /// It holds more than `limits.body` allows.
+    #[error("the body is over {limit} bytes")]
+    TooLarge {
+        /// The most bytes that a body may hold.
+        limit: usize,
+    },
+    /// It did not come to its end in time.
+    #[error("the body was not whole after {after:?}")]
+    TimedOut {
+        /// How long it was waited for.
+        after: Duration,
+    },
+    /// Its stream failed, or ended early.
+    #[error("the body is broken: {0}")]
+    Broken(#[source] BoxError),
+}
+
+/// Why a node did not start.
+#[derive(Debug, thiserror::Error)]
+#[non_exhaustive]
+pub enum StartError {
+    /// The configuration does not hold together.
+    #[error(transparent)]
+    Config(#[from] crate::config::ConfigError),
+    /// The thread or its runtime could not be made.
+    #[error("the engine's thread could not be started: {0}")]
+    Thread(#[from] std::io::Error),
+}
+
+/// The node has been shut down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the node was shut down")]
+pub struct Closed;
--- /dev/null
+++ b/crates/dunelink/src/http.rs
@@ -0,0 +1,73 @@
+//! The one mapping from answers and errors to HTTP.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{self, HeaderValue};
+use http::{Response, StatusCode};
+use http_body_util::Full;
+
+use crate::error::CallError;
+use crate::types::Answer;
+
+/// How a response came to be; in the extensions of every response that [`respond`] makes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// A server's answer.
+    Served,
+    /// Trying again is harmless.
+    Refused,
+    /// It may have run.
+    Failed,
+    /// The request was never taken.
+    NotTaken,
+}
+
+/// An answer, or the reason why there is none, as an HTTP response.
+///
+/// | what | status |
+/// | --- | --- |
+/// | served | the server's own |
+/// | refused | 503, with `Retry-After` (seconds, three decimals) where the client should stay away |
+/// | failed | 504 if time ran out, else 502 |
+/// | not taken | [`CallError::status`] |
+///
+/// ```
+/// use std::time::Duration;
+/// use dunelink::{Answer, http::respond};
+///
+/// let refused = Answer::Refused { retry_after: Some(Duration::from_millis(1500)) };
+/// let response = respond(Ok(refused));
+/// assert_eq!((response.status().as_u16(), &response.headers()["retry-after"]), (503, &"1.500".parse().unwrap()));
+/// ```
+pub fn respond(result: Result<Answer, CallError>) -> Response<Full<Bytes>> {
+    let (mut response, verdict) = match result {
+        Ok(Answer::Served(response)) => (response.map(Full::new), Verdict::Served),
+        Ok(Answer::Refused { retry_after }) => (refused(retry_after), Verdict::Refused),
+        Ok(Answer::Failed { timed_out: true }) => {
+            (plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time"), Verdict::Failed)
+        }
+        Ok(Answer::Failed { timed_out: false }) => {
+            (plain(StatusCode::BAD_GATEWAY, "no answer"), Verdict::Failed)
+        }
+        Err(error) => (plain(error.status(), error.to_string()), Verdict::NotTaken),
+    };
+    response.extensions_mut().insert(verdict);
+    response
+}
+
+/// A response of one line of text.
+pub fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(text.into()));
+    *response.status_mut() = status;
+    response
+}
+
+fn refused(retry_after: Option<Duration>) -> Response<Full<Bytes>> {
+    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
+    let value = retry_after.and_then(|d| HeaderValue::from_str(&format!("{:.3}", d.as_secs_f64())).ok());
+    value.into_iter().for_each(|v| {
+        response.headers_mut().insert(header::RETRY_AFTER, v);
+    });
+    response
+}
--- /dev/null
+++ b/crates/dunelink/src/intake.rs
@@ -0,0 +1,271 @@
+//! What a request must look like, and what of it the decision module is told.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use cherryusher::RequestId;
+use http::header::{self, HeaderMap, HeaderValue};
+use http::request::Parts;
+use http::uri::PathAndQuery;
+use http::{Method, StatusCode};
+use tokio::time::Instant;
+
+use crate::config::{Absent, Config, Effect, Intake as Rules};
+use crate::error::Invalid;
+use crate::headers::{COST, DEADLINE, ID, KEY, OWNER, drop_hop_headers, only};
+use crate::types::Outgoing;
+
+/// No deadline is longer, whatever the settings say.
+const LONGEST: Duration = Duration::from_secs(3600);
+/// The most bytes of headers, as they stand on the wire: what a server's connection buffers.
+const HEADERS_MOST: usize = 32 * 1024;
+/// The longest id.
+const ID_MOST: usize = 128;
+/// A deadline counts from the client's sending; this much of it has passed when the request is read, and
+/// passes again before the answer is back.
+const TRANSIT: Duration = Duration::from_millis(3);
+
+/// What a host says of a request in its extensions, ahead of what path and headers say.
+///
+/// ```
+/// use dunelink::ext::{Class, Tenant};
+///
+/// let mut request = http::Request::get("/portal/payslips/7").body(())?;
+/// request.extensions_mut().insert(Class::new("payslip-view"));
+/// request.extensions_mut().insert(Tenant::new("hakodate-keiri"));
+/// # Ok::<(), http::Error>(())
+/// ```
+pub mod ext {
+    use std::borrow::Cow;
+    use std::time::{Duration, Instant};
+
+    /// The request's class; without it, the first part of the path.
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    pub struct Class(pub Cow<'static, str>);
+
+    impl Class {
+        /// A class of this name.
+        pub fn new(name: impl Into<Cow<'static, str>>) -> Class {
+            Class(name.into())
+        }
+    }
+
+    /// The request's tenant; without it, what `Req-Owner` says. One that the configuration does not know
+    /// counts as none.
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    pub struct Tenant(pub Cow<'static, str>);
+
+    impl Tenant {
+        /// A tenant of this name.
+        pub fn new(name: impl Into<Cow<'static, str>>) -> Tenant {
+            Tenant(name.into())
+        }
+    }
+
+    /// When no answer is of use any more; without it, `Req-Deadline` (seconds from now), else the class's
+    /// deadline. A later one than the class allows is cut.
+    #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+    pub struct Deadline(pub Instant);
+
+    impl Deadline {
+        /// This long from now.
+        pub fn after(wait: Duration) -> Deadline {
+            let now = Instant::now();
+            Deadline(now.checked_add(wait.min(super::LONGEST)).unwrap_or(now))
+        }
+    }
+
+    /// The request's id, 1 to 128 graphic ASCII characters; without it, `Req-Id`, else a new one. Servers and
+    /// logs tell requests apart by it, so that no two open ones may share it.
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    pub struct Id(pub String);
+
+    /// A guess at the work; without it, `Req-Cost` (microseconds).
+    #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+    pub struct ExpectedWork(pub Duration);
+}
+
+/// What a class of requests looks like on the wire.
+#[derive(Clone, Copy)]
+struct ClassRule {
+    index: usize,
+    effect: Effect,
+    deadline: Duration,
+}
+
+/// Checks requests, and keeps the ids of all open ones: servers and logs tell requests apart by them.
+pub(crate) struct Intake {
+    classes: HashMap<String, ClassRule>,
+    tenants: HashMap<String, u32>,
+    rules: Rules,
+    ids: Mutex<HashSet<Box<str>>>,
+}
+
+/// What was found in a request's head.
+pub(crate) struct Head {
+    class: ClassRule,
+    id: Option<Box<str>>,
+    pub(crate) deadline: Instant,
+    tenant: Option<u32>,
+    expected_work: Option<u64>,
+    key: Option<u64>,
+}
+
+const fn bad(reason: &'static str) -> Invalid {
+    Invalid { status: StatusCode::BAD_REQUEST, reason }
+}
+
+impl Intake {
+    pub(crate) fn new(config: &Config) -> Intake {
+        let rule = |(index, class): (usize, &crate::config::Class)| {
+            let deadline = class.deadline.min(LONGEST);
+            (class.name.clone(), ClassRule { index, effect: class.effect, deadline })
+        };
+        Intake {
+            classes: config.classes.iter().enumerate().map(rule).collect(),
+            tenants: (0..).zip(&config.tenants).map(|(index, t)| (t.name.clone(), index)).collect(),
+            rules: config.intake,
+            ids: Mutex::default(),
+        }
+    }
+
+    /// Reads a request's head. Extensions go before headers and path.
+    pub(crate) fn head(&self, parts: &Parts, came: Instant) -> Result<Head, Invalid> {
+        let (path, headers, ext) = (parts.uri.path(), &parts.headers, &parts.extensions);
+        let size = headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum::<usize>();
+        if size > HEADERS_MOST {
+            let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+            return Err(Invalid { status, reason: "the headers are over 32 KiB" });
+        }
+        let named = ext.get::<ext::Class>().map(|class| &*class.0).or_else(|| path.split('/').nth(1));
+        let class = named.and_then(|name| self.classes.get(name)).copied();
+        let Some(class) = class else {
+            return Err(Invalid { status: StatusCode::NOT_FOUND, reason: "no such class" });
+        };
+        let id = match ext.get::<ext::Id>() {
+            Some(id) => Some(&*id.0),
+            None if headers.contains_key(&ID) || self.rules.id == Absent::Refuse => {
+                Some(only(headers, &ID).ok_or(bad("Req-Id is missing or unreadable"))?)
+            }
+            None => None,
+        };
+        let readable =
+            |id: &str| !id.is_empty() && id.len() <= ID_MOST && id.bytes().all(|b| b.is_ascii_graphic());
+        if !id.is_none_or(readable) {
+            return Err(bad("Req-Id is unreadable"));
+        }
+        let patience = match ext.get::<ext::Deadline>() {
+            Some(at) => at.0.saturating_duration_since(came.into_std()),
+            None if headers.contains_key(&DEADLINE) || self.rules.deadline == Absent::Refuse => {
+                let stated = only(headers, &DEADLINE).and_then(seconds);
+                stated.ok_or(bad("Req-Deadline is missing or unreadable"))?.saturating_sub(TRANSIT)
+            }
+            None => class.deadline,
+        };
+        method_fits(&class, &parts.method, headers)?;
+        let tenant = match ext.get::<ext::Tenant>() {
+            Some(tenant) => Some(&*tenant.0),
+            None => only(headers, &OWNER),
+        };
+        let expected_work = match ext.get::<ext::ExpectedWork>() {
+            Some(work) => u64::try_from(work.0.as_micros()).ok(),
+            None => only(headers, &COST).and_then(|us| us.parse::<f64>().ok()).map(|us| us as u64),
+        };
+        let key = path.split('/').skip(2).last().filter(|part| !part.is_empty());
+        Ok(Head {
+            class,
+            id: id.map(Box::from),
+            // No client waits longer than its class allows; this also bounds all that is done for it.
+            deadline: came + patience.min(class.deadline.saturating_sub(TRANSIT)),
+            tenant: tenant.and_then(|name| self.tenants.get(name)).copied(),
+            expected_work: expected_work.filter(|us| *us > 0),
+            key: key.map(|part| xxhash_rust::xxh3::xxh3_64(part.as_bytes())),
+        })
+    }
+
+    /// Takes the request's id, or makes one, for as long as the request is open.
+    pub(crate) fn claim(self: &Arc<Self>, head: &Head, number: RequestId) -> Result<Claimed, Invalid> {
+        let id = head.id.clone().unwrap_or_else(|| format!("{number:016x}").into());
+        let new = self.ids.lock().unwrap_or_else(PoisonError::into_inner).insert(id.clone());
+        match new {
+            true => Ok(Claimed { id, intake: self.clone() }),
+            false => {
+                let reason = "another open request has this Req-Id";
+                Err(Invalid { status: StatusCode::CONFLICT, reason })
+            }
+        }
+    }
+}
+
+/// The id of an open request, free again once it is answered or its client has left.
+pub(crate) struct Claimed {
+    id: Box<str>,
+    intake: Arc<Intake>,
+}
+
+impl Drop for Claimed {
+    fn drop(&mut self) {
+        self.intake.ids.lock().unwrap_or_else(PoisonError::into_inner).remove(&self.id);
+    }
+}
+
+impl Head {
+    /// What the decision module is told.
+    pub(crate) fn request(&self, id: RequestId) -> cherryusher::Request {
+        let remaining = self.deadline.saturating_duration_since(Instant::now());
+        cherryusher::Request {
+            id,
+            class: self.class.index,
+            remaining: remaining.as_micros() as u64,
+            expected_work: self.expected_work,
+            key: self.key,
+            tenant: self.tenant,
+        }
+    }
+
+    /// What goes on to servers.
+    pub(crate) fn outgoing(&self, parts: Parts, body: Bytes, claimed: &Claimed) -> Result<Outgoing, Invalid> {
+        if parts.method == Method::GET && !body.is_empty() {
+            return Err(bad("a GET has no body"));
+        }
+        let target = parts.uri.path_and_query().cloned().unwrap_or(PathAndQuery::from_static("/"));
+        let mut headers = parts.headers;
+        drop_hop_headers(&mut headers);
+        headers.remove(DEADLINE);
+        if parts.method == Method::POST {
+            headers.insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
+        }
+        if !headers.contains_key(&ID) || self.id.as_deref() != only(&headers, &ID) {
+            let id = HeaderValue::from_str(&claimed.id).map_err(|_| bad("Req-Id is unreadable"))?;
+            headers.insert(ID, id);
+        }
+        headers.entry(header::HOST).or_insert(HeaderValue::from_static("origin.svc"));
+        let once = self.class.effect == Effect::Unsafe;
+        Ok(Outgoing { method: parts.method, target, headers, body, deadline: self.deadline, once })
+    }
+}
+
+/// A time in seconds, with decimals; one below 0 is past.
+fn seconds(text: &str) -> Option<Duration> {
+    let plain = text.bytes().all(|b| b.is_ascii_digit() || b == b'.' || b == b'-' || b == b'+');
+    let value: f64 = text.parse().ok().filter(|_| plain)?;
+    Some(Duration::try_from_secs_f64(value.max(0.0)).unwrap_or(Duration::MAX))
+}
+
+/// The method follows from the class.
+fn method_fits(class: &ClassRule, method: &Method, headers: &HeaderMap) -> Result<(), Invalid> {
+    let right = if class.effect == Effect::Safe { Method::GET } else { Method::POST };
+    if method != right {
+        let reason = "not the method of this class";
+        return Err(Invalid { status: StatusCode::METHOD_NOT_ALLOWED, reason });
+    }
+    match class.effect {
+        Effect::Keyed if only(headers, &KEY).is_none_or(str::is_empty) => {
+            Err(bad("Idempotency-Key is missing"))
+        }
+        Effect::Unsafe if headers.contains_key(KEY) => Err(bad("this class has no Idempotency-Key")),
+        _ => Ok(()),
+    }
+}
--- a/src/node/discovery.rs
+++ b/crates/dunelink/src/roster/watch.rs
@@ -1,26 +1,22 @@
-//! Discovery: the list of servers and the watch that keeps it current.
+//! The platform's discovery: the list of servers and the watch that keeps it current.
 
-use std::collections::HashMap;
 use std::convert::Infallible;
 use std::error::Error;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use cherryusher::{Discovery, Event, ServerEntry, ServerState};
 use http_body_util::{BodyExt, Empty};
 use hyper::{Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use tokio::net::TcpStream;
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 use tokio::time::timeout;
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::config::Config;
-use crate::engine::{Happening, Mailbox};
-use crate::servers::Servers;
+use super::{Feed, Roster, RosterFuture};
+use crate::types::{Server, ServerState, Update};
 
 /// A watch that says nothing for this long is dead: a line comes every 2 s. A change counts as told after
 /// 6 s at the latest, so a second watch has to be up by then.
@@ -37,7 +33,7 @@
 
 /// What discovery says on one line.
 #[derive(Default, Deserialize)]
-pub struct Update {
+pub(crate) struct Line {
     rev: u64,
     /// Whether it is the whole list, not changes.
     all: bool,
@@ -54,86 +50,74 @@
     model: String,
     #[serde(default)]
     pod_group: u16,
-    state: State,
+    state: ServerState,
     #[serde(default)]
     capacity_hint: f64,
     #[serde(default)]
     boot_ms: u64,
 }
 
-#[derive(Clone, Copy, Deserialize)]
-#[serde(rename_all = "lowercase")]
-enum State {
-    Ready,
-    Draining,
-    Gone,
+impl From<Line> for Update {
+    fn from(line: Line) -> Update {
+        let server = |target: Target| Server {
+            uid: target.uid,
+            endpoint: target.endpoint,
+            state: target.state,
+            zone: target.az,
+            kind: target.model,
+            cell: target.pod_group,
+            weight: target.capacity_hint.max(0.0),
+            started_ms: target.boot_ms,
+        };
+        Update { rev: line.rev, whole: line.all, servers: line.targets.into_iter().map(server).collect() }
+    }
 }
 
-/// Turns discovery's entries into the module's.
-struct Reader {
-    zones: HashMap<String, u8>,
-    kinds: HashMap<String, u8>,
+/// The platform's discovery: a chunked answer that stays open and holds a line for each change. When it moves
+/// to another address, the watch goes on there from where it was.
+pub struct Watch {
+    address: watch::Receiver<SocketAddr>,
 }
 
-impl Reader {
-    fn new(config: &Config) -> Reader {
-        let numbered = |names: &[String]| names.iter().cloned().zip(0..u8::MAX).collect();
-        Reader { zones: numbered(&config.zones), kinds: numbered(&config.kinds) }
+/// Moves a [`Watch`] to another address.
+#[derive(Debug)]
+pub struct WatchMover(watch::Sender<SocketAddr>);
+
+impl WatchMover {
+    /// From now on discovery is at this address.
+    pub fn move_to(&self, address: SocketAddr) {
+        self.0.send_if_modified(|at| std::mem::replace(at, address) != address);
     }
+}
 
-    fn entry(&self, target: &Target) -> ServerEntry {
-        ServerEntry {
-            // A fixed hash of the uid: every node, and this one after a restart, must build the same pools.
-            id: xxhash_rust::xxh3::xxh3_64(target.uid.as_bytes()),
-            state: match target.state {
-                State::Ready => ServerState::Ready,
-                State::Draining => ServerState::Draining,
-                State::Gone => ServerState::Gone,
-            },
-            ready_at: target.boot_ms.saturating_mul(1000),
-            zone: self.zones.get(&target.az).copied().unwrap_or(u8::MAX),
-            cell: target.pod_group,
-            weight: target.capacity_hint.max(0.0),
-            kind: self.kinds.get(&target.model).copied().unwrap_or(u8::MAX),
-        }
+impl Watch {
+    /// A watch of discovery at this address. It goes on there once its mover is gone.
+    pub fn new(address: SocketAddr) -> (Watch, WatchMover) {
+        let (sender, address) = watch::channel(address);
+        (Watch { address }, WatchMover(sender))
     }
+}
 
-    /// Passes a list on: addresses and states to the servers' side at once, then the rest to the engine.
-    fn tell(&self, update: &Update, cached: bool, servers: &Servers, engine: &Mailbox) {
-        let list: Vec<ServerEntry> = update.targets.iter().map(|t| self.entry(t)).collect();
-        servers.list_changed(list.iter().zip(&update.targets).map(|(e, t)| (*e, t.endpoint)), update.all);
-        engine.send(Happening::Module(match (cached, update.all) {
-            (true, _) => Event::CachedList(list),
-            (_, true) => Event::ServerList(list),
-            _ => Event::ServerChanges(list),
-        }));
+impl Roster for Watch {
+    fn run(self: Box<Self>, feed: Feed) -> RosterFuture {
+        Box::pin(follow(self.address, feed))
     }
 }
 
-/// Starts from the list that the configuration holds and watches from there on, for ever; when discovery
-/// moves, it does so at the new address, from where it was.
-pub async fn follow(
-    config: Rc<Config>,
-    mut address: watch::Receiver<SocketAddr>,
-    servers: Rc<Servers>,
-    engine: Mailbox,
-    subscribe: Rc<Notify>,
-) {
-    let reader = Reader::new(&config);
-    reader.tell(&config.known, true, &servers, &engine);
-    let mut rev = config.known.rev;
+/// Starts from the list that the node holds and watches from there on, for ever; when discovery moves, it does
+/// so at the new address, from where it was.
+async fn follow(mut address: watch::Receiver<SocketAddr>, mut feed: Feed) {
+    let mut rev = feed.rev();
     let mut failures = 0;
-    let mut random = fastrand::Rng::with_seed(config.seed);
-    let asked = config.settings.discovery != Discovery::Pushed;
     let mut moved = false;
     loop {
-        if asked && !moved {
-            subscribe.notified().await;
+        if !moved {
+            feed.wanted().await;
         }
         let at = *address.borrow_and_update();
-        let heard = |update: &Update| {
+        let heard = |update: Update| {
             failures = 0;
-            reader.tell(update, false, &servers, &engine);
+            feed.update(&update);
         };
         let why = tokio::select! {
             biased;
@@ -149,15 +133,13 @@
         failures += 1;
         // A line for each try of a long outage would say nothing new.
         if failures == 1 {
-            eprintln!("dunelink: discovery: {why}; watching anew from {rev}");
+            feed.log(format_args!("discovery: {why}; watching anew from {rev}"));
         }
-        if asked {
-            // When to ask again is the module's to say.
-            engine.send(Happening::Module(Event::DiscoveryFailed));
-        } else {
+        feed.failed();
+        if !feed.is_asked() {
             let longer = AGAIN * failures.min(AGAIN_MOST);
             // A move must not wait for what befell the old address.
-            let _ = timeout(longer + longer.mul_f64(random.f64()), changed(&mut address)).await;
+            let _ = timeout(longer + longer.mul_f64(feed.random()), changed(&mut address)).await;
         }
     }
 }
@@ -174,7 +156,7 @@
 async fn watch_at(
     address: SocketAddr,
     rev: &mut u64,
-    mut tell: impl FnMut(&Update),
+    mut tell: impl FnMut(Update),
 ) -> Result<Infallible, Box<dyn Error>> {
     let stream = timeout(ANSWER_WITHIN, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
@@ -197,9 +179,9 @@
             line.extend_from_slice(&rest[..end]);
             rest = &rest[end + 1..];
             if !line.trim_ascii().is_empty() {
-                let update: Update = serde_json::from_slice(&line)?;
+                let update: Line = serde_json::from_slice(&line)?;
                 *rev = update.rev;
-                tell(&update);
+                tell(update.into());
             }
             line.clear();
         }
--- a/src/node/servers.rs
+++ b/crates/dunelink/src/servers.rs
@@ -7,7 +7,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,26 +16,20 @@
 use hyper::body::Body;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::ext::on_informational;
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
-use hyper::http::uri::PathAndQuery;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::header::HeaderValue;
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::config::Config;
-use crate::socket::{Line, Place, ServerSocket};
+use crate::headers::{DEADLINE, DECLINED, drop_hop_headers, states_its_end};
+use crate::line::{Line, Place, ServerSocket};
+use crate::types::{Outgoing, Server};
 
-/// The most that a body may hold, in either direction.
-pub const BODY_MOST: usize = 64 * 1024;
 /// What a connection may buffer; it bounds headers too.
-pub const BUFFER_MOST: usize = 32 * 1024;
-/// The headers of the protocol that the node reads or writes itself.
-pub const ID: HeaderName = HeaderName::from_static("req-id");
-pub const KEY: HeaderName = HeaderName::from_static("idempotency-key");
-pub const DEADLINE: HeaderName = HeaderName::from_static("req-deadline");
-const DECLINED: HeaderName = HeaderName::from_static("srv-declined");
+const BUFFER_MOST: usize = 32 * 1024;
 /// An idle connection is retired after this part of the time for which servers keep it.
 const IDLE_PART: f64 = 0.7;
 /// How long an idle connection rests before it is used again: what a server sends behind an answer comes right
@@ -52,20 +46,6 @@
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_millis(250);
 
-/// A request as it goes on to servers.
-pub struct Outgoing {
-    pub method: Method,
-    /// Path and query, unchanged.
-    pub target: PathAndQuery,
-    /// All headers but the deadline.
-    pub headers: HeaderMap,
-    pub body: Bytes,
-    /// When no answer is of use any more.
-    pub deadline: Instant,
-    /// Whether it must never run twice.
-    pub once: bool,
-}
-
 impl Outgoing {
     fn request(&self) -> Option<Request<Full<Bytes>>> {
         let left = self.deadline.saturating_duration_since(Instant::now()).as_secs_f64();
@@ -114,6 +94,7 @@
 }
 
 struct Member {
+    uid: Arc<str>,
     endpoint: SocketAddr,
     started: Micros,
     ready: bool,
@@ -124,10 +105,14 @@
 }
 
 /// All servers that discovery has named, and the connections to them.
-pub struct Servers {
+pub(crate) struct Servers {
     members: RefCell<HashMap<ServerId, Member>>,
+    /// Whether there is any to send to, for other threads.
+    any_ready: Arc<AtomicBool>,
     open: Rc<Cell<usize>>,
     most: usize,
+    /// The most bytes in an answer's body.
+    body_most: usize,
     connect_timeout: Duration,
     idle_most: Duration,
     /// Until when kept connections are known to break at their next request.
@@ -135,13 +120,15 @@
 }
 
 impl Servers {
-    pub fn new(config: &Config) -> Servers {
+    pub(crate) fn new(config: &Config, any_ready: Arc<AtomicBool>) -> Servers {
         Servers {
             members: RefCell::default(),
+            any_ready,
             open: Rc::default(),
-            most: config.sockets / 3,
-            connect_timeout: Duration::from_micros(config.connect_timeout_us),
-            idle_most: Duration::from_micros(config.keepalive_us).mul_f64(IDLE_PART),
+            most: config.limits.to_servers(),
+            body_most: config.limits.body,
+            connect_timeout: config.fleet.connect_timeout,
+            idle_most: config.fleet.keepalive.mul_f64(IDLE_PART),
             wary_until: Cell::new(None),
         }
     }
@@ -152,25 +139,31 @@
         outgoing.once && self.wary_until.get().is_some_and(|until| until > Instant::now())
     }
 
-    /// How many connections to servers there may be.
-    pub fn most(&self) -> usize {
-        self.most
+    /// How many connections to servers are open.
+    pub(crate) fn connections(&self) -> usize {
+        self.open.get()
     }
 
-    /// Whether there is any server to send to.
-    pub fn any_ready(&self) -> bool {
-        self.members.borrow().values().any(|m| m.ready)
+    /// Those that take requests: id, name, address and how many idle connections there are.
+    pub(crate) fn view(&self) -> Vec<(ServerId, Arc<str>, SocketAddr, usize)> {
+        let members = self.members.borrow();
+        members.iter().map(|(id, m)| (*id, m.uid.clone(), m.endpoint, m.idle.len())).collect()
     }
 
     /// Takes in the whole list or changes. Idle connections to an old address, or to a server that wants
     /// nothing new, are closed.
-    pub fn list_changed(&self, list: impl Iterator<Item = (ServerEntry, SocketAddr)>, whole: bool) {
+    pub(crate) fn list_changed<'a>(
+        &self,
+        list: impl Iterator<Item = (ServerEntry, &'a Server)>,
+        whole: bool,
+    ) {
         let mut members = self.members.borrow_mut();
         members.values_mut().filter(|_| whole).for_each(|m| m.ready = false);
-        for (entry, endpoint) in list {
-            let ready = entry.state == ServerState::Ready;
+        for (entry, Server { uid, endpoint, .. }) in list {
+            let (ready, endpoint) = (entry.state == ServerState::Ready, *endpoint);
             let (started, heard) = (entry.ready_at, Instant::now());
-            let fresh = || Member { endpoint, started, ready, heard, idle: Vec::new() };
+            let fresh =
+                || Member { uid: uid.as_str().into(), endpoint, started, ready, heard, idle: Vec::new() };
             let member = members.entry(entry.id).or_insert_with(fresh);
             // A machine that vanished and is back has forgotten its connections, and they say nothing of it.
             if member.endpoint != endpoint || member.started != started {
@@ -181,6 +174,7 @@
         members.values_mut().filter(|m| !m.ready).for_each(|m| m.idle.clear());
         // One that drains or is gone is sent nothing, so nothing need be kept of it.
         members.retain(|_, m| m.ready);
+        self.any_ready.store(!members.is_empty(), Ordering::Release);
     }
 
     /// Where to reach the server and when it started, if it takes requests.
@@ -210,10 +204,10 @@
             return;
         }
         connection.idle_since = Instant::now();
-        if let Some(member) = self.members.borrow_mut().get_mut(&server) {
-            if (member.endpoint, member.started) == (connection.endpoint, connection.started) {
-                member.idle.push(connection);
-            }
+        if let Some(member) = self.members.borrow_mut().get_mut(&server)
+            && (member.endpoint, member.started) == (connection.endpoint, connection.started)
+        {
+            member.idle.push(connection);
         }
     }
 
@@ -226,15 +220,16 @@
 
     /// Closes a server's idle connections if it has answered nothing since `sent`, some time ago.
     fn doubt(&self, server: ServerId, sent: Instant) {
-        if let Some(member) = self.members.borrow_mut().get_mut(&server) {
-            if sent.elapsed() >= SILENT && member.heard < sent {
-                member.idle.clear();
-            }
+        if let Some(member) = self.members.borrow_mut().get_mut(&server)
+            && sent.elapsed() >= SILENT
+            && member.heard < sent
+        {
+            member.idle.clear();
         }
     }
 
     /// Closes the connection that has been idle for longest; tells whether there was one.
-    pub fn evict(&self) -> bool {
+    pub(crate) fn evict(&self) -> bool {
         let mut members = self.members.borrow_mut();
         let oldest = members.values_mut().filter(|m| !m.idle.is_empty());
         match oldest.min_by_key(|m| m.idle[0].idle_since) {
@@ -247,7 +242,7 @@
     }
 
     /// Retires idle connections well before servers close them: a request that crosses a close is lost.
-    pub async fn sweep(&self) {
+    pub(crate) async fn sweep(&self) {
         loop {
             sleep(SWEEP).await;
             let fits = |c: &Connection| c.idle_since.elapsed() < self.idle_most && !c.sender.is_closed();
@@ -282,7 +277,7 @@
     }
 
     /// One attempt, to its end.
-    pub async fn attempt(
+    pub(crate) async fn attempt(
         self: &Rc<Self>,
         outgoing: &Outgoing,
         server: ServerId,
@@ -374,10 +369,12 @@
     ) -> (Outcome, Option<Response<Bytes>>) {
         let (mut parts, body) = response.into_parts();
         // Of an answer that ends with its connection, a part looks whole.
-        if !states_its_end(&parts.headers) || body.size_hint().lower() > BODY_MOST as u64 {
+        if !states_its_end(&parts.headers) || body.size_hint().lower() > self.body_most as u64 {
             return (Outcome::Reset, None);
         }
-        let Ok(body) = Limited::new(body, BODY_MOST).collect().await else { return (Outcome::Reset, None) };
+        let Ok(body) = Limited::new(body, self.body_most).collect().await else {
+            return (Outcome::Reset, None);
+        };
         let body = body.to_bytes();
         let servers = self.clone();
         tokio::task::spawn_local(async move { servers.keep(server, connection).await });
@@ -410,46 +407,9 @@
     }
 }
 
-/// Whether an answer says where it ends, and in one way.
-fn states_its_end(headers: &HeaderMap) -> bool {
-    let encodings: Vec<&HeaderValue> = headers.get_all(header::TRANSFER_ENCODING).iter().collect();
-    match (&encodings[..], headers.contains_key(header::CONTENT_LENGTH)) {
-        ([], length) => length,
-        ([one], length) => one.as_bytes().eq_ignore_ascii_case(b"chunked") && !length,
-        _ => false,
-    }
-}
-
 /// Whether the node or its machine has no descriptor left.
-pub fn out_of_sockets(error: &io::Error) -> bool {
+fn out_of_sockets(error: &io::Error) -> bool {
     const ENFILE: i32 = 23;
     const EMFILE: i32 = 24;
     matches!(error.raw_os_error(), Some(ENFILE | EMFILE))
 }
-
-/// Removes what is about one connection and not about the message.
-pub fn drop_hop_headers(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        // Without its key a keyed request would run twice, whatever a client says of its connection.
-        .filter(|name| *name != ID && *name != KEY)
-        .collect();
-    let fixed = [
-        header::CONNECTION,
-        header::CONTENT_LENGTH,
-        header::EXPECT,
-        header::TE,
-        header::TRAILER,
-        header::TRANSFER_ENCODING,
-        header::UPGRADE,
-        HeaderName::from_static("keep-alive"),
-        HeaderName::from_static("proxy-connection"),
-    ];
-    named.iter().chain(&fixed).for_each(|name| {
-        headers.remove(name);
-    });
-}
--- /dev/null
+++ b/crates/dunelink/src/snapshot.rs
@@ -0,0 +1,123 @@
+//! What a node knows of itself, for its host.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use tokio::sync::oneshot;
+
+use crate::types::Answer;
+
+/// How requests ended since the start. Each that was taken ends up in one of `served`, `refused`, `failed` and
+/// `left`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Requests that the node took.
+    pub taken: u64,
+    /// Answered by a server.
+    pub served: u64,
+    /// Turned away, where trying again is harmless.
+    pub refused: u64,
+    /// Failed, with no promise.
+    pub failed: u64,
+    /// Their clients went away before the answer.
+    pub left: u64,
+    /// Not taken, as something was wrong with them; not among `taken`.
+    pub invalid: u64,
+}
+
+/// How a node stands.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Snapshot {
+    /// The servers that it may send to, by name. One that drains or is gone is not among them.
+    pub servers: Vec<ServerView>,
+    /// Requests without their final answer.
+    pub open: usize,
+    /// Requests of which anything is kept: open ones, and answered ones with an attempt still out.
+    pub kept: usize,
+    /// Open requests that wait in the queue for a server with room.
+    pub held: usize,
+    /// Attempts out.
+    pub in_flight: usize,
+    /// Connections to servers, idle ones included.
+    pub connections: usize,
+    /// How requests ended.
+    pub counts: Counts,
+}
+
+/// A server, as the node sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerView {
+    /// Its name in the list.
+    pub uid: Arc<str>,
+    /// Where it listens.
+    pub endpoint: SocketAddr,
+    /// This node's attempts out on it.
+    pub in_flight: usize,
+    /// This node's idle connections to it.
+    pub idle: usize,
+}
+
+/// Counts as the engine and its callers keep them.
+#[derive(Default)]
+pub(crate) struct Tally {
+    taken: AtomicU64,
+    served: AtomicU64,
+    refused: AtomicU64,
+    failed: AtomicU64,
+    left: AtomicU64,
+    invalid: AtomicU64,
+}
+
+fn one_more(count: &AtomicU64) {
+    count.fetch_add(1, Ordering::Relaxed);
+}
+
+impl Tally {
+    pub(crate) fn arrived(&self) {
+        one_more(&self.taken);
+    }
+
+    pub(crate) fn left(&self) {
+        one_more(&self.left);
+    }
+
+    pub(crate) fn invalid(&self) {
+        one_more(&self.invalid);
+    }
+
+    /// A request that was refused without the engine.
+    pub(crate) fn turned_away(&self) {
+        one_more(&self.taken);
+        one_more(&self.refused);
+    }
+
+    /// Gives the final answer and counts it, or its client as left if nobody waits any more.
+    pub(crate) fn answered(&self, waiting: oneshot::Sender<Answer>, answer: Answer) {
+        let count = match &answer {
+            Answer::Served(_) => &self.served,
+            Answer::Refused { .. } => &self.refused,
+            Answer::Failed { .. } => &self.failed,
+        };
+        // Counted first: who has the answer must find it in the counts.
+        match waiting.is_closed() {
+            true => one_more(&self.left),
+            false => {
+                one_more(count);
+                let _ = waiting.send(answer);
+            }
+        }
+    }
+
+    pub(crate) fn counts(&self) -> Counts {
+        let of = |count: &AtomicU64| count.load(Ordering::Relaxed);
+        Counts {
+            served: of(&self.served),
+            refused: of(&self.refused),
+            failed: of(&self.failed),
+            left: of(&self.left),
+            invalid: of(&self.invalid),
+            taken: of(&self.taken),
+        }
+    }
+}
--- /dev/null
+++ b/crates/dunelink/src/tower.rs
@@ -0,0 +1,286 @@
+//! Middleware for tower, and so for axum, hyper and tonic.
+//!
+//! [`FleetLayer`] stands in front of a host's own routes: a predicate says which requests go to the fleet, and
+//! all others pass to the inner service untouched. [`FleetService`] is the fleet by itself: for the host's own
+//! outgoing calls, or as a route's whole service.
+
+use std::fmt;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use ::http::request::Parts;
+use ::http::{Request, Response};
+use bytes::Bytes;
+use http_body::Body;
+use http_body_util::{Either, Full};
+use pin_project_lite::pin_project;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio_util::sync::PollSemaphore;
+use tower_layer::Layer;
+use tower_service::Service;
+
+use crate::error::{BoxError, CallError};
+use crate::http::respond;
+use crate::node::Handle;
+
+/// A call on its way to its response.
+pub type Answering = Pin<Box<dyn Future<Output = Result<Response<Full<Bytes>>, CallError>> + Send>>;
+
+/// The places for open requests, one of which may be in hand.
+struct Places {
+    handle: Handle,
+    semaphore: PollSemaphore,
+    taken: Option<OwnedSemaphorePermit>,
+}
+
+impl Places {
+    fn new(handle: Handle) -> Places {
+        Places { semaphore: PollSemaphore::new(handle.places()), taken: None, handle }
+    }
+
+    /// Waits for a place.
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), CallError>> {
+        if self.handle.is_closed() {
+            return Poll::Ready(Err(CallError::Closed));
+        }
+        if self.taken.is_none() {
+            // Nobody closes the semaphore.
+            self.taken = Some(ready!(self.semaphore.poll_acquire(cx)).ok_or(CallError::Closed)?);
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    /// The place in hand, or one that happens to be free.
+    fn take(&mut self) -> Option<OwnedSemaphorePermit> {
+        self.taken.take().or_else(|| self.handle.places().try_acquire_owned().ok())
+    }
+}
+
+/// A place is taken for each clone by itself.
+impl Clone for Places {
+    fn clone(&self) -> Places {
+        Places::new(self.handle.clone())
+    }
+}
+
+/// The fleet as a service: every request goes there.
+///
+/// `poll_ready` waits while `limits.requests` requests are open; one that is called without it, when there is
+/// no place, is refused at once. Answers are mapped to HTTP by [`respond`]; how they came to be is in their
+/// extensions, as a [`Verdict`](crate::http::Verdict). An error is a request that was not taken.
+///
+/// ```
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+/// # use dunelink::{Config, Node, config::{Class, Effect}};
+/// # use std::time::Duration;
+/// use dunelink::tower::FleetService;
+/// use tower::ServiceExt;
+///
+/// # let classes = vec![Class::new("view", Effect::Safe, Duration::from_secs(1))];
+/// # let node = Node::builder(Config { classes, ..Config::default() }).start()?;
+/// let fleet = FleetService::new(node.handle().clone());
+/// let response = fleet.oneshot(http::Request::get("/view/7").body(String::new())?).await?;
+/// assert_eq!(response.status(), 503, "this node knows no server");
+/// # Ok(()) }
+/// ```
+#[derive(Clone)]
+pub struct FleetService {
+    places: Places,
+}
+
+impl FleetService {
+    /// The fleet that this node knows.
+    pub fn new(handle: Handle) -> FleetService {
+        FleetService { places: Places::new(handle) }
+    }
+}
+
+impl<B> Service<Request<B>> for FleetService
+where
+    B: Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<BoxError>,
+{
+    type Response = Response<Full<Bytes>>;
+    type Error = CallError;
+    type Future = Answering;
+
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), CallError>> {
+        self.places.poll(cx)
+    }
+
+    fn call(&mut self, request: Request<B>) -> Answering {
+        let (handle, place) = (self.places.handle.clone(), self.places.take());
+        Box::pin(async move {
+            let answer = handle.receive_in(request, None, place).await?.answer().await;
+            Ok(respond(Ok(answer)))
+        })
+    }
+}
+
+impl fmt::Debug for FleetService {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("FleetService").finish_non_exhaustive()
+    }
+}
+
+/// Says which requests go to the fleet. It may read the head, and set extensions such as
+/// [`ext::Class`](crate::ext::Class) on those that do.
+type Route = Arc<dyn Fn(&mut Parts) -> bool + Send + Sync>;
+
+/// Sends some requests to the fleet and all others to the inner service.
+///
+/// Errors of a request that was not taken become responses here, as the inner service's error type is the
+/// host's.
+///
+/// ```
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+/// # use dunelink::{Config, Node, config::{Class, Effect}};
+/// # use std::time::Duration;
+/// use axum::{Router, routing::get};
+/// use dunelink::tower::FleetLayer;
+///
+/// # let classes = vec![Class::new("view", Effect::Safe, Duration::from_secs(1))];
+/// # let node = Node::builder(Config { classes, ..Config::default() }).start()?;
+/// let portal: Router = Router::new()
+///     .route("/about", get(|| async { "the portal" }))
+///     .fallback(|| async { "no such page" })
+///     .layer(FleetLayer::new(node.handle().clone(), |head| head.uri.path().starts_with("/view/")));
+/// # drop(portal);
+/// # Ok(()) }
+/// ```
+#[derive(Clone)]
+pub struct FleetLayer {
+    handle: Handle,
+    route: Route,
+    waits: bool,
+}
+
+impl FleetLayer {
+    /// Requests for which `route` is true go to the fleet that this node knows.
+    pub fn new(handle: Handle, route: impl Fn(&mut Parts) -> bool + Send + Sync + 'static) -> FleetLayer {
+        FleetLayer { handle, route: Arc::new(route), waits: false }
+    }
+
+    /// Requests whose path begins with this go to the fleet.
+    pub fn prefix(handle: Handle, prefix: impl Into<String>) -> FleetLayer {
+        let prefix = prefix.into();
+        FleetLayer::new(handle, move |head| head.uri.path().starts_with(&prefix))
+    }
+
+    /// `poll_ready` waits for a place at the node too. That holds the inner service's requests back as well;
+    /// without it, what comes when there is no place is refused at once and told when to come back.
+    pub fn wait_for_room(mut self) -> FleetLayer {
+        self.waits = true;
+        self
+    }
+}
+
+impl fmt::Debug for FleetLayer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("FleetLayer").field("waits", &self.waits).finish_non_exhaustive()
+    }
+}
+
+impl<S> Layer<S> for FleetLayer {
+    type Service = Fleet<S>;
+
+    fn layer(&self, inner: S) -> Fleet<S> {
+        Fleet {
+            inner,
+            places: Places::new(self.handle.clone()),
+            route: self.route.clone(),
+            waits: self.waits,
+        }
+    }
+}
+
+/// The service that [`FleetLayer`] makes.
+#[derive(Clone)]
+pub struct Fleet<S> {
+    inner: S,
+    places: Places,
+    route: Route,
+    waits: bool,
+}
+
+impl<S: fmt::Debug> fmt::Debug for Fleet<S> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Fleet").field("inner", &self.inner).finish_non_exhaustive()
+    }
+}
+
+impl<S, B, R> Service<Request<B>> for Fleet<S>
+where
+    S: Service<Request<B>, Response = Response<R>>,
+    B: Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<BoxError>,
+{
+    type Response = Response<Either<Full<Bytes>, R>>;
+    type Error = S::Error;
+    type Future = FleetFuture<S::Future>;
+
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), S::Error>> {
+        // A node that has ended is told by its refusals; the inner service lives on.
+        if self.waits && !self.places.handle.is_closed() {
+            let _ = ready!(self.places.poll(cx));
+        }
+        self.inner.poll_ready(cx)
+    }
+
+    fn call(&mut self, request: Request<B>) -> Self::Future {
+        let (mut head, body) = request.into_parts();
+        let to_fleet = (self.route)(&mut head);
+        let request = Request::from_parts(head, body);
+        if !to_fleet {
+            // A place in hand is for the next one.
+            return FleetFuture::Inner { future: self.inner.call(request) };
+        }
+        let (handle, place) = (self.places.handle.clone(), self.places.take());
+        FleetFuture::Fleet {
+            future: Box::pin(async move {
+                let received = handle.receive_in(request, None, place).await;
+                Ok(respond(match received {
+                    Ok(received) => Ok(received.answer().await),
+                    Err(error) => Err(error),
+                }))
+            }),
+        }
+    }
+}
+
+pin_project! {
+    /// The future of a [`Fleet`].
+    #[project = FleetFutureProjection]
+    #[allow(missing_docs)]
+    pub enum FleetFuture<F> {
+        /// The request went to the fleet.
+        Fleet { future: Answering },
+        /// It went to the inner service.
+        Inner { #[pin] future: F },
+    }
+}
+
+impl<F, R, E> Future for FleetFuture<F>
+where
+    F: Future<Output = Result<Response<R>, E>>,
+{
+    type Output = Result<Response<Either<Full<Bytes>, R>>, E>;
+
+    fn poll(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Self::Output> {
+        match self.project() {
+            FleetFutureProjection::Fleet { future } => {
+                let response = ready!(future.as_mut().poll(cx)).unwrap_or_else(|error| respond(Err(error)));
+                Poll::Ready(Ok(response.map(Either::Left)))
+            }
+            FleetFutureProjection::Inner { future } => {
+                Poll::Ready(ready!(future.poll(cx)).map(|response| response.map(Either::Right)))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/dunelink/tests/conformance/main.rs
@@ -0,0 +1,55 @@
+//! The conformance suite against the library: an axum host with the layer, whose node has a thread of its own.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use axum::Router;
+use axum::http::StatusCode;
+use axum::routing::get;
+use dunelink::tower::FleetLayer;
+use dunelink::{Config, Node};
+use serde_json::Value;
+use testkit::conformance::Subject;
+use testkit::peers::Answers;
+use tokio::runtime::Runtime;
+
+struct Library {
+    host: Runtime,
+    node: Option<Node>,
+    address: SocketAddr,
+}
+
+impl Subject for Library {
+    fn start(config: &Value) -> Library {
+        let config = Config::from_platform(&config.to_string()).unwrap();
+        let node = Node::builder(config).start().unwrap();
+        let (handle, seen) = (node.handle().clone(), node.handle().clone());
+        let health = get(|| async move {
+            match seen.is_ready() {
+                true => (StatusCode::OK, "ok"),
+                false => (StatusCode::SERVICE_UNAVAILABLE, "not serving"),
+            }
+        });
+        let portal = Router::new()
+            .route("/_health", health)
+            .fallback(|| async { (StatusCode::NOT_FOUND, "the host has no such page") })
+            .layer(FleetLayer::new(handle, |head| head.uri.path() != "/_health"));
+        let host = Runtime::new().unwrap();
+        let listener = host.block_on(tokio::net::TcpListener::bind("127.0.0.1:0")).unwrap();
+        let address = listener.local_addr().unwrap();
+        host.spawn(async move { axum::serve(listener, portal).await });
+        Library { host, node: Some(node), address }
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    fn end(&mut self) -> Answers {
+        let node = self.node.take().unwrap();
+        let counts = self.host.block_on(node.shutdown(Duration::from_secs(20)));
+        Answers { served: counts.served, refused: counts.refused, failed: counts.failed }
+    }
+}
+
+testkit::conformance!(Library);
--- a/src/node/clients.rs
+++ b/crates/dunelinkd/src/clients.rs
@@ -1,41 +1,31 @@
-//! The clients' side: connections, what a request must look like, and its one final answer.
+//! The clients' side: connections, and what only a socket can tell of a request.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::convert::Infallible;
+use std::io;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use cherryusher::{Effect, RequestId};
-use http_body_util::{BodyExt, Full};
+use bytes::Bytes;
+use dunelink::http::{plain, respond};
+use dunelink::{Answer, CallError, Config, Handle};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
-use hyper::http::uri::PathAndQuery;
+use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, oneshot};
-use tokio::time::{Instant, sleep, timeout, timeout_at};
-use tokio_util::sync::CancellationToken;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep, timeout};
 
-use crate::config::{ClassRule, Config};
-use crate::engine::{Answer, Happening, Mailbox};
-use crate::servers::{
-    BODY_MOST, BUFFER_MOST, DEADLINE, ID, KEY, Outgoing, Servers, drop_hop_headers, out_of_sockets,
-};
 use crate::socket::{ClientSocket, Seen};
 
-const OWNER: HeaderName = HeaderName::from_static("req-owner");
-const COST: HeaderName = HeaderName::from_static("req-cost");
-/// The longest id.
-const ID_MOST: usize = 128;
-/// A deadline counts from the client's sending; this much of it has passed when the request is read, and
-/// passes again before the answer is back.
-const TRANSIT: Duration = Duration::from_millis(3);
+/// What a connection may buffer; it bounds headers too.
+const BUFFER_MOST: usize = 32 * 1024;
 /// How long a connection may take to bring a whole request, from its start or its last answer on. A client
 /// that has nothing to ask for longer connects anew; one that means no good is owed an end within 3 s.
 const REQUEST_WITHIN: Duration = Duration::from_millis(2500);
@@ -54,8 +44,6 @@
 const LATE_REQUEST: Duration = Duration::from_millis(200);
 /// How long a connection may take to end once it should, beyond the longest deadline.
 const CLOSE_WITHIN: Duration = Duration::from_secs(1);
-/// How long a body may take in any case.
-const BODY_LEAST: Duration = Duration::from_millis(20);
 /// Connections are kept open between requests up to this part of all.
 const KEPT_PART: usize = 3;
 /// What a client is told when the node has no connection left to serve it with.
@@ -94,48 +82,48 @@
 }
 
 /// The listener's side of the node.
-pub struct Clients {
-    config: Rc<Config>,
-    engine: Mailbox,
-    servers: Rc<Servers>,
+pub(crate) struct Clients {
+    node: Handle,
+    /// How many connections there may be, of clients and to servers together, and of clients alone. A client's
+    /// is taken while its request is held, a server's only while an attempt is out: clients need more.
+    all: usize,
+    most: usize,
+    /// The longest that any client waits.
+    longest: Duration,
     phase: Cell<Phase>,
     able: Cell<bool>,
     connections: RefCell<HashMap<u64, Rc<Connection>>>,
     /// How many of them have a request open, and how many were told to end.
     busy: Cell<usize>,
     closing: Cell<usize>,
-    /// The ids of all open requests: servers and logs tell requests apart by them.
-    ids: RefCell<HashSet<Box<str>>>,
     /// Told when a connection has ended.
     freed: Notify,
-    /// Told when the node can wait no longer.
-    last_call: CancellationToken,
 }
 
 impl Clients {
-    pub fn new(config: Rc<Config>, engine: Mailbox, servers: Rc<Servers>) -> Clients {
+    pub(crate) fn new(config: &Config, node: Handle) -> Clients {
+        let all = config.limits.connections();
         Clients {
-            config,
-            engine,
-            servers,
+            node,
+            all,
+            most: all.saturating_sub(config.limits.to_servers()).max(1),
+            longest: config.longest(),
             phase: Cell::new(Phase::Serving),
             able: Cell::new(false),
             connections: RefCell::default(),
             busy: Cell::new(0),
             closing: Cell::new(0),
-            ids: RefCell::default(),
             freed: Notify::new(),
-            last_call: CancellationToken::new(),
         }
     }
 
     /// Takes connections in until `stop` is told, then what the kernel still has: that counts as taken.
-    pub async fn accept(self: Rc<Self>, listener: TcpListener, stop: Rc<Notify>) {
+    pub(crate) async fn accept(self: Rc<Self>, listener: TcpListener, stop: Rc<Notify>) {
         let mut number = 0;
         let mut stopping = false;
         loop {
             // Beyond the budget connections wait in the kernel: to accept and drop one would lose a request.
-            while self.connections.borrow().len() >= self.most() {
+            while self.connections.borrow().len() >= self.most {
                 self.make_room();
                 let _ = timeout(NO_SOCKETS, self.freed.notified()).await;
             }
@@ -156,7 +144,7 @@
                 Err(error) => {
                     if out_of_sockets(&error) {
                         self.make_room();
-                        self.servers.evict();
+                        self.node.free_descriptor();
                     }
                     sleep(NO_SOCKETS).await;
                 }
@@ -188,21 +176,15 @@
         });
     }
 
-    /// The most connections; the servers' side has the rest. A client's is taken while its request is held,
-    /// a server's only while an attempt is out: clients need more.
-    fn most(&self) -> usize {
-        self.config.sockets - self.servers.most()
-    }
-
     /// Whether there are so many connections that idle ones are ended and answers end theirs: what clients
     /// keep without asking anything more on it keeps others from connecting.
     fn over(&self) -> bool {
-        self.connections.borrow().len() - self.closing.get() > self.config.sockets / KEPT_PART
+        self.connections.borrow().len() - self.closing.get() > self.all / KEPT_PART
     }
 
     /// How many are served; the last tenth is for refusals.
     fn served(&self) -> usize {
-        self.most() - self.most() / 10
+        self.most - self.most / 10
     }
 
     /// Ends a connection once it has no request open.
@@ -213,7 +195,7 @@
 
     /// Ends connections that have stood without a request for longer than hyper lets them: their clients do
     /// not take the last answer.
-    pub async fn sweep(&self) {
+    pub(crate) async fn sweep(&self) {
         loop {
             sleep(SWEEP).await;
             let stuck =
@@ -247,9 +229,9 @@
                     Ok((response, chunked)) if !ends && !chunked => response,
                     Ok((response, _)) => ending(response),
                     // Where its next request begins, or that it is one, can't be relied on.
-                    Err((status, why)) => {
+                    Err(wrong) => {
                         seen.linger();
-                        ending(plain(status, why))
+                        ending(wrong)
                     }
                 };
                 connection.idle_since.set(Some(Instant::now()));
@@ -267,16 +249,16 @@
             () = connection.close.notified() => serving.as_mut().graceful_shutdown(),
         }
         // A client that does not read its answer must not hold the connection for ever.
-        let _ = timeout(self.config.longest() + CLOSE_WITHIN, serving).await;
+        let _ = timeout(self.longest + CLOSE_WITHIN, serving).await;
     }
 
     /// From now on each answer ends its connection.
-    pub fn leave(&self) {
+    pub(crate) fn leave(&self) {
         self.phase.set(Phase::Leaving);
     }
 
     /// Ends connections as soon as they have no request open, and waits until all have.
-    pub async fn close(&self) {
+    pub(crate) async fn close(&self) {
         let end = |fresh_too: bool| {
             let connections = self.connections.borrow();
             connections.values().filter(|c| fresh_too || !c.fresh.get()).for_each(|c| self.end(c));
@@ -290,145 +272,45 @@
         }
     }
 
-    /// Answers what is open as failed: the node is about to be ended, and no answer at all would be worse.
-    pub fn last_call(&self) {
-        self.last_call.cancel();
-    }
-
-    /// The answer, and whether the request came in chunks; or what is wrong with it.
+    /// The answer, and whether the request came in chunks; or the error for what is wrong with it.
     async fn respond(&self, request: Request<Incoming>, seen: &Seen, by: Instant) -> Result<Answered, Wrong> {
         if request.uri().path() == "/_health" {
             if !request.body().is_end_stream() {
-                return Err((StatusCode::BAD_REQUEST, "a GET has no body"));
+                return Err(plain(StatusCode::BAD_REQUEST, "a GET has no body"));
             }
             seen.read_whole(Some(0));
             return Ok((self.health(request.method()), false));
         }
         let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
-        let taken = self.read(request, seen, by).await?;
-        // Where all others are busy too, a refusal needs no server and makes room.
-        if self.busy.get() > self.served() {
-            return Ok((refused(Some(CROWDED)), chunked));
+        // Of the two, hyper goes by the encoding and hides the length: another request may be in the body
+        // for a peer that goes by the length.
+        if chunked && seen.has_length() {
+            return Err(plain(StatusCode::BAD_REQUEST, "both Content-Length and Transfer-Encoding"));
         }
-        Ok((self.wait(taken).await, chunked))
+        let received = match self.node.receive(request, Some(by)).await {
+            Ok(received) => received,
+            Err(CallError::Closed) => return Ok((respond(Err(CallError::Closed)), chunked)),
+            Err(error) => return Err(respond(Err(error))),
+        };
+        seen.read_whole((!chunked).then_some(received.body().len() as u64));
+        // Where all others are busy too, a refusal needs no server and makes room.
+        let answer: Answer = match self.busy.get() > self.served() {
+            true => received.refuse(CROWDED),
+            false => received.answer().await,
+        };
+        Ok((respond(Ok(answer)), chunked))
     }
 
     fn health(&self, method: &Method) -> Response<Full<Bytes>> {
         if method != Method::GET && method != Method::HEAD {
             return plain(StatusCode::METHOD_NOT_ALLOWED, "GET only");
         }
-        self.able.set(self.able.get() || self.servers.any_ready());
+        self.able.set(self.able.get() || self.node.is_ready());
         match self.able.get() && self.phase.get() == Phase::Serving {
             true => plain(StatusCode::OK, "ok"),
             false => plain(StatusCode::SERVICE_UNAVAILABLE, "not serving"),
         }
     }
-
-    /// Reads a request whole and checks it; what is wrong with it is the client's to mend.
-    async fn read(&self, request: Request<Incoming>, seen: &Seen, by: Instant) -> Result<Taken<'_>, Wrong> {
-        let came = Instant::now();
-        let wrong = |why| Err((StatusCode::BAD_REQUEST, why));
-        let (head, body) = request.into_parts();
-        // Of the two, hyper goes by the encoding and hides the length: another request may be in the body
-        // for a peer that goes by the length.
-        if head.headers.contains_key(header::TRANSFER_ENCODING) && seen.has_length() {
-            return wrong("both Content-Length and Transfer-Encoding");
-        }
-        if body.size_hint().lower() > BODY_MOST as u64 {
-            return Err(TOO_LARGE);
-        }
-        let path = head.uri.path();
-        let class = path.split('/').nth(1).and_then(|name| self.config.classes.get(name)).copied();
-        let Some(class) = class else { return Err((StatusCode::NOT_FOUND, "no such class")) };
-        let Some(id) = only(&head.headers, &ID) else { return wrong("Req-Id is missing or unreadable") };
-        if id.is_empty() || id.len() > ID_MOST || !id.bytes().all(|b| b.is_ascii_graphic()) {
-            return wrong("Req-Id is unreadable");
-        }
-        let Some(patience) = only(&head.headers, &DEADLINE).and_then(seconds) else {
-            return wrong("Req-Deadline is missing or unreadable");
-        };
-        method_fits(&class, &head.method, &head.headers)?;
-        // No client waits longer than its class allows; this also bounds all that is done for it.
-        let most = Duration::from_micros(class.deadline_us);
-        let deadline = came + patience.min(most).saturating_sub(TRANSIT);
-        let body = timeout_at(deadline.min(by).max(came + BODY_LEAST), read_body(body)).await;
-        let body = body.unwrap_or(Err((StatusCode::REQUEST_TIMEOUT, "the body did not come in time")))?;
-        let sized = !head.headers.contains_key(header::TRANSFER_ENCODING);
-        seen.read_whole(sized.then_some(body.len() as u64));
-        if head.method == Method::GET && !body.is_empty() {
-            return wrong("a GET has no body");
-        }
-        let Some(unique) = self.claim(id) else {
-            return Err((StatusCode::CONFLICT, "another open request has this Req-Id"));
-        };
-        let tenant = only(&head.headers, &OWNER).and_then(|name| self.config.tenants.get(name)).copied();
-        let key = path.split('/').skip(2).last().filter(|part| !part.is_empty());
-        let request = cherryusher::Request {
-            id: self.engine.number(),
-            class: class.index,
-            remaining: deadline.saturating_duration_since(Instant::now()).as_micros() as u64,
-            expected_work: only(&head.headers, &COST)
-                .and_then(|us| us.parse::<f64>().ok())
-                .filter(|us| *us > 0.0)
-                .map(|us| us as u64),
-            key: key.map(|part| xxhash_rust::xxh3::xxh3_64(part.as_bytes())),
-            tenant,
-        };
-        let target = head.uri.path_and_query().cloned().unwrap_or(PathAndQuery::from_static("/"));
-        let mut headers = head.headers;
-        drop_hop_headers(&mut headers);
-        headers.remove(DEADLINE);
-        if head.method == Method::POST {
-            headers.insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
-        }
-        headers.entry(header::HOST).or_insert(HeaderValue::from_static("origin.svc"));
-        let once = class.effect == Effect::Unsafe;
-        let outgoing = Rc::new(Outgoing { method: head.method, target, headers, body, deadline, once });
-        Ok(Taken { request, outgoing, _unique: unique })
-    }
-
-    /// Takes an id for as long as its request is open.
-    fn claim(&self, id: &str) -> Option<Claimed<'_>> {
-        self.ids.borrow_mut().insert(id.into()).then(|| Claimed { id: id.into(), ids: &self.ids })
-    }
-
-    /// Hands a request to the engine and waits for the final answer. Dropped before it, the client has left.
-    async fn wait(&self, taken: Taken<'_>) -> Response<Full<Bytes>> {
-        let (sender, answer) = oneshot::channel();
-        let mut waiting = Waiting { id: taken.request.id, engine: &self.engine, answered: false };
-        self.engine.send(Happening::Arrived(taken.request, taken.outgoing, sender));
-        let answer = tokio::select! {
-            biased;
-            answer = answer => answer,
-            () = self.last_call.cancelled() => return plain(StatusCode::GATEWAY_TIMEOUT, "the node is leaving"),
-        };
-        waiting.answered = true;
-        match answer {
-            Ok(Answer::Served(response)) => response.map(Full::new),
-            Ok(Answer::Refused(stay_away)) => refused(stay_away),
-            Ok(Answer::Failed { timed_out: true }) => plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
-            Ok(Answer::Failed { timed_out: false }) | Err(_) => plain(StatusCode::BAD_GATEWAY, "no answer"),
-        }
-    }
-}
-
-/// A request that the node has taken.
-struct Taken<'a> {
-    request: cherryusher::Request,
-    outgoing: Rc<Outgoing>,
-    _unique: Claimed<'a>,
-}
-
-/// The id of an open request, free again once it is answered or its client has left.
-struct Claimed<'a> {
-    id: Box<str>,
-    ids: &'a RefCell<HashSet<Box<str>>>,
-}
-
-impl Drop for Claimed<'_> {
-    fn drop(&mut self) {
-        self.ids.borrow_mut().remove(&self.id);
-    }
 }
 
 /// One in a count, for as long as it lasts.
@@ -451,67 +333,14 @@
 /// the bytes is hyper's to know, so the next one's head could not be told apart.
 type Answered = (Response<Full<Bytes>>, bool);
 
-/// What a client did wrong.
-type Wrong = (StatusCode, &'static str);
-
-const TOO_LARGE: Wrong = (StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB");
-
-/// Tells the engine if the client goes away first: hyper then drops the request's future.
-struct Waiting<'a> {
-    id: RequestId,
-    engine: &'a Mailbox,
-    answered: bool,
-}
-
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        if !self.answered {
-            self.engine.send(Happening::Left(self.id));
-        }
-    }
-}
+/// What a client is told of what it did wrong.
+type Wrong = Response<Full<Bytes>>;
 
-/// Reads a body to its end, or past the most that it may hold.
-async fn read_body(mut body: Incoming) -> Result<Bytes, Wrong> {
-    let mut whole = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(frame) = frame else { return Err((StatusCode::BAD_REQUEST, "the body is broken")) };
-        let Ok(data) = frame.into_data() else { continue };
-        if whole.len() + data.len() > BODY_MOST {
-            return Err(TOO_LARGE);
-        }
-        whole.extend_from_slice(&data);
-    }
-    Ok(whole.freeze())
-}
-
-/// The value of a header that is there once.
-fn only<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
-    let mut values = headers.get_all(name).iter();
-    values.next().filter(|_| values.next().is_none())?.to_str().ok()
-}
-
-/// A time in seconds, with decimals; one below 0 is past.
-fn seconds(text: &str) -> Option<Duration> {
-    let plain = text.bytes().all(|b| b.is_ascii_digit() || b == b'.' || b == b'-' || b == b'+');
-    let value: f64 = text.parse().ok().filter(|_| plain)?;
-    Some(Duration::try_from_secs_f64(value.max(0.0)).unwrap_or(Duration::MAX))
-}
-
-/// The method follows from the class.
-fn method_fits(class: &ClassRule, method: &Method, headers: &HeaderMap) -> Result<(), Wrong> {
-    let wrong = |why| Err((StatusCode::BAD_REQUEST, why));
-    let right = if class.effect == Effect::Safe { Method::GET } else { Method::POST };
-    if method != right {
-        return Err((StatusCode::METHOD_NOT_ALLOWED, "not the method of this class"));
-    }
-    match class.effect {
-        Effect::Keyed { .. } if only(headers, &KEY).is_none_or(str::is_empty) => {
-            wrong("Idempotency-Key is missing")
-        }
-        Effect::Unsafe if headers.contains_key(KEY) => wrong("this class has no Idempotency-Key"),
-        _ => Ok(()),
-    }
+/// Whether the node or its machine has no descriptor left.
+fn out_of_sockets(error: &io::Error) -> bool {
+    const ENFILE: i32 = 23;
+    const EMFILE: i32 = 24;
+    matches!(error.raw_os_error(), Some(ENFILE | EMFILE))
 }
 
 /// The last answer on its connection.
@@ -519,18 +348,3 @@
     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     response
 }
-
-fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
-    *response.status_mut() = status;
-    response
-}
-
-fn refused(stay_away: Option<Duration>) -> Response<Full<Bytes>> {
-    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
-    let value = stay_away.and_then(|d| HeaderValue::from_str(&format!("{:.3}", d.as_secs_f64())).ok());
-    value.into_iter().for_each(|v| {
-        response.headers_mut().insert(header::RETRY_AFTER, v);
-    });
-    response
-}
--- /dev/null
+++ b/crates/dunelinkd/src/main.rs
@@ -0,0 +1,66 @@
+//! One dunelink node as a program, and what operators do with its files.
+
+mod clients;
+mod serve;
+mod socket;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Args, Parser, Subcommand};
+
+use crate::serve::Source;
+
+/// A load-balancing node: every request gets one final answer, and no effect happens twice.
+///
+/// Without a command it serves by the platform's JSON file that GW_CONFIG names.
+#[derive(Parser)]
+#[command(name = "dunelink", version)]
+struct Line {
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Serve until SIGTERM.
+    Run(Run),
+    /// Say whether a configuration can be used, and what is wrong with it if not.
+    Check(Check),
+}
+
+#[derive(Args)]
+struct Run {
+    /// The configuration: TOML, or the platform's form if its name ends in .json. By default the platform's file
+    /// that GW_CONFIG names.
+    #[arg(long, value_name = "FILE")]
+    config: Option<PathBuf>,
+}
+
+#[derive(Args)]
+struct Check {
+    /// The configuration: TOML, or the platform's form if its name ends in .json.
+    file: PathBuf,
+}
+
+fn check(file: PathBuf) -> anyhow::Result<()> {
+    let name = file.display().to_string();
+    let config = Source::of(file).read()?;
+    println!("{name}: {} classes, {} tenants; it can be used", config.classes.len(), config.tenants.len());
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    let done = match Line::parse().command {
+        None => Source::find(None).and_then(serve::serve),
+        Some(Command::Run(run)) => Source::find(run.config).and_then(serve::serve),
+        Some(Command::Check(Check { file })) => check(file),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("dunelink: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/dunelinkd/src/serve.rs
@@ -0,0 +1,132 @@
+//! Serving: the listener in front of the library's node, signals, and an orderly end.
+
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::{Context, anyhow};
+use dunelink::config::RosterConfig;
+use dunelink::roster::{Watch, WatchMover};
+use dunelink::{Config, Node};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::Notify;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{sleep, timeout};
+
+use crate::clients::Clients;
+
+/// For how long after SIGTERM connections are taken in: new ones come for up to 0.4 s.
+const STILL_ACCEPT: Duration = Duration::from_millis(500);
+/// SIGKILL may come 3.7 s after SIGTERM: by then all has to be answered.
+const STAY_MOST: Duration = Duration::from_millis(3400);
+/// What comes on top of the longest deadline, and what the last answers may take.
+const LAST_ANSWERS: Duration = Duration::from_millis(100);
+
+/// The file that the configuration is in.
+pub(crate) enum Source {
+    /// The platform's JSON.
+    Platform(PathBuf),
+    /// An operator's TOML.
+    Operator(PathBuf),
+}
+
+impl Source {
+    /// The file that was named, or the one that `GW_CONFIG` names.
+    pub(crate) fn find(named: Option<PathBuf>) -> anyhow::Result<Source> {
+        match named {
+            Some(path) => Ok(Source::of(path)),
+            None => std::env::var_os("GW_CONFIG")
+                .map(|path| Source::Platform(path.into()))
+                .ok_or(anyhow!("GW_CONFIG does not name a configuration file")),
+        }
+    }
+
+    /// The file at `path`, by the ending of its name.
+    pub(crate) fn of(path: PathBuf) -> Source {
+        match path.extension().is_some_and(|end| end == "json") {
+            true => Source::Platform(path),
+            false => Source::Operator(path),
+        }
+    }
+
+    pub(crate) fn read(&self) -> Result<Config, dunelink::config::ConfigError> {
+        match self {
+            Source::Platform(path) => Config::read_platform(path),
+            Source::Operator(path) => Config::read_toml(path),
+        }
+    }
+
+    fn path(&self) -> &PathBuf {
+        match self {
+            Source::Platform(path) | Source::Operator(path) => path,
+        }
+    }
+}
+
+async fn run(source: Source) -> anyhow::Result<()> {
+    // From the first moment: unhandled, both signals end the process.
+    let (hang_up, mut terminate) = (signal(SignalKind::hangup())?, signal(SignalKind::terminate())?);
+    let config = source.read()?;
+    let listen =
+        config.listen.with_context(|| format!("{}: listen: expected an address", source.path().display()))?;
+    let listener = TcpListener::bind(listen).await.with_context(|| format!("can't listen on {listen}"))?;
+    eprintln!("dunelink: {} listens on {}", config.name, listener.local_addr()?);
+    let mut builder = Node::builder(config.clone());
+    let mut mover = None;
+    if let RosterConfig::Watch { address, .. } = config.roster {
+        let (watch, moves) = Watch::new(address);
+        builder = builder.roster(watch);
+        mover = Some(moves);
+    }
+    let node = builder.start_local()?;
+    spawn_local(reread(source, hang_up, mover));
+    let clients = Rc::new(Clients::new(&config, node.handle().clone()));
+    let watched = clients.clone();
+    spawn_local(async move { watched.sweep().await });
+    let stop = Rc::new(Notify::new());
+    let accepting = spawn_local(clients.clone().accept(listener, stop.clone()));
+
+    terminate.recv().await;
+    eprintln!("dunelink: {} is leaving", config.name);
+    clients.leave();
+    sleep(STILL_ACCEPT).await;
+    stop.notify_one();
+    // Where all connections are busy, the kernel's would be waited for too long.
+    let _ = timeout(LAST_ANSWERS, accepting).await;
+    let wait = (config.longest() + LAST_ANSWERS).min(STAY_MOST.saturating_sub(STILL_ACCEPT));
+    let in_time = timeout(wait, clients.close()).await.is_ok();
+    // What is open now is answered as failed: the process is about to be ended.
+    let counts = node.shutdown(Duration::ZERO).await;
+    if !in_time {
+        let _ = timeout(LAST_ANSWERS, clients.close()).await;
+    }
+    eprintln!(
+        "dunelink: {} has ended: {} served, {} refused, {} failed, {} left",
+        config.name, counts.served, counts.refused, counts.failed, counts.left
+    );
+    Ok(())
+}
+
+/// Reads the configuration anew at each SIGHUP. Only discovery moves while the node runs; a file that is
+/// wrong changes nothing.
+async fn reread(source: Source, mut hang_up: Signal, mover: Option<WatchMover>) {
+    while hang_up.recv().await.is_some() {
+        match (source.read(), &mover) {
+            (Ok(Config { roster: RosterConfig::Watch { address, .. }, .. }), Some(mover)) => {
+                eprintln!("dunelink: {} read anew; discovery is at {address}", source.path().display());
+                mover.move_to(address);
+            }
+            (Ok(_), _) => {
+                eprintln!("dunelink: {}: only discovery's address can move", source.path().display())
+            }
+            (Err(error), _) => eprintln!("dunelink: {error}; the configuration stays as it was"),
+        }
+    }
+}
+
+/// Serves until SIGTERM.
+pub(crate) fn serve(source: Source) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, run(source))
+}
--- a/src/node/socket.rs
+++ b/crates/dunelinkd/src/socket.rs
@@ -1,18 +1,15 @@
-//! Thin wrappers round sockets, for what hyper does not show of the bytes that pass.
+//! A thin wrapper round a client's socket, for what hyper does not show of the bytes that pass.
 
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io;
-use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
 use tokio::time::{Sleep, sleep};
 
 /// For how long a client that still sends may read why it was turned down, before the connection is closed:
@@ -69,46 +66,46 @@
 }
 
 /// What was seen on a client's socket, shared with who answers it.
-pub struct Seen {
+pub(crate) struct Seen {
     passing: RefCell<Passing>,
     lingers: Cell<bool>,
 }
 
 impl Seen {
     /// Whether some of a request has come.
-    pub fn has_begun(&self) -> bool {
+    pub(crate) fn has_begun(&self) -> bool {
         self.passing.borrow().begun
     }
 
     /// Whether the head of the request at hand may state a length, which hyper drops if the request has a
     /// `Transfer-Encoding` too.
-    pub fn has_length(&self) -> bool {
+    pub(crate) fn has_length(&self) -> bool {
         let passing = self.passing.borrow();
         passing.lengths > 0 || passing.in_head || passing.blurred
     }
 
     /// The request at hand has been read whole, with a body of this length if that is known.
-    pub fn read_whole(&self, length: Option<u64>) {
+    pub(crate) fn read_whole(&self, length: Option<u64>) {
         let mut passing = self.passing.borrow_mut();
         let blurred = passing.blurred || passing.in_head || length != Some(passing.behind);
         *passing = Passing::new(blurred);
     }
 
     /// The client may still be sending when it is answered, and the connection then ends.
-    pub fn linger(&self) {
+    pub(crate) fn linger(&self) {
         self.lingers.set(true);
     }
 }
 
 /// A client's socket.
-pub struct ClientSocket {
+pub(crate) struct ClientSocket {
     stream: TcpStream,
     seen: Rc<Seen>,
     lingering: Option<(Pin<Box<Sleep>>, usize)>,
 }
 
 impl ClientSocket {
-    pub fn new(stream: TcpStream) -> (ClientSocket, Rc<Seen>) {
+    pub(crate) fn new(stream: TcpStream) -> (ClientSocket, Rc<Seen>) {
         let seen = Rc::new(Seen { passing: RefCell::new(Passing::new(false)), lingers: Cell::new(false) });
         (ClientSocket { stream, seen: seen.clone(), lingering: None }, seen)
     }
@@ -171,110 +168,3 @@
         Poll::Ready(Ok(()))
     }
 }
-
-/// A place in the budget for connections to servers.
-pub struct Place(Rc<Cell<usize>>);
-
-impl Place {
-    pub fn taken(open: &Rc<Cell<usize>>) -> Place {
-        open.set(open.get() + 1);
-        Place(open.clone())
-    }
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
-/// A connection to a server, shared between hyper and who uses it.
-pub struct Line {
-    stream: RefCell<TcpStream>,
-    written: Cell<u64>,
-    came: Cell<bool>,
-    notify: Notify,
-    _place: Place,
-}
-
-impl Line {
-    pub fn new(stream: TcpStream, place: Place) -> Line {
-        let stream = RefCell::new(stream);
-        Line { stream, written: Cell::new(0), came: Cell::new(false), notify: Notify::new(), _place: place }
-    }
-
-    /// How many bytes have been written to it.
-    pub fn written(&self) -> u64 {
-        self.written.get()
-    }
-
-    /// Waits until some part of an answer has come.
-    pub async fn something_came(&self) {
-        while !self.came.get() {
-            self.notify.notified().await;
-        }
-        self.came.set(false);
-    }
-
-    /// What has come was another answer's.
-    pub fn forget_what_came(&self) {
-        self.came.set(false);
-    }
-
-    /// Whether the kernel holds nothing of it that is still to be read, nor its end.
-    pub fn is_quiet(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        let peeked = SockRef::from(&*self.stream.borrow()).peek(&mut byte);
-        matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
-    }
-
-    fn count(&self, polled: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if let Poll::Ready(Ok(bytes)) = &polled {
-            self.written.set(self.written.get() + *bytes as u64);
-        }
-        polled
-    }
-}
-
-/// hyper's side of a [`Line`].
-pub struct ServerSocket(pub Rc<Line>);
-
-impl AsyncRead for ServerSocket {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let polled = Pin::new(&mut *self.0.stream.borrow_mut()).poll_read(cx, buf);
-        if buf.filled().len() > before {
-            self.0.came.set(true);
-            self.0.notify.notify_one();
-        }
-        polled
-    }
-}
-
-impl AsyncWrite for ServerSocket {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let polled = Pin::new(&mut *self.0.stream.borrow_mut()).poll_write(cx, buf);
-        self.0.count(polled)
-    }
-
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let polled = Pin::new(&mut *self.0.stream.borrow_mut()).poll_write_vectored(cx, bufs);
-        self.0.count(polled)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.0.stream.borrow().is_write_vectored()
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.stream.borrow_mut()).poll_flush(cx)
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.stream.borrow_mut()).poll_shutdown(cx)
-    }
-}
--- /dev/null
+++ b/crates/dunelinkd/tests/daemon/main.rs
@@ -0,0 +1,209 @@
+//! What only the daemon has: framing, crowds of connections, signals, descriptors, its exit.
+
+#[path = "../process/mod.rs"]
+mod process;
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use process::*;
+use testkit::peers::*;
+
+#[test]
+fn a_request_whose_end_is_in_doubt_is_an_error_and_the_end_of_its_connection() {
+    let server = Server::new(|_, _| ok("paid"));
+    let node = Node::new(&[ready("a", &server)]);
+    let hidden = String::from_utf8(order()).unwrap();
+    let head = |lines: &str| {
+        let text = String::from_utf8(request("GET", "/order/1", "9", lines, "")).unwrap();
+        text.replace("GET", "POST")
+    };
+    let chunk = format!("0\r\n\r\n{hidden}");
+    let both = format!("Content-Length: {}\r\nTransfer-Encoding: chunked\r\n", chunk.len());
+    let other = format!("transfer-encoding: chunked\r\nCONTENT-LENGTH: {}\r\n", chunk.len());
+    let bad = [
+        format!("{}{chunk}", head(&both)),
+        format!("{}{chunk}", head(&other)),
+        format!("{}{chunk}", head(&both).replace("\r\n", "\n")),
+        format!("{}yen{hidden}", head("Content-Length: 3\r\nContent-Length: 4\r\n")),
+        format!("{}yen{hidden}", head("Content-Length: -3\r\n")),
+        format!("{}yen{hidden}", head("Content-Length: 99999999999999999999\r\n")),
+        format!("{}yen{hidden}", head("Transfer-Encoding: gzip\r\n")),
+    ];
+    for (number, text) in bad.iter().enumerate() {
+        let mut client = node.client();
+        let answer = client.ask(text.as_bytes());
+        assert!((400..500).contains(&answer.status()), "{number}: {}", answer.first);
+        assert!(client.ended(), "{number}: what follows is not read");
+    }
+    assert_eq!(server.count(), 0);
+    // Behind a good one it fares no better, and chunks alone are fine.
+    let mut client = node.client();
+    client.send(format!("{hidden}{}", bad[0]).as_bytes());
+    assert_eq!((client.answer().status(), client.answer().status()), (200, 400));
+    let alone = format!("{}3\r\nyen\r\n0\r\n\r\n", head("Transfer-Encoding: chunked\r\n"));
+    assert_eq!(node.client().ask(alone.as_bytes()).status(), 200);
+    server.request();
+    assert_eq!((&server.request().1.body[..], server.count()), (&b"yen"[..], 2));
+}
+
+#[test]
+fn a_body_far_too_large_is_refused_in_a_way_that_its_sender_hears() {
+    let server = Server::new(|_, _| ok("paid"));
+    let node = Node::new(&[ready("a", &server)]);
+    let text = String::from_utf8(order()).unwrap();
+    let plain = text.replace("Content-Length: 3", "Content-Length: 60000000");
+    let chunks =
+        text.replace("Content-Length: 3", "Transfer-Encoding: chunked").replace("\r\nyen", "\r\n800000\r\n");
+    for (head, most) in [(plain.replace("\r\nyen", "\r\n"), 600_000), (chunks, 600_000)] {
+        let mut client = node.client();
+        // It sends on although the answer is there.
+        client.stream.write_all(head.as_bytes()).unwrap();
+        client.stream.write_all(&vec![b'x'; most]).unwrap();
+        assert_eq!(client.answer().status(), 413);
+        assert!(client.ended());
+    }
+    assert_eq!(server.count(), 0);
+}
+
+#[test]
+fn a_client_that_sends_no_whole_request_is_not_waited_for() {
+    let server = Server::new(|_, _| ok("slip"));
+    let node = Node::new(&[ready("a", &server)]);
+    let began = Instant::now();
+    let (mut silent, mut slow, mut half, mut once) =
+        (node.client(), node.client(), node.client(), node.client());
+    slow.send(b"GET /view/1 HTTP/1.1\r\nHost: o");
+    half.send(&order()[..order().len() - 1]);
+    assert_eq!(once.ask(&view()).status(), 200);
+    assert_eq!(half.answer().status(), 408);
+    assert!(silent.ended() && slow.ended() && half.ended() && once.ended());
+    assert!(began.elapsed() < Duration::from_secs(10), "long before the class's deadline");
+    assert_eq!(server.count(), 1);
+}
+
+#[test]
+fn after_sighup_the_watch_goes_on_at_the_new_address_and_all_is_served() {
+    let (one, two) = (Server::new(|_, _| Act::Wait), Server::new(|_, _| ok("two")));
+    let node = Node::new(&[ready("a", &one)]);
+    let mut watch = Watch::accept(&node.discovery);
+    watch.changes(57, &[]);
+    let mut waiting = node.client();
+    waiting.send(&request("POST", "/order/1", "9", "", "yen"));
+    one.request();
+    // Nothing can be made of this file: the node goes on as before.
+    node.process.reconfigure("{\"name\": 3}");
+    watch.changes(58, &[target("a", one.address, 1, "draining"), ready("b", &two)]);
+    while node.client().ask(&view()).status() != 200 {}
+    // The first request is still open: it has lost neither its server nor its client.
+    let elsewhere = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    node.process.reconfigure(&node.config_with(&elsewhere));
+    let mut moved = Watch::accept(&elsewhere);
+    assert_eq!(moved.request.first, "GET /catalog/members?watch=1&from=58 HTTP/1.1");
+    assert_eq!(node.client().ask(&view()).body, b"two", "the list stays");
+    moved.changes(59, &[target("b", two.address, 1, "gone")]);
+    two.ended();
+    assert_eq!(waiting.answer().status(), 504);
+}
+
+#[test]
+fn a_crowd_of_idle_clients_does_not_shut_others_out() {
+    let server = Server::new(|_, _| ok("slip"));
+    let node = Node::with(&[ready("a", &server)], 64);
+    let crowd: Vec<Client> = (0..200).map(|_| node.client()).collect();
+    // Refused while room is made, perhaps, but answered; and served once there is room.
+    let served = (0..1000).any(|_| node.client().ask(&view()).status() == 200);
+    assert!(served);
+    drop(crowd);
+}
+
+#[test]
+fn a_new_connection_is_not_closed_before_its_first_request() {
+    let server = Server::new(|_, _| Act::Wait);
+    let node = Node::with(&[ready("a", &server)], 64);
+    // As many busy clients as get served, and some more: there is no other idle connection to close.
+    let mut clients: Vec<Client> = (0..30).map(|_| node.client()).collect();
+    clients.iter_mut().for_each(|client| client.send(&request("GET", "/view/1", "3", "", "")));
+    let mut fresh: Vec<Client> = (0..8).map(|_| node.client()).collect();
+    fresh.iter_mut().for_each(|client| client.send(&request("GET", "/view/1", "9", "", "")));
+    for client in clients.iter_mut().chain(&mut fresh) {
+        assert_eq!(client.answer().status(), 503);
+    }
+}
+
+#[test]
+fn connections_end_with_their_answers_long_before_the_budget_is_full() {
+    let server = Server::new(|_, _| Act::Wait);
+    let node = Node::with(&[ready("a", &server)], 128);
+    let mut clients: Vec<Client> = (0..40).map(|_| node.client()).collect();
+    clients.iter_mut().for_each(|client| client.send(&request("GET", "/view/1", "9", "", "")));
+    // There is room for half as many again; but one that is kept for nothing takes another client's place.
+    let mut more = node.client();
+    assert_eq!(more.ask(b"GET /_health HTTP/1.1\r\nHost: n\r\n\r\n").header("connection"), Some("close"));
+    assert!(more.ended());
+}
+
+#[test]
+fn a_request_that_comes_in_pieces_is_not_cut_off_by_a_crowd() {
+    let server = Server::new(|_, _| ok("slip"));
+    let node = Node::with(&[ready("a", &server)], 128);
+    let mut slow = node.client();
+    assert_eq!(slow.ask(&view()).body, b"slip");
+    let text = request("GET", "/view/slow", "9", "", "");
+    slow.send(&text[..30]);
+    rested();
+    rested();
+    let _crowd: Vec<Client> = (0..50).map(|_| node.client()).collect();
+    // It was taken in after the crowd, so by now room has been made for that.
+    let health = b"GET /_health HTTP/1.1\r\nHost: n\r\n\r\n";
+    assert_eq!(node.client().ask(health).status(), 200);
+    slow.send(&text[30..]);
+    assert_eq!(slow.answer().body, b"slip");
+}
+
+#[test]
+fn a_node_without_descriptors_lives_on() {
+    let server = Server::new(|_, _| ok("slip"));
+    let node = Node::starved(&[ready("a", &server)], 48);
+    let crowd: Vec<Client> = (0..100).map(|_| node.client()).collect();
+    assert!((0..1000).any(|_| node.client().ask(&view()).status() == 200));
+    drop(crowd);
+}
+
+#[test]
+fn after_sigterm_all_is_still_answered_and_connections_end() {
+    let server = Server::new(|count, _| if count == 1 { Act::Wait } else { ok("slip") });
+    let mut node = Node::new(&[ready("a", &server)]);
+    let (mut kept, mut waiting) = (node.client(), node.client());
+    assert_eq!(kept.ask(&view()).status(), 200);
+    waiting.send(&order());
+    server.request();
+    server.request();
+    node.process.terminate();
+    // The node is told by now or soon: it serves on, and says when it means to go.
+    loop {
+        let answer = kept.ask(&view());
+        assert_eq!(answer.status(), 200);
+        if answer.header("connection") == Some("close") {
+            break;
+        }
+    }
+    assert!(kept.ended());
+    // The node goes before the order's deadline; no answer at all would be worse than a failure.
+    assert_eq!(waiting.answer().status(), 504);
+    assert!(node.process.exit().success());
+    assert!(TcpStream::connect(node.address).is_err());
+}
+
+#[test]
+fn a_bad_configuration_is_one_line_and_an_exit() {
+    let nothing = || program().env_remove("GW_CONFIG").spawn().unwrap();
+    let absent = || program().env("GW_CONFIG", "/nowhere/config.json").spawn().unwrap();
+    for mut child in [nothing(), absent(), start(""), start("{}"), start("{\"name\": 3}")] {
+        let mut log = String::new();
+        child.stderr.take().unwrap().read_to_string(&mut log).unwrap();
+        assert_eq!(log.lines().count(), 1, "{log}");
+        assert!(!child.wait().unwrap().success());
+    }
+}
--- a/tests/node/main.rs
+++ b/crates/testkit/src/conformance.rs
@@ -1,20 +1,105 @@
-//! The real node over loopback sockets, against scripted peers.
-
-mod peers;
+//! What every front of a node has to do, once for all of them: the same answers, and the same counts of what was
+//! served, refused and failed. Cases talk to a [`Subject`] over loopback sockets, against scripted peers.
+//!
+//! What only the daemon has (framing, crowds of connections, signals, its exit) is tested there, by name.
 
 use std::collections::HashSet;
-use std::io::{Read, Write};
-use std::net::TcpStream;
-use std::sync::Arc;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use peers::*;
+use serde_json::Value;
+
+use crate::peers::*;
 
-#[test]
-fn a_request_goes_on_unchanged_and_connections_are_used_again() {
+/// A node with some front that listens on loopback.
+pub trait Subject {
+    /// Starts it by a configuration in the platform's form.
+    fn start(config: &Value) -> Self;
+    /// Where its front listens.
+    fn address(&self) -> SocketAddr;
+    /// Ends it, and tells what it counted.
+    fn end(&mut self) -> Answers;
+}
+
+/// A subject with its discovery. When it goes, its own counts must be those of its clients.
+pub struct Node<S: Subject> {
+    /// Where it looks for its list of servers.
+    pub discovery: TcpListener,
+    answers: Arc<Mutex<Answers>>,
+    subject: S,
+}
+
+impl<S: Subject> Node<S> {
+    /// A node that knows these servers.
+    pub fn new(targets: &[Value]) -> Node<S> {
+        let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+        let subject = S::start(&config(discovery.local_addr().unwrap(), targets, 1024));
+        Node { discovery, answers: Arc::default(), subject }
+    }
+
+    /// A client's connection to it.
+    pub fn client(&self) -> Client {
+        Client::connect(self.subject.address(), self.answers.clone())
+    }
+}
+
+impl<S: Subject> Drop for Node<S> {
+    fn drop(&mut self) {
+        let counted = self.subject.end();
+        if !std::thread::panicking() {
+            assert_eq!(counted, *self.answers.lock().unwrap(), "the node counts what its clients saw");
+        }
+    }
+}
+
+/// Makes a test of each case, for a subject.
+#[macro_export]
+macro_rules! conformance {
+    ($subject:ty) => {
+        $crate::conformance!($subject;
+            a_request_goes_on_unchanged_and_connections_are_used_again,
+            a_bad_request_is_the_clients_to_mend_and_is_never_sent,
+            an_id_belongs_to_one_open_request_at_a_time,
+            an_unknown_tenant_counts_as_none,
+            a_request_whose_time_is_up_is_answered_and_not_sent,
+            a_silent_server_does_not_keep_the_answer_past_the_deadline,
+            an_unsafe_request_that_may_have_run_is_not_sent_again_nor_refused,
+            an_unsafe_request_that_never_ran_goes_elsewhere,
+            a_refused_connection_proves_that_nothing_ran,
+            a_keyed_request_goes_again_only_within_its_pod,
+            a_key_goes_on_whatever_the_client_says_of_its_connection,
+            an_idle_connection_that_the_server_closed_is_not_used,
+            half_an_answer_is_not_passed_on,
+            an_answer_that_does_not_say_where_it_ends_may_be_half_of_one,
+            an_answer_that_comes_to_no_end_is_a_failed_attempt_soon,
+            hints_and_load_reports_do_not_spoil_an_answer,
+            what_comes_behind_an_answer_is_not_the_next_ones,
+            a_client_that_leaves_takes_its_attempt_along,
+            nothing_new_goes_to_a_server_that_drains_and_idle_connections_to_it_end,
+            a_server_that_moves_is_met_at_its_new_address,
+            a_server_that_started_anew_has_forgotten_its_connections,
+            idle_connections_to_a_server_that_fell_silent_are_not_trusted,
+            what_must_not_run_twice_avoids_kept_connections_once_one_broke,
+            a_watch_that_ends_or_speaks_garbage_is_begun_anew_from_where_it_was,
+            what_was_never_sent_is_refused_early_and_told_to_come_back_later
+        );
+    };
+    ($subject:ty; $($case:ident),*) => {
+        $(
+            #[test]
+            fn $case() {
+                $crate::conformance::$case::<$subject>();
+            }
+        )*
+    };
+}
+
+/// A request goes on unchanged and connections are used again.
+pub fn a_request_goes_on_unchanged_and_connections_are_used_again<S: Subject>() {
     let server = Server::new(|_, _| ok("slip"));
-    let node = Node::new(&[ready("a", &server)]);
+    let node = Node::<S>::new(&[ready("a", &server)]);
     let mut client = node.client();
     for id in ["9b1f03aa5c7e2d41", "9b1f03aa5c7e2d42"] {
         rested();
@@ -33,10 +118,10 @@
     assert_eq!((request.header("idempotency-key"), &request.body[..]), (Some("5c0f6e1a"), &b"hours"[..]));
 }
 
-#[test]
-fn a_bad_request_is_the_clients_to_mend_and_is_never_sent() {
+/// A bad request is the clients to mend and is never sent.
+pub fn a_bad_request_is_the_clients_to_mend_and_is_never_sent<S: Subject>() {
     let server = Server::new(|_, _| ok("slip"));
-    let node = Node::new(&[ready("a", &server)]);
+    let node = Node::<S>::new(&[ready("a", &server)]);
     let without = |bytes: Vec<u8>, header: &str| {
         let text = String::from_utf8(bytes).unwrap();
         let lines = text.split_inclusive("\r\n").filter(|line| !line.starts_with(header));
@@ -69,83 +154,10 @@
     assert_eq!(server.count(), 1, "only the good one was sent");
 }
 
-#[test]
-fn a_request_whose_end_is_in_doubt_is_an_error_and_the_end_of_its_connection() {
-    let server = Server::new(|_, _| ok("paid"));
-    let node = Node::new(&[ready("a", &server)]);
-    let hidden = String::from_utf8(order()).unwrap();
-    let head = |lines: &str| {
-        let text = String::from_utf8(request("GET", "/order/1", "9", lines, "")).unwrap();
-        text.replace("GET", "POST")
-    };
-    let chunk = format!("0\r\n\r\n{hidden}");
-    let both = format!("Content-Length: {}\r\nTransfer-Encoding: chunked\r\n", chunk.len());
-    let other = format!("transfer-encoding: chunked\r\nCONTENT-LENGTH: {}\r\n", chunk.len());
-    let bad = [
-        format!("{}{chunk}", head(&both)),
-        format!("{}{chunk}", head(&other)),
-        format!("{}{chunk}", head(&both).replace("\r\n", "\n")),
-        format!("{}yen{hidden}", head("Content-Length: 3\r\nContent-Length: 4\r\n")),
-        format!("{}yen{hidden}", head("Content-Length: -3\r\n")),
-        format!("{}yen{hidden}", head("Content-Length: 99999999999999999999\r\n")),
-        format!("{}yen{hidden}", head("Transfer-Encoding: gzip\r\n")),
-    ];
-    for (number, text) in bad.iter().enumerate() {
-        let mut client = node.client();
-        let answer = client.ask(text.as_bytes());
-        assert!((400..500).contains(&answer.status()), "{number}: {}", answer.first);
-        assert!(client.ended(), "{number}: what follows is not read");
-    }
-    assert_eq!(server.count(), 0);
-    // Behind a good one it fares no better, and chunks alone are fine.
-    let mut client = node.client();
-    client.send(format!("{hidden}{}", bad[0]).as_bytes());
-    assert_eq!((client.answer().status(), client.answer().status()), (200, 400));
-    let alone = format!("{}3\r\nyen\r\n0\r\n\r\n", head("Transfer-Encoding: chunked\r\n"));
-    assert_eq!(node.client().ask(alone.as_bytes()).status(), 200);
-    server.request();
-    assert_eq!((&server.request().1.body[..], server.count()), (&b"yen"[..], 2));
-}
-
-#[test]
-fn a_body_far_too_large_is_refused_in_a_way_that_its_sender_hears() {
-    let server = Server::new(|_, _| ok("paid"));
-    let node = Node::new(&[ready("a", &server)]);
-    let text = String::from_utf8(order()).unwrap();
-    let plain = text.replace("Content-Length: 3", "Content-Length: 60000000");
-    let chunks =
-        text.replace("Content-Length: 3", "Transfer-Encoding: chunked").replace("\r\nyen", "\r\n800000\r\n");
-    for (head, most) in [(plain.replace("\r\nyen", "\r\n"), 600_000), (chunks, 600_000)] {
-        let mut client = node.client();
-        // It sends on although the answer is there.
-        client.stream.write_all(head.as_bytes()).unwrap();
-        client.stream.write_all(&vec![b'x'; most]).unwrap();
-        assert_eq!(client.answer().status(), 413);
-        assert!(client.ended());
-    }
-    assert_eq!(server.count(), 0);
-}
-
-#[test]
-fn a_client_that_sends_no_whole_request_is_not_waited_for() {
-    let server = Server::new(|_, _| ok("slip"));
-    let node = Node::new(&[ready("a", &server)]);
-    let began = Instant::now();
-    let (mut silent, mut slow, mut half, mut once) =
-        (node.client(), node.client(), node.client(), node.client());
-    slow.send(b"GET /view/1 HTTP/1.1\r\nHost: o");
-    half.send(&order()[..order().len() - 1]);
-    assert_eq!(once.ask(&view()).status(), 200);
-    assert_eq!(half.answer().status(), 408);
-    assert!(silent.ended() && slow.ended() && half.ended() && once.ended());
-    assert!(began.elapsed() < Duration::from_secs(10), "long before the class's deadline");
-    assert_eq!(server.count(), 1);
-}
-
-#[test]
-fn an_id_belongs_to_one_open_request_at_a_time() {
+/// An id belongs to one open request at a time.
+pub fn an_id_belongs_to_one_open_request_at_a_time<S: Subject>() {
     let server = Server::new(|count, _| if count == 0 { Act::Wait } else { ok("slip") });
-    let node = Node::new(&[ready("a", &server)]);
+    let node = Node::<S>::new(&[ready("a", &server)]);
     let same = identified("9b1f03aa5c7e2d41", "GET", "/view/1", "14", "", "");
     let mut first = node.client();
     first.send(&same);
@@ -158,35 +170,35 @@
     assert_eq!(node.client().ask(&same).status(), 200);
 }
 
-#[test]
-fn an_unknown_tenant_counts_as_none() {
+/// An unknown tenant counts as none.
+pub fn an_unknown_tenant_counts_as_none<S: Subject>() {
     let server = Server::new(|_, _| ok("slip"));
-    let node = Node::new(&[ready("a", &server)]);
+    let node = Node::<S>::new(&[ready("a", &server)]);
     let text = String::from_utf8(view()).unwrap().replace("acme", "stranger");
     assert_eq!(node.client().ask(text.as_bytes()).status(), 200);
 }
 
-#[test]
-fn a_request_whose_time_is_up_is_answered_and_not_sent() {
+/// A request whose time is up is answered and not sent.
+pub fn a_request_whose_time_is_up_is_answered_and_not_sent<S: Subject>() {
     let server = Server::new(|_, _| ok("slip"));
-    let node = Node::new(&[ready("a", &server)]);
+    let node = Node::<S>::new(&[ready("a", &server)]);
     for deadline in ["0", "-1.5", "0.001"] {
         assert_eq!(node.client().ask(&request("GET", "/view/1", deadline, "", "")).status(), 503);
     }
     assert_eq!(server.count(), 0);
 }
 
-#[test]
-fn a_silent_server_does_not_keep_the_answer_past_the_deadline() {
+/// A silent server does not keep the answer past the deadline.
+pub fn a_silent_server_does_not_keep_the_answer_past_the_deadline<S: Subject>() {
     let server = Server::new(|_, _| Act::Wait);
-    let node = Node::new(&[ready("a", &server)]);
+    let node = Node::<S>::new(&[ready("a", &server)]);
     // A repeat of the safe one is harmless; nothing can be promised of the unsafe one.
     assert_eq!(node.client().ask(&request("GET", "/view/1", "2", "", "")).status(), 503);
     assert_eq!(node.client().ask(&request("POST", "/order/1", "2", "", "yen")).status(), 504);
 }
 
-#[test]
-fn an_unsafe_request_that_may_have_run_is_not_sent_again_nor_refused() {
+/// An unsafe request that may have run is not sent again nor refused.
+pub fn an_unsafe_request_that_may_have_run_is_not_sent_again_nor_refused<S: Subject>() {
     let acts = [
         Act::SayAndClose(Vec::new()),
         Act::SayAndClose(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf".to_vec()),
@@ -199,14 +211,14 @@
     for act in acts {
         let server = Server::new(move |_, _| act.clone());
         let other = Server::new(|_, _| Act::SayAndClose(Vec::new()));
-        let node = Node::new(&[ready("a", &server), ready("b", &other)]);
+        let node = Node::<S>::new(&[ready("a", &server), ready("b", &other)]);
         assert_eq!(node.client().ask(&order()).status(), 502);
         assert_eq!(server.count() + other.count(), 1);
     }
 }
 
-#[test]
-fn an_unsafe_request_that_never_ran_goes_elsewhere() {
+/// An unsafe request that never ran goes elsewhere.
+pub fn an_unsafe_request_that_never_ran_goes_elsewhere<S: Subject>() {
     let turns = Arc::new(AtomicUsize::new(0));
     let server = |turns: Arc<AtomicUsize>| {
         Server::new(move |_, _| match turns.fetch_add(1, Ordering::SeqCst) {
@@ -215,19 +227,19 @@
         })
     };
     let (one, two) = (server(turns.clone()), server(turns));
-    let node = Node::new(&[ready("a", &one), ready("b", &two), target("c", nobody(), 1, "ready")]);
+    let node = Node::<S>::new(&[ready("a", &one), ready("b", &two), target("c", nobody(), 1, "ready")]);
     let answer = node.client().ask(&order());
     assert_eq!((answer.status(), &answer.body[..]), (200, &b"paid"[..]));
 }
 
-#[test]
-fn a_refused_connection_proves_that_nothing_ran() {
-    let node = Node::new(&[target("a", nobody(), 1, "ready")]);
+/// A refused connection proves that nothing ran.
+pub fn a_refused_connection_proves_that_nothing_ran<S: Subject>() {
+    let node = Node::<S>::new(&[target("a", nobody(), 1, "ready")]);
     assert_eq!(node.client().ask(&request("POST", "/order/1", "2", "", "yen")).status(), 503);
 }
 
-#[test]
-fn a_keyed_request_goes_again_only_within_its_pod() {
+/// A keyed request goes again only within its pod.
+pub fn a_keyed_request_goes_again_only_within_its_pod<S: Subject>() {
     let turns = Arc::new(AtomicUsize::new(0));
     let server = |turns: Arc<AtomicUsize>| {
         Server::new(move |_, _| match turns.fetch_add(1, Ordering::SeqCst) {
@@ -237,16 +249,16 @@
     };
     let servers: Vec<Server> = (0..4).map(|_| server(turns.clone())).collect();
     let entry = |(i, s): (usize, &Server)| target(&format!("s-{i}"), s.address, i as u16 / 2, "ready");
-    let node = Node::new(&servers.iter().enumerate().map(entry).collect::<Vec<_>>());
+    let node = Node::<S>::new(&servers.iter().enumerate().map(entry).collect::<Vec<_>>());
     assert_eq!(node.client().ask(&submit()).status(), 200);
     let pods = [0, 1].map(|pod| servers[2 * pod].count() + servers[2 * pod + 1].count());
     assert!(pods == [2, 0] || pods == [0, 2], "{pods:?}");
 }
 
-#[test]
-fn a_key_goes_on_whatever_the_client_says_of_its_connection() {
+/// A key goes on whatever the client says of its connection.
+pub fn a_key_goes_on_whatever_the_client_says_of_its_connection<S: Subject>() {
     let server = Server::new(|_, _| ok("noted"));
-    let node = Node::new(&[ready("a", &server)]);
+    let node = Node::<S>::new(&[ready("a", &server)]);
     let more =
         "Idempotency-Key: 5c0f\r\nConnection: keep-alive, Idempotency-Key, Req-Id, X-Hop\r\nX-Hop: 1\r\n";
     assert_eq!(node.client().ask(&request("POST", "/submit/1", "9", more, "x")).status(), 200);
@@ -256,10 +268,10 @@
     assert_eq!(request.header("x-hop"), None);
 }
 
-#[test]
-fn an_idle_connection_that_the_server_closed_is_not_used() {
+/// An idle connection that the server closed is not used.
+pub fn an_idle_connection_that_the_server_closed_is_not_used<S: Subject>() {
     let server = Server::new(|_, _| Act::SayAndClose(answer(200, "", "paid")));
-    let node = Node::new(&[ready("a", &server)]);
+    let node = Node::<S>::new(&[ready("a", &server)]);
     for number in 0..3 {
         assert_eq!(node.client().ask(&order()).status(), 200);
         assert_eq!(server.request().0, number);
@@ -267,19 +279,19 @@
     }
 }
 
-#[test]
-fn half_an_answer_is_not_passed_on() {
+/// Half an answer is not passed on.
+pub fn half_an_answer_is_not_passed_on<S: Subject>() {
     let turns = AtomicUsize::new(0);
     let server = Server::new(move |_, _| match turns.fetch_add(1, Ordering::SeqCst) {
         0 => Act::SayAndClose(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf".to_vec()),
         _ => ok("whole"),
     });
-    let node = Node::new(&[ready("a", &server)]);
+    let node = Node::<S>::new(&[ready("a", &server)]);
     assert_eq!(node.client().ask(&view()).body, b"whole");
 }
 
-#[test]
-fn an_answer_that_does_not_say_where_it_ends_may_be_half_of_one() {
+/// An answer that does not say where it ends may be half of one.
+pub fn an_answer_that_does_not_say_where_it_ends_may_be_half_of_one<S: Subject>() {
     let heads = [
         "HTTP/1.1 200 OK\r\n\r\nhalf",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nhalf",
@@ -290,13 +302,13 @@
             0 => Act::SayAndClose(head.into()),
             _ => ok("whole"),
         });
-        let node = Node::new(&[ready("a", &server)]);
+        let node = Node::<S>::new(&[ready("a", &server)]);
         assert_eq!(node.client().ask(&view()).body, b"whole", "{head}");
     }
 }
 
-#[test]
-fn an_answer_that_comes_to_no_end_is_a_failed_attempt_soon() {
+/// An answer that comes to no end is a failed attempt soon.
+pub fn an_answer_that_comes_to_no_end_is_a_failed_attempt_soon<S: Subject>() {
     let stuck: [&[u8]; 6] = [
         b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
         b"HTTP/1.1 200 OK\r\nX-Pad: 1\r\n",
@@ -307,7 +319,7 @@
     ];
     for bytes in stuck {
         let server = Server::new(move |_, _| Act::Say(bytes.to_vec()));
-        let node = Node::new(&[ready("a", &server)]);
+        let node = Node::<S>::new(&[ready("a", &server)]);
         let began = Instant::now();
         assert_eq!(node.client().ask(&order()).status(), 502, "{}", String::from_utf8_lossy(bytes));
         assert!(began.elapsed() < Duration::from_secs(10), "long before its deadline");
@@ -315,34 +327,34 @@
     }
 }
 
-#[test]
-fn hints_and_load_reports_do_not_spoil_an_answer() {
+/// Hints and load reports do not spoil an answer.
+pub fn hints_and_load_reports_do_not_spoil_an_answer<S: Subject>() {
     let hints = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n".to_vec();
     let server = Server::new(move |_, _| {
         let answer = answer(200, "Srv-Load: TEXT inflight=\u{fffd}, =,=%%\r\n", "paid");
         Act::SayMore(hints.clone(), Duration::from_secs(1), answer)
     });
-    let node = Node::new(&[ready("a", &server)]);
+    let node = Node::<S>::new(&[ready("a", &server)]);
     assert_eq!(node.client().ask(&order()).body, b"paid");
 }
 
-#[test]
-fn what_comes_behind_an_answer_is_not_the_next_ones() {
+/// What comes behind an answer is not the next ones.
+pub fn what_comes_behind_an_answer_is_not_the_next_ones<S: Subject>() {
     let server = Server::new(|count, _| {
         let stale = answer(200, "", "stale");
         Act::SayMore(answer(200, "", &count.to_string()), Duration::from_millis(2), stale)
     });
-    let node = Node::new(&[ready("a", &server)]);
+    let node = Node::<S>::new(&[ready("a", &server)]);
     let mut client = node.client();
     for count in 0..20 {
         assert_eq!(client.ask(&order()).body, count.to_string().into_bytes());
     }
 }
 
-#[test]
-fn a_client_that_leaves_takes_its_attempt_along() {
+/// A client that leaves takes its attempt along.
+pub fn a_client_that_leaves_takes_its_attempt_along<S: Subject>() {
     let server = Server::new(|_, _| Act::Wait);
-    let node = Node::new(&[ready("a", &server)]);
+    let node = Node::<S>::new(&[ready("a", &server)]);
     let mut client = node.client();
     client.send(&view());
     let (connection, _) = server.request();
@@ -350,10 +362,10 @@
     assert_eq!(server.ended(), connection);
 }
 
-#[test]
-fn nothing_new_goes_to_a_server_that_drains_and_idle_connections_to_it_end() {
+/// Nothing new goes to a server that drains and idle connections to it end.
+pub fn nothing_new_goes_to_a_server_that_drains_and_idle_connections_to_it_end<S: Subject>() {
     let (one, two) = (Server::new(|_, _| ok("one")), Server::new(|_, _| ok("two")));
-    let node = Node::new(&[ready("a", &one), target("b", two.address, 1, "draining")]);
+    let node = Node::<S>::new(&[ready("a", &one), target("b", two.address, 1, "draining")]);
     let mut watch = Watch::accept(&node.discovery);
     assert_eq!(watch.request.first, "GET /catalog/members?watch=1&from=41 HTTP/1.1");
     assert_eq!(node.client().ask(&view()).body, b"one");
@@ -374,10 +386,10 @@
     assert_eq!(node.client().ask(&view()).body, b"one");
 }
 
-#[test]
-fn a_server_that_moves_is_met_at_its_new_address() {
+/// A server that moves is met at its new address.
+pub fn a_server_that_moves_is_met_at_its_new_address<S: Subject>() {
     let (old, new) = (Server::new(|_, _| ok("old")), Server::new(|_, _| ok("new")));
-    let node = Node::new(&[ready("a", &old)]);
+    let node = Node::<S>::new(&[ready("a", &old)]);
     let mut watch = Watch::accept(&node.discovery);
     assert_eq!(node.client().ask(&view()).body, b"old");
     watch.changes(42, &[ready("a", &new)]);
@@ -385,10 +397,10 @@
     assert_eq!(node.client().ask(&view()).body, b"new");
 }
 
-#[test]
-fn a_server_that_started_anew_has_forgotten_its_connections() {
+/// A server that started anew has forgotten its connections.
+pub fn a_server_that_started_anew_has_forgotten_its_connections<S: Subject>() {
     let server = Server::new(|_, _| ok("slip"));
-    let node = Node::new(&[ready("a", &server)]);
+    let node = Node::<S>::new(&[ready("a", &server)]);
     let mut watch = Watch::accept(&node.discovery);
     assert_eq!(node.client().ask(&view()).status(), 200);
     let mut again = ready("a", &server);
@@ -398,8 +410,8 @@
     assert_eq!(node.client().ask(&view()).status(), 200);
 }
 
-#[test]
-fn idle_connections_to_a_server_that_fell_silent_are_not_trusted() {
+/// Idle connections to a server that fell silent are not trusted.
+pub fn idle_connections_to_a_server_that_fell_silent_are_not_trusted<S: Subject>() {
     // Two requests at once leave two idle connections; then the server says nothing more on either.
     let both = Arc::new(std::sync::Barrier::new(2));
     let server = Server::new(move |count, _| match count {
@@ -409,7 +421,7 @@
         }
         _ => Act::Wait,
     });
-    let node = Node::new(&[ready("a", &server)]);
+    let node = Node::<S>::new(&[ready("a", &server)]);
     let (mut one, mut two) = (node.client(), node.client());
     one.send(&order());
     two.send(&order());
@@ -421,15 +433,15 @@
     assert_eq!(connections[3], 2, "the last request came on a connection of its own: {connections:?}");
 }
 
-#[test]
-fn what_must_not_run_twice_avoids_kept_connections_once_one_broke() {
+/// What must not run twice avoids kept connections once one broke.
+pub fn what_must_not_run_twice_avoids_kept_connections_once_one_broke<S: Subject>() {
     // Kept connections break under their next request; new ones are fine.
     let met = std::sync::Mutex::new(HashSet::new());
     let server = Server::on(move |connection, _| match met.lock().unwrap().insert(connection) {
         true => ok("paid"),
         false => Act::SayAndClose(Vec::new()),
     });
-    let node = Node::new(&[ready("a", &server)]);
+    let node = Node::<S>::new(&[ready("a", &server)]);
     let mut client = node.client();
     let mut lost = 0;
     for _ in 0..5 {
@@ -439,10 +451,10 @@
     assert_eq!(lost, 1, "the first that broke tells of the others");
 }
 
-#[test]
-fn a_watch_that_ends_or_speaks_garbage_is_begun_anew_from_where_it_was() {
+/// A watch that ends or speaks garbage is begun anew from where it was.
+pub fn a_watch_that_ends_or_speaks_garbage_is_begun_anew_from_where_it_was<S: Subject>() {
     let server = Server::new(|_, _| ok("slip"));
-    let node = Node::new(&[]);
+    let node = Node::<S>::new(&[]);
     assert_eq!(node.client().ask(b"GET /_health HTTP/1.1\r\nHost: n\r\n\r\n").status(), 503);
     assert_eq!(node.client().ask(&view()).status(), 503);
     let mut watch = Watch::accept(&node.discovery);
@@ -466,34 +478,10 @@
     drop(watch);
 }
 
-#[test]
-fn after_sighup_the_watch_goes_on_at_the_new_address_and_all_is_served() {
-    let (one, two) = (Server::new(|_, _| Act::Wait), Server::new(|_, _| ok("two")));
-    let node = Node::new(&[ready("a", &one)]);
-    let mut watch = Watch::accept(&node.discovery);
-    watch.changes(57, &[]);
-    let mut waiting = node.client();
-    waiting.send(&request("POST", "/order/1", "9", "", "yen"));
-    one.request();
-    // Nothing can be made of this file: the node goes on as before.
-    node.reconfigure("{\"name\": 3}");
-    watch.changes(58, &[target("a", one.address, 1, "draining"), ready("b", &two)]);
-    while node.client().ask(&view()).status() != 200 {}
-    // The first request is still open: it has lost neither its server nor its client.
-    let elsewhere = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    node.reconfigure(&node.config_with(&elsewhere));
-    let mut moved = Watch::accept(&elsewhere);
-    assert_eq!(moved.request.first, "GET /catalog/members?watch=1&from=58 HTTP/1.1");
-    assert_eq!(node.client().ask(&view()).body, b"two", "the list stays");
-    moved.changes(59, &[target("b", two.address, 1, "gone")]);
-    two.ended();
-    assert_eq!(waiting.answer().status(), 504);
-}
-
-#[test]
-fn what_was_never_sent_is_refused_early_and_told_to_come_back_later() {
+/// What was never sent is refused early and told to come back later.
+pub fn what_was_never_sent_is_refused_early_and_told_to_come_back_later<S: Subject>() {
     let server = Server::new(|_, _| Act::Wait);
-    let node = Node::new(&[ready("a", &server)]);
+    let node = Node::<S>::new(&[ready("a", &server)]);
     // More than the one server has room for: the others are held, and never sent.
     let mut clients: Vec<Client> = (0..8).map(|_| node.client()).collect();
     clients.iter_mut().for_each(|client| client.send(&request("GET", "/view/1", "6", "", "")));
@@ -501,104 +489,3 @@
     let told = answers.iter().filter(|a| a.header("retry-after") == Some("2.000")).count();
     assert!(told > 0 && answers.iter().all(|a| a.status() == 503), "{answers:?}");
 }
-
-#[test]
-fn a_crowd_of_idle_clients_does_not_shut_others_out() {
-    let server = Server::new(|_, _| ok("slip"));
-    let node = Node::with(&[ready("a", &server)], 64);
-    let crowd: Vec<Client> = (0..200).map(|_| node.client()).collect();
-    // Refused while room is made, perhaps, but answered; and served once there is room.
-    let served = (0..1000).any(|_| node.client().ask(&view()).status() == 200);
-    assert!(served);
-    drop(crowd);
-}
-
-#[test]
-fn a_new_connection_is_not_closed_before_its_first_request() {
-    let server = Server::new(|_, _| Act::Wait);
-    let node = Node::with(&[ready("a", &server)], 64);
-    // As many busy clients as get served, and some more: there is no other idle connection to close.
-    let mut clients: Vec<Client> = (0..30).map(|_| node.client()).collect();
-    clients.iter_mut().for_each(|client| client.send(&request("GET", "/view/1", "3", "", "")));
-    let mut fresh: Vec<Client> = (0..8).map(|_| node.client()).collect();
-    fresh.iter_mut().for_each(|client| client.send(&request("GET", "/view/1", "9", "", "")));
-    for client in clients.iter_mut().chain(&mut fresh) {
-        assert_eq!(client.answer().status(), 503);
-    }
-}
-
-#[test]
-fn connections_end_with_their_answers_long_before_the_budget_is_full() {
-    let server = Server::new(|_, _| Act::Wait);
-    let node = Node::with(&[ready("a", &server)], 128);
-    let mut clients: Vec<Client> = (0..40).map(|_| node.client()).collect();
-    clients.iter_mut().for_each(|client| client.send(&request("GET", "/view/1", "9", "", "")));
-    // There is room for half as many again; but one that is kept for nothing takes another client's place.
-    let mut more = node.client();
-    assert_eq!(more.ask(b"GET /_health HTTP/1.1\r\nHost: n\r\n\r\n").header("connection"), Some("close"));
-    assert!(more.ended());
-}
-
-#[test]
-fn a_request_that_comes_in_pieces_is_not_cut_off_by_a_crowd() {
-    let server = Server::new(|_, _| ok("slip"));
-    let node = Node::with(&[ready("a", &server)], 128);
-    let mut slow = node.client();
-    assert_eq!(slow.ask(&view()).body, b"slip");
-    let text = request("GET", "/view/slow", "9", "", "");
-    slow.send(&text[..30]);
-    rested();
-    rested();
-    let _crowd: Vec<Client> = (0..50).map(|_| node.client()).collect();
-    // It was taken in after the crowd, so by now room has been made for that.
-    let health = b"GET /_health HTTP/1.1\r\nHost: n\r\n\r\n";
-    assert_eq!(node.client().ask(health).status(), 200);
-    slow.send(&text[30..]);
-    assert_eq!(slow.answer().body, b"slip");
-}
-
-#[test]
-fn a_node_without_descriptors_lives_on() {
-    let server = Server::new(|_, _| ok("slip"));
-    let node = Node::starved(&[ready("a", &server)], 48);
-    let crowd: Vec<Client> = (0..100).map(|_| node.client()).collect();
-    assert!((0..1000).any(|_| node.client().ask(&view()).status() == 200));
-    drop(crowd);
-}
-
-#[test]
-fn after_sigterm_all_is_still_answered_and_connections_end() {
-    let server = Server::new(|count, _| if count == 1 { Act::Wait } else { ok("slip") });
-    let mut node = Node::new(&[ready("a", &server)]);
-    let (mut kept, mut waiting) = (node.client(), node.client());
-    assert_eq!(kept.ask(&view()).status(), 200);
-    waiting.send(&order());
-    server.request();
-    server.request();
-    node.terminate();
-    // The node is told by now or soon: it serves on, and says when it means to go.
-    loop {
-        let answer = kept.ask(&view());
-        assert_eq!(answer.status(), 200);
-        if answer.header("connection") == Some("close") {
-            break;
-        }
-    }
-    assert!(kept.ended());
-    // The node goes before the order's deadline; no answer at all would be worse than a failure.
-    assert_eq!(waiting.answer().status(), 504);
-    assert!(node.exit().success());
-    assert!(TcpStream::connect(node.address).is_err());
-}
-
-#[test]
-fn a_bad_configuration_is_one_line_and_an_exit() {
-    let nothing = || program().env_remove("GW_CONFIG").spawn().unwrap();
-    let absent = || program().env("GW_CONFIG", "/nowhere/config.json").spawn().unwrap();
-    for mut child in [nothing(), absent(), start(""), start("{}"), start("{\"name\": 3}")] {
-        let mut log = String::new();
-        child.stderr.take().unwrap().read_to_string(&mut log).unwrap();
-        assert_eq!(log.lines().count(), 1, "{log}");
-        assert!(!child.wait().unwrap().success());
-    }
-}
--- a/tests/node/peers.rs
+++ b/crates/testkit/src/peers.rs
@@ -1,11 +1,10 @@
-//! Scripted peers on loopback: a node under test, servers, discovery, and a client's connection.
+//! Scripted peers on loopback: servers, discovery, and a client's connection.
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, channel};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -17,12 +16,16 @@
 /// One HTTP message, as it came.
 #[derive(Clone, Debug)]
 pub struct Message {
+    /// Its first line.
     pub first: String,
+    /// Names and values, in order.
     pub headers: Vec<(String, String)>,
+    /// What `Content-Length` says.
     pub body: Vec<u8>,
 }
 
 impl Message {
+    /// The value of a header.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
     }
@@ -33,7 +36,7 @@
     }
 
     /// Reads a message; nothing if the connection has ended.
-    fn read(from: &mut impl BufRead) -> Option<Message> {
+    pub fn read(from: &mut impl BufRead) -> Option<Message> {
         let mut line = || {
             let mut line = String::new();
             from.read_line(&mut line).ok().filter(|n| *n > 0)?;
@@ -66,10 +69,12 @@
     Wait,
 }
 
+/// The bytes of an answer; `headers` are whole lines.
 pub fn answer(status: u16, headers: &str, body: &str) -> Vec<u8> {
     format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
 }
 
+/// Answers 200.
 pub fn ok(body: &str) -> Act {
     Act::Say(answer(200, "", body))
 }
@@ -83,8 +88,11 @@
     Ended(usize),
 }
 
+/// A stand-in server.
 pub struct Server {
+    /// Where it listens.
     pub address: SocketAddr,
+    /// How many requests have come.
     pub requests: Arc<AtomicUsize>,
     seen: Receiver<Seen>,
 }
@@ -153,6 +161,7 @@
         }
     }
 
+    /// How many requests have come.
     pub fn count(&self) -> usize {
         self.requests.load(Ordering::SeqCst)
     }
@@ -169,17 +178,20 @@
         "pod_group": pod, "state": state, "capacity_hint": 1.0, "boot_ms": 0})
 }
 
+/// An entry for a server that takes requests.
 pub fn ready(uid: &str, server: &Server) -> Value {
     target(uid, server.address, 1, "ready")
 }
 
 /// A watch that the node has begun.
 pub struct Watch {
+    /// What it asked for.
     pub request: Message,
     stream: TcpStream,
 }
 
 impl Watch {
+    /// The next watch to come.
     pub fn accept(listener: &TcpListener) -> Watch {
         let (mut stream, _) = listener.accept().unwrap();
         let request = Message::read(&mut BufReader::new(stream.try_clone().unwrap())).unwrap();
@@ -187,120 +199,28 @@
         Watch { request, stream }
     }
 
+    /// Says a line.
     pub fn line(&mut self, line: &str) {
         let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
         self.stream.write_all(chunk.as_bytes()).unwrap();
     }
 
+    /// Says what changed.
     pub fn changes(&mut self, rev: u64, targets: &[Value]) {
         self.line(&json!({"rev": rev, "all": false, "targets": targets}).to_string());
     }
 }
 
-/// A node process with its discovery; ended when dropped.
-pub struct Node {
-    pub address: SocketAddr,
-    pub discovery: TcpListener,
-    config: Value,
-    path: String,
-    child: Child,
+/// A node's configuration in the platform's form; port 0 is where it listens.
+pub fn config(discovery: SocketAddr, targets: &[Value], sockets: usize) -> Value {
+    json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+        "discovery": discovery.to_string(),
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+        "known": {"rev": 41, "all": true, "targets": targets}, "settings": settings()})
 }
 
-impl Node {
-    pub fn new(targets: &[Value]) -> Node {
-        Node::with(targets, 1024)
-    }
-
-    pub fn with(targets: &[Value], sockets: usize) -> Node {
-        Node::run(program(), targets, sockets)
-    }
-
-    /// A node whose process gets no more than this many descriptors, whatever its configuration says.
-    pub fn starved(targets: &[Value], descriptors: usize) -> Node {
-        let mut shell = Command::new("sh");
-        let script = format!("ulimit -n {descriptors}; exec \"$0\"");
-        shell.args(["-c", &script, env!("CARGO_BIN_EXE_dunelink")]);
-        shell.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
-        Node::run(shell, targets, 1024)
-    }
-
-    fn run(mut command: Command, targets: &[Value], sockets: usize) -> Node {
-        let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
-        let config = json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
-            "discovery": discovery.local_addr().unwrap().to_string(),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
-            "known": {"rev": 41, "all": true, "targets": targets}, "settings": settings()});
-        let path = write(&config.to_string());
-        let mut child = command.env("GW_CONFIG", &path).spawn().unwrap();
-        let mut log = BufReader::new(child.stderr.take().unwrap());
-        let mut line = String::new();
-        log.read_line(&mut line).unwrap();
-        let address = line.trim().rsplit(' ').next().unwrap().parse().expect(&line);
-        // The log goes on to be read, lest the node waits for it.
-        thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        Node { address, discovery, config, path, child }
-    }
-
-    pub fn client(&self) -> Client {
-        let stream = TcpStream::connect(self.address).unwrap();
-        stream.set_read_timeout(Some(WITHIN)).unwrap();
-        Client { reader: BufReader::new(stream.try_clone().unwrap()), stream }
-    }
-
-    pub fn terminate(&self) {
-        self.signal("-TERM");
-    }
-
-    /// Replaces the configuration and says so.
-    pub fn reconfigure(&self, text: &str) {
-        std::fs::write(&self.path, text).unwrap();
-        self.signal("-HUP");
-    }
-
-    /// The configuration with discovery elsewhere.
-    pub fn config_with(&self, discovery: &TcpListener) -> String {
-        let mut config = self.config.clone();
-        config["discovery"] = discovery.local_addr().unwrap().to_string().into();
-        config.to_string()
-    }
-
-    fn signal(&self, signal: &str) {
-        Command::new("kill").args([signal, &self.child.id().to_string()]).status().unwrap();
-    }
-
-    pub fn exit(&mut self) -> ExitStatus {
-        self.child.wait().unwrap()
-    }
-}
-
-impl Drop for Node {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-/// Starts the program with this configuration.
-pub fn start(config: &str) -> Child {
-    program().env("GW_CONFIG", write(config)).spawn().unwrap()
-}
-
-/// Writes a configuration to a file of its own.
-fn write(config: &str) -> String {
-    static NUMBER: AtomicUsize = AtomicUsize::new(0);
-    let number = NUMBER.fetch_add(1, Ordering::SeqCst);
-    let path = format!("{}/config-{}-{number}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
-    std::fs::write(&path, config).unwrap();
-    path
-}
-
-pub fn program() -> Command {
-    let mut program = Command::new(env!("CARGO_BIN_EXE_dunelink"));
-    program.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
-    program
-}
-
-fn settings() -> Value {
+/// The settings of [`config`]: one class of each kind, and one tenant.
+pub fn settings() -> Value {
     let class = |name: &str, repeats: &str| {
         json!({"name": name, "idempotency": repeats, "dedup_scope": "cell", "window_us": 10_000_000,
             "goal_time_us": 4_000_000, "deadline_us": 15_000_000, "points": 1.0, "late_value": 0.2})
@@ -314,20 +234,52 @@
         "services": [class("view", "pure"), class("submit", "token"), class("order", "side_effect")]})
 }
 
+/// How many answers clients have had, by what they mean.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Answers {
+    /// Status 200.
+    pub served: u64,
+    /// Status 429 or 503.
+    pub refused: u64,
+    /// Any other but 4xx.
+    pub failed: u64,
+}
+
 /// A client's connection.
 pub struct Client {
+    /// Its socket.
     pub stream: TcpStream,
     reader: BufReader<TcpStream>,
+    answers: Arc<Mutex<Answers>>,
 }
 
 impl Client {
+    /// Connects; answers are added up here.
+    pub fn connect(address: SocketAddr, answers: Arc<Mutex<Answers>>) -> Client {
+        let stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(WITHIN)).unwrap();
+        Client { reader: BufReader::new(stream.try_clone().unwrap()), stream, answers }
+    }
+
+    /// Sends bytes, whatever they are.
     pub fn send(&mut self, bytes: &[u8]) {
         // The node may have answered and closed before all is written.
         let _ = self.stream.write_all(bytes);
     }
 
+    /// Waits for the next answer.
     pub fn answer(&mut self) -> Message {
-        Message::read(&mut self.reader).expect("an answer")
+        let answer = Message::read(&mut self.reader).expect("an answer");
+        let health = matches!(&answer.body[..], b"ok" | b"not serving");
+        let mut answers = self.answers.lock().unwrap();
+        match answer.status() {
+            _ if health => {}
+            200 => answers.served += 1,
+            429 | 503 => answers.refused += 1,
+            400..500 => {}
+            _ => answers.failed += 1,
+        }
+        answer
     }
 
     /// Whether the node has closed the connection.
@@ -335,6 +287,7 @@
         matches!(self.reader.read(&mut [0]), Ok(0))
     }
 
+    /// Sends a request and waits for its answer.
     pub fn ask(&mut self, bytes: &[u8]) -> Message {
         self.send(bytes);
         self.answer()
@@ -366,14 +319,17 @@
     thread::sleep(Duration::from_millis(200));
 }
 
+/// A safe request.
 pub fn view() -> Vec<u8> {
     request("GET", "/view/7f3a?x=1", "14.0", "", "")
 }
 
+/// A keyed request.
 pub fn submit() -> Vec<u8> {
     request("POST", "/submit/7f3a", "14.0", "Idempotency-Key: 5c0f6e1a\r\n", "hours")
 }
 
+/// An unsafe request.
 pub fn order() -> Vec<u8> {
     request("POST", "/order/7f3a", "14.0", "", "yen")
 }
--- a/test.sh
+++ b/test.sh
@@ -1,13 +1,17 @@
 #!/bin/sh
-# Formatting, lints, tests and the limits of the decision module.
+# Formatting, lints, documentation, the limits of the decision module, and all tests.
 set -eu
 cd "$(dirname "$0")"
-cargo fmt --check
-cargo clippy --locked --all-targets --quiet -- -D warnings
-RUSTDOCFLAGS="-D warnings" cargo doc --locked --no-deps --quiet
-lines=$(grep -vc '^[[:space:]]*$' src/decide.rs)
-[ "$lines" -le 550 ] || { echo "src/decide.rs has $lines non-blank lines; 550 are allowed" >&2; exit 1; }
-if awk '{ gsub(/[\200-\277]/, "") } length > 110 { exit 1 }' src/decide.rs; then :; else
-    echo "src/decide.rs has a line over 110 characters" >&2; exit 1
+cargo fmt --all --check
+cargo clippy --locked --workspace --all-targets --quiet -- -D warnings
+RUSTDOCFLAGS="-D warnings" cargo doc --locked --workspace --no-deps --quiet
+policy=$(sed -n 's/^policy = \[\(.*\)\].*/\1/p' deploy/balancer.toml | tr -d '",')
+[ -n "$policy" ] || { echo "deploy/balancer.toml names no policy files" >&2; exit 1; }
+# shellcheck disable=SC2086
+lines=$(cat $policy | grep -vc '^[[:space:]]*$')
+[ "$lines" -le 1200 ] || { echo "the policy files have $lines non-blank lines; 1200 are allowed" >&2; exit 1; }
+# shellcheck disable=SC2086
+if awk '{ gsub(/[\200-\277]/, "") } length > 110 { exit 1 }' $policy; then :; else
+    echo "a policy file has a line over 110 characters" >&2; exit 1
 fi
-cargo test --locked
+cargo test --locked --workspace
