--- /dev/null
+++ b/bench/src/cost.rs
@@ -0,0 +1,270 @@
+//! The same requests by three ways to the same servers, taking turns.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::{Context, bail};
+use bytes::Bytes;
+use dunelink::config::{Class, Effect};
+use dunelink::{Answer, Config, Handle, Node, Server, roster};
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::process::{Child, Command};
+use tokio::task::{JoinSet, LocalSet, spawn_local};
+use tokio::time::{Instant, sleep_until};
+
+use crate::usage::cpu;
+
+/// What is measured.
+#[derive(clap::Args)]
+pub(crate) struct Options {
+    /// Requests a second, evenly spaced with some chance.
+    #[arg(long, default_value_t = 2000)]
+    rate: u32,
+    /// Seconds that each way is used for in each round.
+    #[arg(long, default_value_t = 4)]
+    seconds: u64,
+    /// Rounds; medians over them are told.
+    #[arg(long, default_value_t = 5)]
+    rounds: usize,
+    /// Stand-in servers.
+    #[arg(long, default_value_t = 8)]
+    servers: usize,
+    /// The daemon's program.
+    #[arg(long, default_value = "target/release/dunelink")]
+    daemon: PathBuf,
+}
+
+/// The ways to the servers.
+const WAYS: [&str; 3] = ["no balancer", "daemon", "library"];
+
+/// What one way showed in one round.
+#[derive(Clone, Copy)]
+struct Figures {
+    median: Duration,
+    p99: Duration,
+    /// CPU time for each request, of the caller and the daemon together; servers aside.
+    cpu: Duration,
+}
+
+pub(crate) fn run(options: &Options) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, measure(options))
+}
+
+/// Keep-alive connections to one address.
+#[derive(Clone)]
+struct Pool {
+    to: Vec<SocketAddr>,
+    turn: Rc<RefCell<usize>>,
+    idle: Rc<RefCell<Vec<VecDeque<Sender>>>>,
+}
+
+type Sender = SendRequest<Full<Bytes>>;
+
+impl Pool {
+    fn new(to: Vec<SocketAddr>) -> Pool {
+        let idle = to.iter().map(|_| VecDeque::new()).collect();
+        Pool { to, turn: Rc::default(), idle: Rc::new(RefCell::new(idle)) }
+    }
+
+    /// A request to the next address in turn.
+    async fn ask(&self, request: Request<Full<Bytes>>) -> anyhow::Result<()> {
+        let at = {
+            let mut turn = self.turn.borrow_mut();
+            *turn = (*turn + 1) % self.to.len();
+            *turn
+        };
+        let kept = self.idle.borrow_mut()[at].pop_back();
+        let mut sender = match kept {
+            Some(sender) if sender.is_ready() => sender,
+            _ => {
+                let stream = TcpStream::connect(self.to[at]).await?;
+                stream.set_nodelay(true)?;
+                let (sender, connection) = handshake(TokioIo::new(stream)).await?;
+                spawn_local(connection);
+                sender
+            }
+        };
+        let response = sender.send_request(request).await?;
+        let status = response.status();
+        response.into_body().collect().await?;
+        if status != 200 {
+            bail!("answered {status}");
+        }
+        if sender.ready().await.is_ok() {
+            self.idle.borrow_mut()[at].push_back(sender);
+        }
+        Ok(())
+    }
+}
+
+/// One way to the servers.
+#[derive(Clone)]
+enum Way {
+    Pool(Pool),
+    Library(Handle),
+}
+
+impl Way {
+    async fn ask(&self, number: u64) -> anyhow::Result<()> {
+        let request = Request::get(format!("/view/{number}"))
+            .header("host", "origin.svc")
+            .header("req-id", format!("{number:016x}"))
+            .header("req-deadline", "2.000")
+            .body(Full::new(Bytes::new()))?;
+        match self {
+            Way::Pool(pool) => pool.ask(request).await,
+            Way::Library(node) => match node.call(request).await? {
+                Answer::Served(_) => Ok(()),
+                other => bail!("answered {other:?}"),
+            },
+        }
+    }
+}
+
+/// Starts the servers' process.
+async fn servers(count: usize) -> anyhow::Result<(Child, Vec<SocketAddr>)> {
+    let mut child = Command::new(std::env::current_exe()?)
+        .args(["servers", &count.to_string()])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .kill_on_drop(true)
+        .spawn()?;
+    let mut line = String::new();
+    BufReader::new(child.stdout.take().context("no output")?).read_line(&mut line).await?;
+    let addresses: Result<_, _> = line.split_whitespace().map(str::parse).collect();
+    Ok((child, addresses?))
+}
+
+fn config(name: &str, list: &[Server]) -> Config {
+    let view = Class {
+        aim: Some(Duration::from_millis(500)),
+        ..Class::new("view", Effect::Safe, Duration::from_secs(2))
+    };
+    Config {
+        name: name.into(),
+        listen: Some(([127, 0, 0, 1], 0).into()),
+        seed: Some(7),
+        classes: vec![view],
+        roster: dunelink::config::RosterConfig::Fixed { servers: list.to_vec() },
+        ..Config::default()
+    }
+}
+
+/// Starts the daemon.
+async fn daemon(options: &Options, list: &[Server]) -> anyhow::Result<(Child, SocketAddr)> {
+    let path = std::env::temp_dir().join(format!("dunelink-bench-{}.toml", std::process::id()));
+    std::fs::write(&path, config("daemon", list).to_toml()?)?;
+    let mut child = Command::new(&options.daemon)
+        .args(["run", "--config"])
+        .arg(&path)
+        .stderr(Stdio::piped())
+        .kill_on_drop(true)
+        .spawn()
+        .with_context(|| format!("{}", options.daemon.display()))?;
+    let mut line = String::new();
+    let mut log = BufReader::new(child.stderr.take().context("no log")?);
+    log.read_line(&mut line).await?;
+    std::fs::remove_file(&path)?;
+    let address = line.trim().rsplit(' ').next().unwrap_or_default().parse().context(line.clone())?;
+    tokio::spawn(async move { tokio::io::copy(&mut log, &mut tokio::io::sink()).await });
+    Ok((child, address))
+}
+
+async fn measure(options: &Options) -> anyhow::Result<()> {
+    let (_servers, addresses) = servers(options.servers).await?;
+    let list: Vec<Server> =
+        addresses.iter().enumerate().map(|(i, a)| Server::new(format!("s-{i}"), *a)).collect();
+    let (daemon, front) = daemon(options, &list).await?;
+    let daemon = daemon.id().map(|id| (id, daemon)).context("the daemon has ended")?;
+    let node = Node::builder(config("library", &list)).roster(roster::Fixed::new(list.clone())).start()?;
+    let ways = [
+        Way::Pool(Pool::new(addresses)),
+        Way::Pool(Pool::new(vec![front])),
+        Way::Library(node.handle().clone()),
+    ];
+    let mut rounds: [Vec<Figures>; 3] = Default::default();
+    let mut number = 0;
+    for round in 0..=options.rounds {
+        for (way, all) in ways.iter().zip(&mut rounds) {
+            let figures = play(way, options, &mut number, daemon.0).await?;
+            // The first round opens connections and warms up.
+            if round > 0 {
+                all.push(figures);
+            }
+        }
+    }
+    report(options, &rounds);
+    node.shutdown(Duration::from_secs(1)).await;
+    Ok(())
+}
+
+/// Sends requests one way for some seconds.
+async fn play(way: &Way, options: &Options, number: &mut u64, daemon: u32) -> anyhow::Result<Figures> {
+    let times = Rc::new(RefCell::new(Vec::new()));
+    let mut random = fastrand::Rng::with_seed(*number);
+    let mut tasks = JoinSet::new();
+    let used = || -> anyhow::Result<Duration> { Ok(cpu(std::process::id())? + cpu(daemon)?) };
+    let (began, before) = (Instant::now(), used()?);
+    let (mut next, end) = (began, began + Duration::from_secs(options.seconds));
+    while next < end {
+        next += Duration::from_secs_f64((0.5 + random.f64()) / f64::from(options.rate));
+        sleep_until(next).await;
+        *number += 1;
+        let (way, times, number) = (way.clone(), times.clone(), *number);
+        tasks.spawn_local(async move {
+            let asked = Instant::now();
+            way.ask(number).await?;
+            times.borrow_mut().push(asked.elapsed());
+            anyhow::Ok(())
+        });
+        while let Some(done) = tasks.try_join_next() {
+            done??;
+        }
+    }
+    while let Some(done) = tasks.join_next().await {
+        done??;
+    }
+    let used = used()? - before;
+    let mut times = times.take();
+    times.sort_unstable();
+    let at = |part: f64| times[((times.len() - 1) as f64 * part) as usize];
+    Ok(Figures { median: at(0.5), p99: at(0.99), cpu: used / times.len() as u32 })
+}
+
+fn report(options: &Options, rounds: &[Vec<Figures>; 3]) {
+    println!(
+        "{} requests a second, {} servers that answer at once, {} rounds of {} s for each way, taking turns; \
+         medians over the rounds",
+        options.rate, options.servers, options.rounds, options.seconds
+    );
+    println!("\n| way | median | added | p99 | added | CPU a request | ratio |");
+    println!("| --- | --- | --- | --- | --- | --- | --- |");
+    let micros = |time: Duration| time.as_secs_f64() * 1e6;
+    let middle = |of: &dyn Fn(&Figures) -> Duration, way: usize| {
+        let mut all: Vec<f64> = rounds[way].iter().map(|f| micros(of(f))).collect();
+        all.sort_by(f64::total_cmp);
+        all[all.len() / 2]
+    };
+    let figures = |way| [middle(&|f| f.median, way), middle(&|f| f.p99, way), middle(&|f| f.cpu, way)];
+    let base = figures(0);
+    for (way, name) in WAYS.iter().enumerate() {
+        let [median, p99, cpu] = figures(way);
+        println!(
+            "| {name} | {median:.0} us | {:+.0} us | {p99:.0} us | {:+.0} us | {cpu:.0} us | {:.2} |",
+            median - base[0],
+            p99 - base[1],
+            cpu / base[2]
+        );
+    }
+}
--- /dev/null
+++ b/bench/src/main.rs
@@ -0,0 +1,45 @@
+//! Measures what the node adds to a request: none at all, the daemon in between, the library in the caller's
+//! process. One command prints the table; the modes take turns within the run, so that they meet the same machine.
+//!
+//!     cargo build --release --workspace && target/release/dunelink-bench cost
+
+mod cost;
+mod servers;
+mod usage;
+
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+
+#[derive(Parser)]
+#[command(name = "dunelink-bench", version, about)]
+struct Line {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Added time and CPU for each request: no balancer, the daemon, the library.
+    Cost(cost::Options),
+    /// Stand-in servers; told their number, they print their addresses and serve until their input ends.
+    #[command(hide = true)]
+    Servers {
+        /// How many.
+        count: usize,
+    },
+}
+
+fn main() -> ExitCode {
+    let done = match Line::parse().command {
+        Command::Cost(options) => cost::run(&options),
+        Command::Servers { count } => servers::run(count),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("dunelink-bench: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/dunelink/src/config/platform.rs
+++ b/crates/dunelink/src/config/platform.rs
@@ -14,10 +14,7 @@
 pub(super) fn parse(json: &str) -> Result<Config, ConfigError> {
     let mut deserializer = serde_json::Deserializer::from_str(json);
     let file: File = serde_path_to_error::deserialize(&mut deserializer).map_err(|e| {
-        let key = match e.path().to_string() {
-            root if root == "." => String::new(),
-            key => key,
-        };
+        let key = text::key_of(e.path());
         let e = e.into_inner();
         // serde's own words end with a place; the line is told once.
         let what = e.to_string();
--- a/crates/dunelink/src/config/text.rs
+++ b/crates/dunelink/src/config/text.rs
@@ -14,14 +14,17 @@
     };
     let deserializer = toml::Deserializer::parse(text).map_err(|e| of_toml(e, String::new()))?;
     serde_path_to_error::deserialize(deserializer).map_err(|e| {
-        let key = match e.path().to_string() {
-            root if root == "." => String::new(),
-            key => key,
-        };
+        let key = key_of(e.path());
         of_toml(e.into_inner(), key)
     })
 }
 
+/// The key at which reading stopped, as far as it is known.
+pub(super) fn key_of(path: &serde_path_to_error::Path) -> String {
+    let path = path.to_string();
+    path.trim_end_matches(['.', '?']).to_string()
+}
+
 /// A problem with a value that was read from this text.
 pub(super) fn toml_problem(text: &str, problem: Problem) -> ConfigError {
     let line = find_in_toml(text, &problem.key);
--- a/crates/dunelink/src/roster/watch.rs
+++ b/crates/dunelink/src/roster/watch.rs
@@ -73,6 +73,17 @@
     }
 }
 
+impl Update {
+    /// Reads a line of the platform's watch.
+    ///
+    /// # Errors
+    ///
+    /// It is not JSON of that form; keys beyond it are passed over.
+    pub fn from_watch_line(line: &[u8]) -> Result<Update, serde_json::Error> {
+        serde_json::from_slice::<Line>(line).map(Update::from)
+    }
+}
+
 /// The platform's discovery: a chunked answer that stays open and holds a line for each change. When it moves
 /// to another address, the watch goes on there from where it was.
 pub struct Watch {
@@ -179,9 +190,9 @@
             line.extend_from_slice(&rest[..end]);
             rest = &rest[end + 1..];
             if !line.trim_ascii().is_empty() {
-                let update: Line = serde_json::from_slice(&line)?;
+                let update = Update::from_watch_line(&line)?;
                 *rev = update.rev;
-                tell(update.into());
+                tell(update);
             }
             line.clear();
         }
--- /dev/null
+++ b/crates/dunelink/tests/host/fleet.rs
@@ -0,0 +1,67 @@
+//! A small fleet for hosts under test.
+
+use std::time::{Duration, Instant};
+
+use dunelink::config::{Class, Dedup, Effect, Group, Tenant};
+use dunelink::{Config, Handle, Node, Server as Entry, roster};
+use http::Request;
+use testkit::peers::{Server, WITHIN};
+
+/// One class of each kind, with a deadline of 2 s.
+pub(crate) fn config() -> Config {
+    let wait = Duration::from_secs(2);
+    Config {
+        name: "host".into(),
+        seed: Some(0x8c1f_30d2_7a5b_e964),
+        classes: vec![
+            Class::new("view", Effect::Safe, wait),
+            Class {
+                dedup: Some(Dedup { group: Group::Cell, window: 5 * wait }),
+                ..Class::new("submit", Effect::Keyed, wait)
+            },
+            Class::new("order", Effect::Unsafe, wait),
+        ],
+        tenants: vec![Tenant { name: "acme".into(), quota_per_s: 100.0, share: 1.0 }],
+        ..Config::default()
+    }
+}
+
+pub(crate) fn entry(uid: &str, server: &Server) -> Entry {
+    Entry::new(uid, server.address)
+}
+
+/// A node that knows these servers.
+pub(crate) fn start<const N: usize>(servers: [Entry; N]) -> Node {
+    start_with(config(), servers)
+}
+
+/// A node that goes by this and knows these servers.
+pub(crate) fn start_with<const N: usize>(config: Config, servers: [Entry; N]) -> Node {
+    let node = Node::builder(config).roster(roster::Fixed::new(servers)).start().unwrap();
+    wait_for("the list", || node.handle().is_ready());
+    node
+}
+
+pub(crate) fn view(key: &str) -> Request<String> {
+    Request::get(format!("/view/{key}")).body(String::new()).unwrap()
+}
+
+pub(crate) fn order(key: &str) -> Request<String> {
+    Request::post(format!("/order/{key}")).body("300 yen".into()).unwrap()
+}
+
+/// Waits until the node knows a server.
+pub(crate) async fn ready(fleet: &Handle) {
+    while !fleet.is_ready() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+/// Waits, without any runtime, until something holds.
+pub(crate) fn wait_for(what: &str, holds: impl Fn() -> bool) {
+    let began = Instant::now();
+    while !holds() {
+        assert!(began.elapsed() < WITHIN, "waited for: {what}");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
--- a/crates/dunelinkd/src/main.rs
+++ b/crates/dunelinkd/src/main.rs
@@ -1,6 +1,7 @@
 //! One dunelink node as a program, and what operators do with its files.
 
 mod clients;
+mod demo;
 mod serve;
 mod socket;
 
@@ -27,6 +28,8 @@
     Run(Run),
     /// Say whether a configuration can be used, and what is wrong with it if not.
     Check(Check),
+    /// Show a fleet at work: stand-in servers, a roster and a node in one process, on loopback only.
+    Demo(demo::Options),
 }
 
 #[derive(Args)]
@@ -55,6 +58,7 @@
         None => Source::find(None).and_then(serve::serve),
         Some(Command::Run(run)) => Source::find(run.config).and_then(serve::serve),
         Some(Command::Check(Check { file })) => check(file),
+        Some(Command::Demo(options)) => demo::run(&options),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/dunelinkd/tests/daemon/main.rs
+++ b/crates/dunelinkd/tests/daemon/main.rs
@@ -5,6 +5,7 @@
 
 use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::process::Stdio;
 use std::time::{Duration, Instant};
 
 use process::*;
@@ -207,3 +208,54 @@
         assert!(!child.wait().unwrap().success());
     }
 }
+
+/// Runs a command to its end: whether it succeeded, and what it said on either stream.
+fn told(words: &[&str]) -> (bool, String, String) {
+    let output = program().env_remove("GW_CONFIG").args(words).stdout(Stdio::piped()).output().unwrap();
+    let text = |bytes: Vec<u8>| String::from_utf8(bytes).unwrap();
+    (output.status.success(), text(output.stdout), text(output.stderr))
+}
+
+#[test]
+fn an_operators_file_is_checked_and_served_by() {
+    let server = Server::new(|_, _| ok("slip"));
+    let good = format!(
+        "name = \"own\"\nlisten = \"127.0.0.1:0\"\n[roster]\nfrom = \"fixed\"\n\
+         servers = [{{ uid = \"a\", endpoint = \"{}\" }}]\n\
+         [[classes]]\nname = \"view\"\neffect = \"safe\"\ndeadline = \"9s\"\n",
+        server.address
+    );
+    let path = write(&good).replace(".json", ".toml");
+    std::fs::write(&path, &good).unwrap();
+    let (fine, said, _) = told(&["check", &path]);
+    assert!(fine && said.contains("1 classes"), "{said}");
+    let mut command = program();
+    command.args(["run", "--config", &path]);
+    let mut process = Process::start(command, "");
+    let mut client = Client::connect(process.address, Default::default());
+    assert_eq!(client.ask(b"GET /view/1 HTTP/1.1\r\nHost: n\r\n\r\n").body, b"slip");
+    process.terminate();
+    assert!(process.exit().success());
+    assert_eq!(process.counted().served, 1);
+
+    std::fs::write(&path, good.replace("9s", "9 parsecs")).unwrap();
+    for words in [&["check", &path][..], &["run", "--config", &path]] {
+        let (fine, _, log) = told(words);
+        assert!(!fine && log.lines().count() == 1, "{log}");
+        assert!(log.contains(".toml:9: classes[0].deadline: invalid value: string \"9 parsecs\""), "{log}");
+    }
+    std::fs::write(&path, good.replace("listen", "#")).unwrap();
+    let (fine, _, log) = told(&["run", "--config", &path]);
+    assert!(!fine && log.contains("listen: expected an address"), "{log}");
+    let (fine, _, log) = told(&["check", "/nowhere/at.toml"]);
+    assert!(!fine && log.starts_with("dunelink: /nowhere/at.toml: can't be read"), "{log}");
+}
+
+#[test]
+fn the_demo_keeps_the_rules_and_says_where_requests_went() {
+    let (fine, said, log) = told(&["demo", "--seconds", "4", "--rate", "100"]);
+    assert!(fine, "{log}\n{said}");
+    for part in ["s-3 stalls", "s-5 drains", "s-9 starts cold", "answers by server: s-1 ", "ran twice: 0;"] {
+        assert!(said.contains(part), "{said}");
+    }
+}
--- /dev/null
+++ b/fuzz/fuzz_targets/watch_line.rs
@@ -0,0 +1,10 @@
+#![no_main]
+//! A line of discovery's watch.
+
+use dunelink::Update;
+
+libfuzzer_sys::fuzz_target!(|line: &[u8]| {
+    if let Ok(update) = Update::from_watch_line(line) {
+        assert!(update.servers.iter().all(|server| server.weight >= 0.0));
+    }
+});
