Library: a node that has started knows its list; fuzz targets; the list's form in its own room

Start now returns once that list is in, and a roster that has one at hand says so (Fixed, File). The platform's form of a list moved to listing.rs, which ended a circle between config and roster.

--- a/crates/dunelink/src/config/platform.rs
+++ b/crates/dunelink/src/config/platform.rs
@@ -8,7 +8,7 @@
 
 use super::error::{ConfigError, Problem};
 use super::*;
-use crate::roster::watch;
+use crate::listing::Line;
 
 /// Reads the platform's JSON.
 pub(super) fn parse(json: &str) -> Result<Config, ConfigError> {
@@ -78,7 +78,7 @@
     #[serde(default)]
     limits: FileLimits,
     #[serde(default)]
-    known: watch::Line,
+    known: Line,
     settings: Settings,
 }
 
--- a/crates/dunelink/src/lib.rs
+++ b/crates/dunelink/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod http;
 mod intake;
 mod line;
+mod listing;
 mod node;
 pub mod roster;
 mod servers;
--- a/crates/dunelink/src/node.rs
+++ b/crates/dunelink/src/node.rs
@@ -77,18 +77,24 @@
 }
 
 impl Engineering {
-    /// Runs the node; needs a `LocalSet`. Whatever it began ends with it.
-    async fn run(self) {
-        let _ended = self.ended.drop_guard();
+    /// Takes in the list that is known at the start: what is asked from now on finds it. The node then runs in
+    /// the future, which needs a `LocalSet`; whatever it began ends with it.
+    fn begin(mut self) -> impl Future<Output = ()> + 'static {
+        let ended = self.ended.drop_guard();
         let (servers, wanted) = (Rc::new(Servers::new(&self.config, self.any_ready)), Rc::new(Notify::new()));
         let mut feed =
             Feed::new(&self.config, self.seed, servers.clone(), self.mailbox.clone(), wanted.clone());
-        feed.cached(&self.config.known);
-        let spawn = |task| AbortOnDropHandle::new(tokio::task::spawn_local(task));
-        let _roster = spawn(self.roster.run(feed));
+        feed.cached(&self.roster.known().unwrap_or(self.config.known));
+        let (roster, inbox) = (self.roster.run(feed), self.inbox);
         let swept = servers.clone();
-        let _sweep = spawn(Box::pin(async move { swept.sweep().await }));
-        Engine::new(self.balancer, servers, self.mailbox, wanted, self.tally).run(self.inbox).await;
+        let sweep = async move { swept.sweep().await };
+        let engine = Engine::new(self.balancer, servers, self.mailbox, wanted, self.tally);
+        async move {
+            let _ended = ended;
+            let _roster = AbortOnDropHandle::new(tokio::task::spawn_local(roster));
+            let _sweep = AbortOnDropHandle::new(tokio::task::spawn_local(sweep));
+            engine.run(inbox).await;
+        }
     }
 }
 
@@ -141,7 +147,8 @@
         Ok((Handle { shared: Arc::new(shared) }, engineering))
     }
 
-    /// Starts the node on a thread of its own: what the host does to its executor delays nothing here.
+    /// Starts the node on a thread of its own: what the host does to its executor delays nothing here. Returns
+    /// when the list that is known at the start has been taken in.
     ///
     /// # Errors
     ///
@@ -150,10 +157,18 @@
         let (handle, engineering) = self.prepare()?;
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         let name = format!("dunelink {}", engineering.config.name);
+        let (begun, begins) = std::sync::mpsc::channel();
         std::thread::Builder::new()
             // Linux cuts names at 15 bytes; one with a NUL would panic.
             .name(name.chars().filter(|c| *c != '\0').collect())
-            .spawn(move || LocalSet::new().block_on(&runtime, engineering.run()))?;
+            .spawn(move || {
+                LocalSet::new().block_on(&runtime, async move {
+                    let running = engineering.begin();
+                    let _ = begun.send(());
+                    running.await;
+                });
+            })?;
+        begins.recv().map_err(|_| io::Error::other("it ended at once"))?;
         Ok(Node { handle })
     }
 
@@ -171,7 +186,7 @@
         tokio::runtime::Handle::try_current().map_err(io::Error::other)?;
         let (handle, engineering) = self.prepare()?;
         // Not tied to the node's value: it has answers to give when that is dropped.
-        tokio::task::spawn_local(engineering.run());
+        tokio::task::spawn_local(engineering.begin());
         Ok(Node { handle })
     }
 }
--- a/crates/dunelink/src/roster/file.rs
+++ b/crates/dunelink/src/roster/file.rs
@@ -5,12 +5,15 @@
 
 use super::{Feed, Roster, RosterFuture};
 use crate::config::{ConfigError, servers_from_toml};
+use crate::types::Update;
 
 /// A list in a TOML file of `[[servers]]` entries, read again when its text changes. A file that is missing or
 /// wrong changes nothing and is logged once; so is one without any server, which is hardly ever meant.
 pub struct File {
     path: PathBuf,
     every: Duration,
+    /// What it said last.
+    last: Option<String>,
 }
 
 impl File {
@@ -18,12 +21,12 @@
     ///
     /// Writers should replace the file by renaming a whole one over it: half a file is an error at best.
     pub fn new(path: impl Into<PathBuf>, every: Duration) -> File {
-        File { path: path.into(), every: every.max(Duration::from_millis(10)) }
+        File { path: path.into(), every: every.max(Duration::from_millis(10)), last: None }
     }
 }
 
 /// What the file says; only if it changed.
-fn changed(path: &Path, last: &mut Option<String>) -> Option<Result<crate::types::Update, String>> {
+fn changed(path: &Path, last: &mut Option<String>) -> Option<Result<Update, String>> {
     let text = match std::fs::read_to_string(path) {
         Ok(text) => text,
         Err(error) => return Some(Err(format!("{}: can't be read: {error}", path.display()))),
@@ -40,9 +43,16 @@
 }
 
 impl Roster for File {
-    fn run(self: Box<Self>, mut feed: Feed) -> RosterFuture {
+    fn known(&mut self) -> Option<Update> {
+        let mut last = None;
+        let read = changed(&self.path, &mut last)?.ok()?;
+        self.last = last;
+        Some(read)
+    }
+
+    fn run(mut self: Box<Self>, mut feed: Feed) -> RosterFuture {
         Box::pin(async move {
-            let (mut last, mut complaint) = (None, None);
+            let (mut last, mut complaint) = (self.last.take(), None);
             loop {
                 let (path, mut text) = (self.path.clone(), last.take());
                 // A slow disk must not hold up the engine.
--- a/crates/dunelink/src/roster/fixed.rs
+++ b/crates/dunelink/src/roster/fixed.rs
@@ -12,7 +12,11 @@
 }
 
 impl Roster for Fixed {
-    fn run(self: Box<Self>, mut feed: Feed) -> RosterFuture {
-        Box::pin(async move { feed.update(&Update::whole(self.0)) })
+    fn known(&mut self) -> Option<Update> {
+        Some(Update::whole(std::mem::take(&mut self.0)))
+    }
+
+    fn run(self: Box<Self>, _: Feed) -> RosterFuture {
+        Box::pin(std::future::ready(()))
     }
 }
--- a/crates/dunelink/src/roster/mod.rs
+++ b/crates/dunelink/src/roster/mod.rs
@@ -20,7 +20,7 @@
 mod channel;
 mod file;
 mod fixed;
-pub(crate) mod watch;
+mod watch;
 
 use std::collections::HashMap;
 use std::fmt;
@@ -47,6 +47,12 @@
 
 /// A source of the list of servers.
 pub trait Roster: Send + 'static {
+    /// The list to start from, if the source has one at hand; else the node starts from the configuration's
+    /// `known`. Asked once, before [`Roster::run`], on the engine's thread; the start waits for it.
+    fn known(&mut self) -> Option<Update> {
+        None
+    }
+
     /// Feeds the node. The future runs on the engine's thread, inside a tokio `LocalSet`; it must not block
     /// the thread. It is dropped when the node ends.
     fn run(self: Box<Self>, feed: Feed) -> RosterFuture;
--- a/crates/dunelink/src/roster/watch.rs
+++ b/crates/dunelink/src/roster/watch.rs
@@ -9,14 +9,13 @@
 use http_body_util::{BodyExt, Empty};
 use hyper::{Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
-use serde::Deserialize;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::timeout;
 use tokio_util::task::AbortOnDropHandle;
 
 use super::{Feed, Roster, RosterFuture};
-use crate::types::{Server, ServerState, Update};
+use crate::types::Update;
 
 /// A watch that says nothing for this long is dead: a line comes every 2 s. A change counts as told after
 /// 6 s at the latest, so a second watch has to be up by then.
@@ -31,59 +30,6 @@
 /// The longest line; a list of some thousand servers.
 const LONGEST_LINE: usize = 1 << 20;
 
-/// What discovery says on one line.
-#[derive(Default, Deserialize)]
-pub(crate) struct Line {
-    rev: u64,
-    /// Whether it is the whole list, not changes.
-    all: bool,
-    targets: Vec<Target>,
-}
-
-#[derive(Deserialize)]
-struct Target {
-    uid: String,
-    endpoint: SocketAddr,
-    #[serde(default)]
-    az: String,
-    #[serde(default)]
-    model: String,
-    #[serde(default)]
-    pod_group: u16,
-    state: ServerState,
-    #[serde(default)]
-    capacity_hint: f64,
-    #[serde(default)]
-    boot_ms: u64,
-}
-
-impl From<Line> for Update {
-    fn from(line: Line) -> Update {
-        let server = |target: Target| Server {
-            uid: target.uid,
-            endpoint: target.endpoint,
-            state: target.state,
-            zone: target.az,
-            kind: target.model,
-            cell: target.pod_group,
-            weight: target.capacity_hint.max(0.0),
-            started_ms: target.boot_ms,
-        };
-        Update { rev: line.rev, whole: line.all, servers: line.targets.into_iter().map(server).collect() }
-    }
-}
-
-impl Update {
-    /// Reads a line of the platform's watch.
-    ///
-    /// # Errors
-    ///
-    /// It is not JSON of that form; keys beyond it are passed over.
-    pub fn from_watch_line(line: &[u8]) -> Result<Update, serde_json::Error> {
-        serde_json::from_slice::<Line>(line).map(Update::from)
-    }
-}
-
 /// The platform's discovery: a chunked answer that stays open and holds a line for each change. When it moves
 /// to another address, the watch goes on there from where it was.
 pub struct Watch {
--- a/crates/dunelink/tests/config.rs
+++ b/crates/dunelink/tests/config.rs
@@ -173,6 +173,37 @@
     }
 }
 
+/// The files of a fuzz target's corpus.
+fn corpus(target: &str) -> Vec<Vec<u8>> {
+    let folder: PathBuf = [env!("CARGO_MANIFEST_DIR"), "..", "..", "fuzz", "corpus", target].iter().collect();
+    let files = std::fs::read_dir(folder).unwrap().map(|file| std::fs::read(file.unwrap().path()).unwrap());
+    files.collect()
+}
+
+#[test]
+fn what_fuzzing_met_does_no_harm() {
+    let mut good = [0; 3];
+    for text in corpus("config_toml") {
+        if let Ok(config) = Config::from_toml(&String::from_utf8_lossy(&text)) {
+            assert_eq!(Config::from_toml(&config.to_toml().unwrap()).unwrap(), config);
+            good[0] += 1;
+        }
+    }
+    for text in corpus("config_platform") {
+        if let Ok(config) = Config::from_platform(&String::from_utf8_lossy(&text)) {
+            config.settings().check().unwrap();
+            good[1] += 1;
+        }
+    }
+    for line in corpus("watch_line") {
+        if let Ok(update) = Update::from_watch_line(&line) {
+            assert!(update.servers.iter().all(|server| server.weight >= 0.0));
+            good[2] += 1;
+        }
+    }
+    assert!(good.iter().all(|count| *count > 0), "each corpus has something that can be used: {good:?}");
+}
+
 fn duration() -> impl Strategy<Value = Duration> {
     (1..4_000_000_000_u64).prop_map(Duration::from_micros)
 }
--- a/crates/dunelink/tests/host/fleet.rs
+++ b/crates/dunelink/tests/host/fleet.rs
@@ -38,7 +38,7 @@
 /// A node that goes by this and knows these servers.
 pub(crate) fn start_with<const N: usize>(config: Config, servers: [Entry; N]) -> Node {
     let node = Node::builder(config).roster(roster::Fixed::new(servers)).start().unwrap();
-    wait_for("the list", || node.handle().is_ready());
+    assert!(node.handle().is_ready(), "a list that is known is there from the start");
     node
 }
 
