--- a/crates/dunelink/src/config/error.rs
+++ b/crates/dunelink/src/config/error.rs
@@ -4,6 +4,13 @@
 use std::path::{Path, PathBuf};
 
 /// What is wrong with a configuration: `FILE:LINE: KEY: WHAT`, on one line, with the parts that are known.
+///
+/// ```
+/// use dunelink::Config;
+///
+/// let error = Config::from_toml("[limits]\nsockets = \"many\"").unwrap_err();
+/// assert_eq!((error.line, &*error.key), (Some(2), "limits.sockets"));
+/// ```
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ConfigError {
     /// The file, if it came from one.
--- a/crates/dunelink/src/config/mod.rs
+++ b/crates/dunelink/src/config/mod.rs
@@ -72,6 +72,11 @@
 }
 
 /// What the node may hold.
+///
+/// ```
+/// let limits = dunelink::config::Limits { sockets: 1024, ..Default::default() };
+/// assert_eq!((limits.connections(), limits.to_servers()), (1000, 333));
+/// ```
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Limits {
@@ -87,6 +92,21 @@
 }
 
 /// What a request has to bring along.
+///
+/// ```
+/// let toml = r#"
+///     [intake]
+///     id = "refuse"
+///
+///     [[classes]]
+///     name = "view"
+///     effect = "safe"
+///     deadline = "2s"
+/// "#;
+/// let config = dunelink::Config::from_toml(toml)?;
+/// assert_eq!(config.intake.id, dunelink::config::Absent::Refuse);
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Intake {
@@ -97,6 +117,21 @@
 }
 
 /// What to do when something is absent.
+///
+/// ```
+/// let toml = r#"
+///     [intake]
+///     deadline = "default"
+///
+///     [[classes]]
+///     name = "view"
+///     effect = "safe"
+///     deadline = "2s"
+/// "#;
+/// let config = dunelink::Config::from_toml(toml)?;
+/// assert_eq!(config.intake.deadline, dunelink::config::Absent::Default);
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Absent {
@@ -108,6 +143,22 @@
 }
 
 /// What may be done for a request after its first attempt.
+///
+/// ```
+/// let toml = r#"
+///     [attempts]
+///     most = 2
+///     retry_after = "500ms"
+///
+///     [[classes]]
+///     name = "view"
+///     effect = "safe"
+///     deadline = "2s"
+/// "#;
+/// let config = dunelink::Config::from_toml(toml)?;
+/// assert_eq!((config.attempts.most, config.attempts.retry_after.as_millis()), (2, 500));
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Attempts {
@@ -123,6 +174,24 @@
 }
 
 /// The fleet as a whole, and this node's place in it.
+///
+/// ```
+/// let toml = r#"
+///     [fleet]
+///     nodes = 3
+///     rank = 1
+///     zone = "b"
+///     zones = ["a", "b"]
+///
+///     [[classes]]
+///     name = "view"
+///     effect = "safe"
+///     deadline = "2s"
+/// "#;
+/// let config = dunelink::Config::from_toml(toml)?;
+/// assert_eq!(config.settings().zone, 1);
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Fleet {
@@ -162,6 +231,23 @@
 }
 
 /// Where the list of servers comes from.
+///
+/// ```
+/// let toml = r#"
+///     [roster]
+///     from = "file"
+///     path = "servers.toml"
+///     every = "1s"
+///
+///     [[classes]]
+///     name = "view"
+///     effect = "safe"
+///     deadline = "2s"
+/// "#;
+/// let config = dunelink::Config::from_toml(toml)?;
+/// assert!(matches!(config.roster, dunelink::config::RosterConfig::File { .. }));
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "from", rename_all = "lowercase", deny_unknown_fields)]
 pub enum RosterConfig {
@@ -202,6 +288,13 @@
 }
 
 /// What may happen to a request that is sent more than once.
+///
+/// ```
+/// use dunelink::config::Effect;
+///
+/// assert_eq!(serde_json::from_str::<Effect>("\"unsafe\"")?, Effect::Unsafe);
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Effect {
@@ -214,6 +307,16 @@
 }
 
 /// Which servers drop each other's repeats, and for how long.
+///
+/// ```
+/// use dunelink::config::{Class, Dedup, Effect, Group};
+/// use std::time::Duration;
+///
+/// let window = Duration::from_secs(4);
+/// let dedup = Some(Dedup { group: Group::Cell, window });
+/// let class = Class { dedup, ..Class::new("timesheet-submit", Effect::Keyed, window) };
+/// assert_eq!(class.aim(), window);
+/// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Dedup {
@@ -225,6 +328,13 @@
 }
 
 /// Which servers share what they remember.
+///
+/// ```
+/// use dunelink::config::Group;
+///
+/// assert_eq!(serde_json::to_string(&Group::Zone)?, "\"zone\"");
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Group {
@@ -237,6 +347,14 @@
 }
 
 /// A class of requests.
+///
+/// ```
+/// use dunelink::config::{Class, Effect};
+/// use std::time::Duration;
+///
+/// let class = Class { aim: Some(Duration::from_millis(300)), ..Class::new("view", Effect::Safe, Duration::from_secs(2)) };
+/// assert!(class.aim() < class.deadline);
+/// ```
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Class {
@@ -294,6 +412,23 @@
 }
 
 /// A tenant and its share.
+///
+/// ```
+/// let toml = r#"
+///     [[tenants]]
+///     name = "hakodate-keiri"
+///     quota_per_s = 12.0
+///     share = 0.14
+///
+///     [[classes]]
+///     name = "view"
+///     effect = "safe"
+///     deadline = "2s"
+/// "#;
+/// let config = dunelink::Config::from_toml(toml)?;
+/// assert_eq!(config.tenants[0].name, "hakodate-keiri");
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Tenant {
--- a/crates/dunelink/src/error.rs
+++ b/crates/dunelink/src/error.rs
@@ -8,6 +8,19 @@
 pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
 
 /// Why a request was not taken. Nothing of it was sent to a server.
+///
+/// ```
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+/// # use dunelink::{Config, Node, config::{Class, Effect}};
+/// # use std::time::Duration;
+/// # let classes = vec![Class::new("view", Effect::Safe, Duration::from_secs(1))];
+/// # let node = Node::builder(Config { classes, ..Config::default() }).start()?;
+/// let error = node.handle().call(http::Request::get("/other/7").body(String::new())?).await.unwrap_err();
+/// assert_eq!((error.status().as_u16(), error.to_string()), (404, "no such class".into()));
+/// assert_eq!(node.handle().counts().taken, 0);
+/// # Ok(()) }
+/// ```
 #[derive(Debug, thiserror::Error)]
 #[non_exhaustive]
 pub enum CallError {
@@ -37,6 +50,13 @@
 }
 
 /// What is wrong with a request.
+///
+/// ```
+/// use dunelink::{CallError, Invalid};
+///
+/// let invalid = Invalid { status: http::StatusCode::CONFLICT, reason: "taken" };
+/// assert_eq!(CallError::from(invalid).status(), 409);
+/// ```
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("{reason}")]
 pub struct Invalid {
@@ -47,6 +67,13 @@
 }
 
 /// What became of a body that could not be used.
+///
+/// ```
+/// use dunelink::{BodyError, CallError};
+///
+/// let error = CallError::from(BodyError::TooLarge { limit: 65_536 });
+/// assert_eq!((error.status().as_u16(), error.to_string()), (413, "the body is over 65536 bytes".into()));
+/// ```
 #[derive(Debug, thiserror::Error)]
 #[non_exhaustive]
 pub enum BodyError {
@@ -68,6 +95,13 @@
 }
 
 /// Why a node did not start.
+///
+/// ```
+/// use dunelink::{Config, Node, StartError};
+///
+/// let error = Node::builder(Config::default()).start().map(|_| ()).unwrap_err();
+/// assert!(matches!(&error, StartError::Config(why) if why.key == "classes"), "{error}");
+/// ```
 #[derive(Debug, thiserror::Error)]
 #[non_exhaustive]
 pub enum StartError {
@@ -80,6 +114,19 @@
 }
 
 /// The node has been shut down.
+///
+/// ```
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+/// # use dunelink::{Config, Node, config::{Class, Effect}};
+/// # use std::time::Duration;
+/// # let classes = vec![Class::new("view", Effect::Safe, Duration::from_secs(1))];
+/// # let node = Node::builder(Config { classes, ..Config::default() }).start()?;
+/// let fleet = node.handle().clone();
+/// node.shutdown(Duration::ZERO).await;
+/// assert_eq!(fleet.snapshot().await, Err(dunelink::Closed));
+/// # Ok(()) }
+/// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("the node was shut down")]
 pub struct Closed;
--- a/crates/dunelink/src/http.rs
+++ b/crates/dunelink/src/http.rs
@@ -11,6 +11,15 @@
 use crate::types::Answer;
 
 /// How a response came to be; in the extensions of every response that [`respond`] makes.
+///
+/// ```
+/// use dunelink::http::{Verdict, respond};
+/// use dunelink::{Answer, CallError};
+///
+/// let failed = respond(Ok(Answer::Failed { timed_out: true }));
+/// assert_eq!((failed.status().as_u16(), failed.extensions().get()), (504, Some(&Verdict::Failed)));
+/// assert_eq!(respond(Err(CallError::Closed)).extensions().get(), Some(&Verdict::NotTaken));
+/// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
     /// A server's answer.
@@ -57,6 +66,11 @@
 }
 
 /// A response of one line of text.
+///
+/// ```
+/// let response = dunelink::http::plain(http::StatusCode::NOT_FOUND, "no such page");
+/// assert_eq!(response.status(), 404);
+/// ```
 pub fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(text.into()));
     *response.status_mut() = status;
--- a/crates/dunelink/src/node.rs
+++ b/crates/dunelink/src/node.rs
@@ -33,6 +33,18 @@
 const CROWDED: Duration = Duration::from_secs(1);
 
 /// Sets a node up.
+///
+/// ```
+/// use dunelink::config::{Class, Effect};
+/// use dunelink::{Config, Node, roster};
+/// use std::time::Duration;
+///
+/// let classes = vec![Class::new("view", Effect::Safe, Duration::from_secs(1))];
+/// let (list, roster) = roster::channel();
+/// let node = Node::builder(Config { classes, ..Config::default() }).roster(roster).start()?;
+/// # drop((list, node));
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
 pub struct Builder {
     config: Config,
     roster: Option<Box<dyn Roster>>,
@@ -40,11 +52,42 @@
 
 /// A running node. It ends when it is dropped: what is open is then answered as failed. [`Node::shutdown`]
 /// gives it time.
+///
+/// ```
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+/// # use dunelink::{Config, Node, config::{Class, Effect}};
+/// # use std::time::Duration;
+/// # let classes = vec![Class::new("view", Effect::Safe, Duration::from_secs(1))];
+/// # let node = Node::builder(Config { classes, ..Config::default() }).start()?;
+/// // Two nodes in one process share nothing.
+/// let other = Node::builder(Config {
+///     classes: vec![Class::new("order", Effect::Unsafe, Duration::from_secs(3))],
+///     ..Config::default()
+/// });
+/// let other = other.start()?;
+/// node.shutdown(Duration::from_secs(1)).await;
+/// assert!(!other.handle().is_closed());
+/// # Ok(()) }
+/// ```
 pub struct Node {
     handle: Handle,
 }
 
 /// The way to a node: cheap to clone, and usable from any thread.
+///
+/// ```
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+/// # use dunelink::{Config, Node, config::{Class, Effect}};
+/// # use std::time::Duration;
+/// # let classes = vec![Class::new("view", Effect::Safe, Duration::from_secs(1))];
+/// # let node = Node::builder(Config { classes, ..Config::default() }).start()?;
+/// let fleet = node.handle().clone();
+/// let call = tokio::spawn(async move { fleet.call(http::Request::get("/view/7").body(String::new()).unwrap()).await });
+/// assert!(call.await??.is_refused(), "this node knows no server");
+/// # Ok(()) }
+/// ```
 #[derive(Clone)]
 pub struct Handle {
     shared: Arc<Shared>,
@@ -217,6 +260,20 @@
 
 /// A request that the node can take: whole, and in order. It counts as taken once [`Received::answer`] is
 /// polled; dropped before that, nothing has happened.
+///
+/// ```
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+/// # use dunelink::{Config, Node, config::{Class, Effect}};
+/// # use std::time::Duration;
+/// # let classes = vec![Class::new("view", Effect::Safe, Duration::from_secs(1))];
+/// # let node = Node::builder(Config { classes, ..Config::default() }).start()?;
+/// let received = node.handle().receive(http::Request::get("/view/7").body(String::new())?, None).await?;
+/// // A front that has no room itself turns it away; it still has its one final answer.
+/// assert!(received.refuse(Duration::from_secs(1)).is_refused());
+/// assert_eq!(node.handle().counts().refused, 1);
+/// # Ok(()) }
+/// ```
 pub struct Received {
     handle: Handle,
     head: Head,
--- a/crates/dunelink/src/roster/channel.rs
+++ b/crates/dunelink/src/roster/channel.rs
@@ -28,6 +28,14 @@
 pub struct RosterSender(mpsc::Sender<Update>);
 
 /// The node that the list was for has ended, or takes no updates now.
+///
+/// ```
+/// use dunelink::{Update, roster};
+///
+/// let (sender, roster) = roster::channel();
+/// drop(roster);
+/// assert_eq!(sender.try_send(Update::whole([])), Err(roster::RosterGone::Ended));
+/// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum RosterGone {
     /// It has ended, or was never started.
--- a/crates/dunelink/src/roster/file.rs
+++ b/crates/dunelink/src/roster/file.rs
@@ -9,6 +9,17 @@
 
 /// A list in a TOML file of `[[servers]]` entries, read again when its text changes. A file that is missing or
 /// wrong changes nothing and is logged once; so is one without any server, which is hardly ever meant.
+///
+/// ```
+/// use dunelink::roster::{File, Roster};
+///
+/// let path = std::env::temp_dir().join(format!("servers-{}.toml", std::process::id()));
+/// std::fs::write(&path, "[[servers]]\nuid = \"s-1\"\nendpoint = \"127.0.0.1:9001\"\n")?;
+/// let mut roster = File::new(&path, std::time::Duration::from_secs(1));
+/// assert_eq!(roster.known().map(|list| list.servers.len()), Some(1));
+/// std::fs::remove_file(&path)?;
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
 pub struct File {
     path: PathBuf,
     every: Duration,
--- a/crates/dunelink/src/roster/fixed.rs
+++ b/crates/dunelink/src/roster/fixed.rs
@@ -2,6 +2,13 @@
 use crate::types::{Server, Update};
 
 /// A list that never changes.
+///
+/// ```
+/// use dunelink::{Server, roster::Fixed};
+///
+/// let roster = Fixed::new([Server::new("s-1", ([127, 0, 0, 1], 9001).into())]);
+/// # drop(roster);
+/// ```
 pub struct Fixed(Vec<Server>);
 
 impl Fixed {
--- a/crates/dunelink/src/roster/watch.rs
+++ b/crates/dunelink/src/roster/watch.rs
@@ -32,6 +32,15 @@
 
 /// The platform's discovery: a chunked answer that stays open and holds a line for each change. When it moves
 /// to another address, the watch goes on there from where it was.
+///
+/// ```
+/// use dunelink::roster::Watch;
+///
+/// let (watch, mover) = Watch::new(([127, 0, 0, 1], 8500).into());
+/// // `watch` goes to `Builder::roster`; when discovery moves:
+/// mover.move_to(([127, 0, 0, 2], 8500).into());
+/// # drop(watch);
+/// ```
 pub struct Watch {
     address: watch::Receiver<SocketAddr>,
 }
--- a/crates/dunelink/src/snapshot.rs
+++ b/crates/dunelink/src/snapshot.rs
@@ -10,6 +10,19 @@
 
 /// How requests ended since the start. Each that was taken ends up in one of `served`, `refused`, `failed` and
 /// `left`.
+///
+/// ```
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+/// # use dunelink::{Config, Node, config::{Class, Effect}};
+/// # use std::time::Duration;
+/// # let classes = vec![Class::new("view", Effect::Safe, Duration::from_secs(1))];
+/// # let node = Node::builder(Config { classes, ..Config::default() }).start()?;
+/// node.handle().call(http::Request::get("/view/7").body(String::new())?).await?;
+/// let counts = node.handle().counts();
+/// assert_eq!(counts.taken, counts.served + counts.refused + counts.failed + counts.left);
+/// # Ok(()) }
+/// ```
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
     /// Requests that the node took.
@@ -27,6 +40,18 @@
 }
 
 /// How a node stands.
+///
+/// ```
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+/// # use dunelink::{Config, Node, config::{Class, Effect}};
+/// # use std::time::Duration;
+/// # let classes = vec![Class::new("view", Effect::Safe, Duration::from_secs(1))];
+/// # let node = Node::builder(Config { classes, ..Config::default() }).start()?;
+/// let now = node.handle().snapshot().await?;
+/// assert_eq!((now.servers.len(), now.open, now.held, now.connections), (0, 0, 0, 0));
+/// # Ok(()) }
+/// ```
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Snapshot {
     /// The servers that it may send to, by name. One that drains or is gone is not among them.
@@ -46,6 +71,19 @@
 }
 
 /// A server, as the node sees it.
+///
+/// ```
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+/// # use dunelink::{Config, Node, Server, config::{Class, Effect}, roster::Fixed};
+/// # use std::time::Duration;
+/// # let classes = vec![Class::new("view", Effect::Safe, Duration::from_secs(1))];
+/// let server = Server::new("s-1", ([127, 0, 0, 1], 9001).into());
+/// let node = Node::builder(Config { classes, ..Config::default() }).roster(Fixed::new([server])).start()?;
+/// let seen = &node.handle().snapshot().await?.servers[0];
+/// assert_eq!((&*seen.uid, seen.in_flight, seen.idle), ("s-1", 0, 0));
+/// # Ok(()) }
+/// ```
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServerView {
     /// Its name in the list.
--- a/crates/dunelink/src/types.rs
+++ b/crates/dunelink/src/types.rs
@@ -11,6 +11,14 @@
 use tokio::time::Instant;
 
 /// What a list says of a server.
+///
+/// ```
+/// use dunelink::{Server, ServerState};
+///
+/// let server = Server::new("s-1", ([127, 0, 0, 1], 9001).into());
+/// assert_eq!(server.state, ServerState::Ready);
+/// assert_eq!(server.with_state(ServerState::Draining).state, ServerState::Draining);
+/// ```
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum ServerState {
@@ -24,6 +32,14 @@
 }
 
 /// One server in a list.
+///
+/// ```
+/// use dunelink::Server;
+///
+/// let server = Server { cell: 3, weight: 2.0, ..Server::new("s-1", ([127, 0, 0, 1], 9001).into()) };
+/// // Pools are built from the name alone, so that every node builds the same ones.
+/// assert_eq!(server.id(), Server::new("s-1", ([10, 0, 0, 7], 80).into()).id());
+/// ```
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Server {
@@ -80,6 +96,15 @@
 }
 
 /// A list of servers, or changes to it.
+///
+/// ```
+/// use dunelink::{Server, ServerState, Update};
+///
+/// let server = Server::new("s-1", ([127, 0, 0, 1], 9001).into());
+/// let list = Update::whole([server.clone()]);
+/// let change = Update::changes([server.with_state(ServerState::Gone)]);
+/// assert!(list.whole && !change.whole);
+/// ```
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Update {
@@ -107,6 +132,13 @@
 }
 
 /// The one final answer to a request. [`crate::http::respond`] says what it looks like in HTTP.
+///
+/// ```
+/// use dunelink::Answer;
+///
+/// let answer = Answer::Refused { retry_after: None };
+/// assert!(answer.is_refused() && !answer.is_served());
+/// ```
 #[derive(Clone, Debug)]
 #[must_use]
 pub enum Answer {
