Policy split by concern; a pick costs the same in a pool of 10,000 as in one of 100

Room, load, avoided servers and usual failures of a pool are running sums, exact while cold servers warm up; two candidates come from an alias table with rejection, at most 64 draws, then a scan. Pools of up to 32 are looked through as before. What drains leaves at once; pools are built anew at most once in 1 us a server. Label count and pool size are settings with today's defaults.

--- /dev/null
+++ b/crates/cherryusher/benches/decide.rs
@@ -0,0 +1,128 @@
+//! What a decision costs, by the size of the fleet: `cargo bench -p cherryusher`.
+#![allow(missing_docs)] // The macro makes a public function.
+
+use std::collections::VecDeque;
+use std::hint::black_box;
+
+use cherryusher::*;
+use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
+
+const S: Micros = 1_000_000;
+const FLEETS: [u64; 4] = [10, 100, 1_000, 10_000];
+/// Requests open at any time.
+const OPEN: usize = 64;
+
+fn settings() -> Settings {
+    Settings {
+        classes: vec![Class {
+            aim: S,
+            aim_stretch: 0.0,
+            deadline: 10 * S,
+            worth: 1.0,
+            late_worth: 0.2,
+            effect: Effect::Safe,
+        }],
+        tenants: vec![Tenant { quota_per_s: 1e9, share: 0.25 }; 4],
+        max_attempts: 3,
+        cancelling: true,
+        second_copies: true,
+        ..Settings::default()
+    }
+}
+
+fn entry(id: ServerId) -> ServerEntry {
+    ServerEntry { id, state: ServerState::Ready, weight: 1.0, ..ServerEntry::default() }
+}
+
+/// A node with requests open, each of which ends when another comes.
+struct Node {
+    balancer: Balancer,
+    now: Micros,
+    next: RequestId,
+    open: VecDeque<RequestId>,
+    actions: Vec<Action>,
+}
+
+impl Node {
+    fn new(servers: u64) -> Node {
+        let balancer = Balancer::new(settings(), 7).expect("settings that fit");
+        let (open, actions) = (VecDeque::new(), Vec::new());
+        let mut node = Node { balancer, now: 100 * S, next: 0, open, actions };
+        node.tell(Event::CachedList((1..=servers).map(entry).collect()));
+        while node.open.len() < OPEN {
+            node.arrive();
+        }
+        node
+    }
+
+    fn tell(&mut self, event: Event) {
+        self.now += 10;
+        self.balancer.handle(self.now, event, &mut self.actions);
+        self.actions.clear();
+    }
+
+    fn arrive(&mut self) {
+        self.next += 1;
+        let (id, tenant) = (self.next, Some((self.next % 4) as u32));
+        let request = Request { id, class: 0, remaining: 9 * S, expected_work: None, key: Some(id), tenant };
+        self.tell(Event::Arrived(request));
+        self.open.push_back(id);
+    }
+
+    /// One request comes and one ends.
+    fn turn(&mut self) {
+        self.arrive();
+        let Some(request) = self.open.pop_front() else { return };
+        let ended = Ended { request, attempt: 0, outcome: Outcome::Served, took: 2_000, finished: true };
+        self.tell(Event::AttemptEnded(ended));
+    }
+}
+
+fn requests(c: &mut Criterion) {
+    let mut group = c.benchmark_group("request");
+    for servers in FLEETS {
+        let mut node = Node::new(servers);
+        (0..10_000).for_each(|_| node.turn());
+        group.bench_function(BenchmarkId::from_parameter(servers), |b| b.iter(|| node.turn()));
+        black_box(node.balancer.requests_kept());
+    }
+    group.finish();
+}
+
+fn changes(c: &mut Criterion) {
+    let mut group = c.benchmark_group("list change");
+    for servers in FLEETS {
+        let mut node = Node::new(servers);
+        let mut turn = 0;
+        group.bench_function(BenchmarkId::from_parameter(servers), |b| {
+            b.iter(|| {
+                turn += 1;
+                let state = if turn % 2 == 0 { ServerState::Ready } else { ServerState::Draining };
+                node.tell(Event::ServerChanges(vec![ServerEntry { state, ..entry(1) }]));
+            });
+        });
+    }
+    group.finish();
+}
+
+fn half_drains(c: &mut Criterion) {
+    c.bench_function("half of 10000 drain, 5000 open", |b| {
+        let set_up = || {
+            let mut node = Node::new(10_000);
+            while node.open.len() < 5_000 {
+                node.arrive();
+            }
+            node
+        };
+        let drain =
+            || (1..=5_000).map(|id| ServerEntry { state: ServerState::Draining, ..entry(id) }).collect();
+        b.iter_batched_ref(
+            || (set_up(), Some(Event::ServerChanges(drain()))),
+            |(node, event)| event.take().into_iter().for_each(|event| node.tell(event)),
+            BatchSize::LargeInput,
+        );
+    });
+}
+
+criterion_group!(benches, requests, changes, half_drains);
+criterion_main!(benches);
--- a/crates/cherryusher/src/api.rs
+++ b/crates/cherryusher/src/api.rs
@@ -117,6 +117,10 @@
     pub step: Micros,
     /// The longest stay away that a refused client honours.
     pub max_retry_after: Micros,
+    /// How many labels tenants are hashed to; few, so that pools keep room. At least one.
+    pub labels: u16,
+    /// The least that a label's pool takes while servers last; four or more.
+    pub pool_min: u16,
 }
 
 /// Why settings were turned down.
@@ -153,6 +157,8 @@
             fall_multiple: 2.0,
             step: 5_000,
             max_retry_after: 0,
+            labels: 2,
+            pool_min: 4,
         }
     }
 }
@@ -161,7 +167,9 @@
     /// Checks that the settings make sense together.
     pub fn check(&self) -> Result<(), SettingsError> {
         let positive = |x: f64| x.is_finite() && x >= 0.0;
-        let rules: [(bool, &'static str); 9] = [
+        let rules: [(bool, &'static str); 11] = [
+            (self.labels > 0, "there are no labels"),
+            (self.pool_min >= 4, "a pool takes fewer than four servers"),
             (!self.classes.is_empty(), "there are no request classes"),
             (self.balancers > 0, "there are no balancers"),
             (self.rank < self.balancers, "the rank is not below the number of balancers"),
--- a/crates/cherryusher/src/lib.rs
+++ b/crates/cherryusher/src/lib.rs
@@ -43,11 +43,13 @@
 //! answer goes to the client at once and finishes its request; time-outs are cut to the client's patience.
 
 pub mod api;
-mod decide;
+mod policy;
 mod state;
+#[cfg(test)]
+mod tests;
 
 pub use api::*;
-pub use decide::Balancer;
+pub use policy::Balancer;
 
 impl Balancer {
     /// How many requests it still keeps anything of: a gauge for the node that embeds it.
@@ -55,6 +57,11 @@
         self.jobs.len()
     }
 
+    /// How many servers have been looked at to pick one, since the start: the cost of picks, told without a clock.
+    pub fn servers_looked_at(&self) -> u64 {
+        self.steps
+    }
+
     /// How many requests wait in the queue for a server with room: a gauge for the node that embeds it.
     pub fn requests_held(&self) -> usize {
         self.jobs.values().filter(|job| job.held).count()
--- /dev/null
+++ b/crates/cherryusher/src/policy/admission.rs
@@ -0,0 +1,104 @@
+//! What is let in, the queue of what waits for room, and who lends room to whom.
+
+use super::*;
+
+/// The part of a pool's room that work beyond a tenant's share may fill.
+const SPARE: f64 = 0.8;
+/// A held request gives up its place after this part of its time: by half of it clients expect to hear so.
+const PLACE: f64 = 0.45;
+
+impl Balancer {
+    pub(super) fn arrived(&mut self, request: Request) {
+        let Some(class) = self.settings.classes.get(request.class) else {
+            return self.actions.push(Action::Refuse { request: request.id, retry_after: 0 });
+        };
+        let stretch = request.expected_work.map_or(0.0, |work| work as f64 * class.aim_stretch);
+        let aim_at = self.now + class.aim.saturating_add(stretch as Micros).min(class.deadline);
+        let bucket = request.tenant.and_then(|t| self.buckets.get_mut(t as usize));
+        let in_share = bucket.is_none_or(|bucket| bucket.take(self.now));
+        let ask = Ask { id: request.id, class: request.class, in_share, aim_at };
+        let pool = self.pool_of(request.tenant);
+        let give_up_at = self.now + request.remaining.saturating_sub(2 * self.settings.step);
+        let place_until = self.now + (request.remaining as f64 * PLACE) as Micros;
+        self.held[pool].push(ask);
+        let job = Job { ask, pool, key: request.key, give_up_at, place_until, held: true, ..Job::default() };
+        self.jobs.insert(request.id, job);
+        // One that comes with no time left must not be sent: its answer would be late in any case.
+        if give_up_at <= self.now || self.random.f64() >= self.admitted(&ask) {
+            return self.give_up(request.id);
+        }
+        self.dispatch();
+        self.look_at(request.id);
+    }
+
+    /// The part of such requests that is let in. A node of many sees an overload only in how long its few
+    /// attempts wait; once that eats up what the aims leave, more work would make all of it late.
+    fn admitted(&self, ask: &Ask) -> f64 {
+        let wait = self.waits.now(self.now);
+        let slack = |c: usize| self.settings.classes[c].aim as f64 - self.times[c].base;
+        let least = (0..self.times.len()).map(slack).fold(f64::MAX, f64::min);
+        // Shedding begins at a fifth of the aim's slack, but three quarters of a request's time is no load.
+        let (from, span) = match ask.in_share {
+            true => ((0.2 * slack(ask.class)).max(self.waits.typical * 0.75), 0.4 * slack(ask.class)),
+            false => (0.1 * least, 0.2 * least),
+        };
+        1.0 - self.blindness() * ((wait - from) / span.max(1.0)).clamp(0.0, 1.0)
+    }
+
+    /// Whether sending it now would probably miss the aim.
+    pub(super) fn too_late(&self, ask: &Ask) -> bool {
+        self.now as f64 + TIMELY * self.times[ask.class].usual > ask.aim_at as f64
+    }
+
+    /// What answering a held request now would earn for the time it takes.
+    fn merit(&self, ask: &Ask) -> f64 {
+        let class = &self.settings.classes[ask.class];
+        let share = if ask.in_share { 1.0 } else { self.settings.over_share_worth };
+        let timely = if self.too_late(ask) { class.late_worth } else { 1.0 };
+        class.worth * share * timely / self.times[ask.class].usual
+    }
+
+    /// Sends what is held, best first, while pools have room.
+    pub(super) fn dispatch(&mut self) {
+        for pool in 0..self.held.len() {
+            let mut blocked: Vec<Ask> = Vec::new();
+            // A few that their classes tie to full servers must not stop the others.
+            while blocked.len() < 3 && !self.held[pool].is_empty() && self.lender(pool, 1.0).is_some() {
+                let at = self.best_held(pool);
+                let ask = self.held[pool][at];
+                let part = if ask.in_share { 1.0 } else { SPARE };
+                let Some(from) = self.lender(pool, part) else { break };
+                self.held[pool].swap_remove(at);
+                match self.pick(ask.id, from) {
+                    Some(server) => self.send(ask.id, server),
+                    None => blocked.push(ask),
+                }
+            }
+            self.held[pool].append(&mut blocked);
+        }
+        if !self.looking && self.held.iter().any(|h| !h.is_empty()) {
+            self.looking = true;
+            self.actions.push(Action::Wake { after: 2 * self.settings.step, token: LOOK });
+        }
+    }
+
+    /// The pool itself while it has room; else another whose own tenants leave over half of it free.
+    fn lender(&self, pool: usize, part: f64) -> Option<usize> {
+        let lends = |p: &usize| self.held[*p].is_empty() && self.has_room(*p, LEND);
+        let mut others = (0..self.held.len()).filter(|p| *p != pool && !self.pools[*p].members.is_empty());
+        if self.has_room(pool, part) { Some(pool) } else { others.find(lends) }
+    }
+
+    /// Where the request with most merit is held; of several, the one whose aim is nearest.
+    fn best_held(&self, pool: usize) -> usize {
+        let held = self.held[pool].iter().enumerate().map(|(at, ask)| (self.merit(ask), ask.aim_at, at));
+        held.max_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1))).map_or(0, |best| best.2)
+    }
+
+    /// Whether this part of the pool's room is not yet filled; one attempt always has room.
+    pub(super) fn has_room(&self, pool: usize, part: f64) -> bool {
+        let pool = self.pool(pool);
+        let room = pool.room.at(self.now) * self.limit / f64::from(self.settings.balancers);
+        pool.in_flight == 0 || f64::from(pool.in_flight) < part * room
+    }
+}
--- /dev/null
+++ b/crates/cherryusher/src/policy/feedback.rs
@@ -0,0 +1,83 @@
+//! What outcomes teach: limits, paces, waits, and whom to leave alone for a while (outlier ejection).
+
+use super::*;
+
+/// How long a server is avoided for each of its recent failures.
+const RETREAT: f64 = 100_000.0;
+/// Nor does the limit fall below this multiple of what served in-share work needs on idle servers.
+const LIMIT_LEAST: f64 = 3.5;
+/// The usual time may rise to this multiple of the shortest it was, before limits shrink.
+const SLOWED: f64 = 1.1;
+
+impl Balancer {
+    /// Learns from an outcome how much the server takes and how long the class usually needs.
+    pub(super) fn learn(&mut self, ask: Ask, to: ServerId, end: Ended) {
+        let (class, Some(i)) = (ask.class, self.find(to)) else { return };
+        let waiting = self.held.iter().flatten().any(|ask| ask.in_share);
+        self.servers[i].in_flight -= 1;
+        self.in_pools(i, |pool| pool.in_flight -= 1);
+        // One given up has waited too; but a few very slow servers must not look like an overload of all.
+        let base = self.times[class].base;
+        let slack = (self.settings.classes[class].aim as f64 - base).max(0.0);
+        let waited = (end.took as f64 - base).min(1.2 * slack);
+        if end.outcome == Outcome::Served || waited > self.waits.mean && !end.outcome.never_ran() {
+            // Long requests vary by more than they wait: the short ones tell of waits best.
+            let shortest = self.times.iter().map(|t| t.base).fold(f64::MAX, f64::min);
+            self.waits.add(self.now, waited, base, shortest / base);
+        }
+        if end.outcome == Outcome::Served {
+            let (times, took) = (&mut self.times[class], end.took as f64);
+            let server = &mut self.servers[i];
+            let slower = if took > times.usual * server.pace { 1.0 + STEP } else { 1.0 - STEP };
+            server.pace = (server.pace * slower).clamp(PACES.0, PACES.1);
+            times.answered(took);
+            let late = end.took > self.settings.classes[class].aim;
+            // Late answers may come from pauses; while the usual time is up, more work only jams servers.
+            let slowed = times.usual > times.base * SLOWED;
+            let grown = if waiting && !late && !slowed { 1.0 + STEP / 10.0 } else { 1.0 };
+            let factor = if late && slowed { 1.0 - STEP / 2.0 } else { grown };
+            // Counting what arrives, not what is served, or a time that is a guess yet, would jam servers.
+            let counts = ask.in_share && times.seen > 5.0;
+            self.needed.add(self.now, if counts { times.base } else { 0.0 });
+            // A slowdown of all servers makes every answer late; shrinking further would only serve fewer.
+            let needed = self.needed.rate(self.now) * f64::from(self.settings.balancers)
+                / self.everyone().members.len().max(1) as f64;
+            self.limit = (self.limit * factor).max(LIMIT_LEAST * needed).max(LIMIT_START);
+        } else if !matches!(end.outcome, Outcome::Cancelled | Outcome::NotSent) {
+            // One that fails again and again is left alone for longer each time, then tried anew.
+            let now = self.now;
+            self.servers[i].failures.add(now, 1.0);
+            self.in_pools(i, |pool| pool.failures.add(now, 1.0));
+            let excess = self.excess(i);
+            self.servers[i].avoid_until = now + (excess * RETREAT) as Micros;
+        }
+        self.refresh(i);
+        self.let_go(i);
+    }
+
+    /// Recent failures beyond the usual in its pool: what befalls all alike tells nothing of one.
+    pub(super) fn excess(&self, i: usize) -> f64 {
+        let server = &self.servers[i];
+        let pool = server.pool.map_or(self.everyone(), |p| &self.pools[p]);
+        let usual = pool.failures.now(self.now).max(0.0) / pool.members.len().max(1) as f64;
+        (server.failures.now(self.now) - usual).max(0.0)
+    }
+
+    pub(super) fn room(&self, i: usize) -> f64 {
+        let server = &self.servers[i];
+        let part = self.limit / f64::from(self.settings.balancers);
+        part * server.size * self.ramp(&server.entry) / server.pace_at(self.now)
+    }
+
+    /// The part of its capacity that a starting server surely has.
+    pub(super) fn ramp(&self, entry: &ServerEntry) -> f64 {
+        let age = if entry.ready_at == 0 { Micros::MAX } else { self.now.saturating_sub(entry.ready_at) };
+        let warmed = (age as f64 / self.settings.warm_up.max(1) as f64).min(1.0);
+        self.settings.cold_from + (1.0 - self.settings.cold_from) * warmed
+    }
+
+    /// How little own counts tell: a node whose part of a server is under half an attempt sees little load.
+    pub(super) fn blindness(&self) -> f64 {
+        (1.0 - 2.0 * self.limit / f64::from(self.settings.balancers)).max(0.0)
+    }
+}
--- a/crates/cherryusher/src/state.rs
+++ b/crates/cherryusher/src/state.rs
@@ -37,12 +37,6 @@
         *self = Fading { value: self.now(now) + amount, at: now, since };
     }
 
-    /// The mean of several.
-    pub(crate) fn mean(of: impl ExactSizeIterator<Item = Fading>, now: Micros) -> Fading {
-        let many = of.len().max(1) as f64;
-        Fading { value: of.map(|f| f.now(now)).sum::<f64>() / many, at: now, since: now }
-    }
-
     /// How much is added per microsecond; what is younger than its memory has not been added up in full.
     pub(crate) fn rate(&self, now: Micros) -> f64 {
         let age = now.saturating_sub(self.since).max(RATE_FROM) as f64;
@@ -58,10 +52,15 @@
     pub(crate) in_flight: u32,
     pub(crate) pace: f64,
     pub(crate) failures: Fading,
-    /// The mean of those in its pool.
-    pub(crate) usual_failures: Fading,
     pub(crate) avoid_until: Micros,
     pub(crate) last_sent: Micros,
+    /// Whether the last whole list had it.
+    pub(crate) listed: bool,
+    /// Its pool, while it is a member of one and can be drawn.
+    pub(crate) pool: Option<usize>,
+    /// What it adds to its pool's sums, and when that next changes by itself.
+    pub(crate) standing: Standing,
+    pub(crate) due: Micros,
 }
 
 impl Server {
@@ -70,10 +69,95 @@
         let fresh = (now.saturating_sub(self.last_sent) as f64) < MEMORY;
         if fresh { self.pace } else { 1.0 }
     }
+}
+
+/// What a server adds to its pool's sums: room that grows evenly from some time on while the server is cold.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Standing {
+    pub(crate) value: f64,
+    /// By how much the value grows in a microsecond.
+    pub(crate) slope: f64,
+    pub(crate) at: Micros,
+    pub(crate) avoided: bool,
+}
+
+/// A sum of room, parts of which grow evenly.
+#[derive(Default)]
+pub(crate) struct Room {
+    value: f64,
+    slope: f64,
+    at: Micros,
+}
+
+impl Room {
+    pub(crate) fn at(&self, now: Micros) -> f64 {
+        self.value + self.slope * now.saturating_sub(self.at) as f64
+    }
+
+    /// Takes one part for another.
+    pub(crate) fn replace(&mut self, now: Micros, before: Standing, after: Standing) {
+        let gone = before.value + before.slope * now.saturating_sub(before.at) as f64;
+        self.value = self.at(now) - gone + after.value;
+        self.slope += after.slope - before.slope;
+        self.at = now;
+    }
+}
+
+/// A pool and what its members come to, together.
+#[derive(Default)]
+pub(crate) struct Pool {
+    /// In the order of their ids.
+    pub(crate) members: Vec<usize>,
+    /// Draws a member by its share.
+    pub(crate) table: Alias,
+    pub(crate) in_flight: u32,
+    /// The sum of what members have room for, as multiples of the limit's part.
+    pub(crate) room: Room,
+    pub(crate) avoided: usize,
+    pub(crate) failures: Fading,
+}
+
+impl Pool {
+    pub(crate) fn of(members: Vec<usize>) -> Pool {
+        Pool { members, ..Pool::default() }
+    }
+}
+
+/// Draws an index by weight in constant time (Walker's alias method; tables built as by Vose, 1991).
+#[derive(Default)]
+pub(crate) struct Alias {
+    /// How much of its place each index keeps, and who has the rest.
+    places: Vec<(f64, usize)>,
+}
+
+impl Alias {
+    /// A table of these weights, none of them negative.
+    pub(crate) fn new(weights: impl Iterator<Item = f64>) -> Alias {
+        let mut places: Vec<(f64, usize)> = weights.enumerate().map(|(i, weight)| (weight, i)).collect();
+        let mean = places.iter().map(|place| place.0).sum::<f64>() / places.len().max(1) as f64;
+        if mean <= 0.0 || !mean.is_finite() {
+            places.iter_mut().for_each(|place| place.0 = 1.0);
+            return Alias { places };
+        }
+        places.iter_mut().for_each(|place| place.0 /= mean);
+        let (mut small, mut large): (Vec<usize>, Vec<usize>) =
+            (0..places.len()).partition(|i| places[*i].0 < 1.0);
+        while let (Some(less), Some(more)) = (small.pop(), large.pop()) {
+            places[less].1 = more;
+            places[more].0 -= 1.0 - places[less].0;
+            if places[more].0 < 1.0 { small.push(more) } else { large.push(more) }
+        }
+        // What is left has its whole place, but for rounding.
+        small.into_iter().chain(large).for_each(|i| places[i].0 = 1.0);
+        Alias { places }
+    }
 
-    /// Recent failures beyond the usual in its pool: what befalls all alike tells nothing of one.
-    pub(crate) fn excess(&self, now: Micros) -> f64 {
-        (self.failures.now(now) - self.usual_failures.now(now)).max(0.0)
+    /// The index that a number from 0 up to 1 draws. There must be one.
+    pub(crate) fn draw(&self, number: f64) -> usize {
+        let at = number * self.places.len() as f64;
+        let index = (at as usize).min(self.places.len().saturating_sub(1));
+        let (keeps, other) = self.places[index];
+        if at - (index as f64) < keeps { index } else { other }
     }
 }
 
--- a/crates/cherryusher/tests/common/mod.rs
+++ b/crates/cherryusher/tests/common/mod.rs
@@ -42,6 +42,8 @@
         fall_multiple: 2.0,
         step: 5 * MS,
         max_retry_after: 0,
+        labels: 2,
+        pool_min: 4,
     }
 }
 
--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -329,6 +329,8 @@
             true => s.micros("allowed.max_retry_after_us", d.max_retry_after)?,
             false => 0,
         },
+        labels: d.labels,
+        pool_min: d.pool_min,
     })
 }
 
--- a/crates/dunelink/src/config/mod.rs
+++ b/crates/dunelink/src/config/mod.rs
@@ -228,6 +228,10 @@
     /// The longest time between two looks at the clock.
     #[serde(with = "humantime_serde")]
     pub step: Duration,
+    /// How many labels tenants are hashed to: each has a pool of servers of its own. The same at every node.
+    pub labels: u16,
+    /// The least that a label's pool takes while servers last; four or more. The same at every node.
+    pub pool_min: u16,
 }
 
 /// Where the list of servers comes from.
@@ -500,6 +504,8 @@
             live_weights: false,
             cross_zone_price: 0.0,
             step: Duration::from_millis(5),
+            labels: 2,
+            pool_min: 4,
         }
     }
 }
@@ -606,6 +612,8 @@
             fall_multiple: f.fall_multiple,
             step: micros(f.step),
             max_retry_after: micros(self.attempts.retry_after),
+            labels: f.labels,
+            pool_min: f.pool_min,
         }
     }
 
@@ -642,6 +650,8 @@
         want(positive(f.cross_zone_price), "fleet.cross_zone_price", "expected a number of 0 or more")?;
         want(!f.connect_timeout.is_zero(), "fleet.connect_timeout", "expected a time above 0")?;
         want(!f.step.is_zero(), "fleet.step", "expected a time above 0")?;
+        want(f.labels > 0 && f.labels <= 4096, "fleet.labels", "expected 1 to 4096")?;
+        want(f.pool_min >= 4, "fleet.pool_min", "expected at least 4")?;
         want(!self.classes.is_empty(), "classes", "expected at least one [[classes]] entry")?;
         let mut names = HashSet::new();
         for (i, class) in self.classes.iter().enumerate() {
--- a/crates/dunelink/src/config/platform.rs
+++ b/crates/dunelink/src/config/platform.rs
@@ -311,6 +311,8 @@
                 live_weights: s.weights.as_deref() == Some("live"),
                 cross_zone_price: s.prices.cross_zone,
                 step: or(s.step_us, absent.step),
+                labels: absent.labels,
+                pool_min: absent.pool_min,
             },
             roster: RosterConfig::Watch { address: self.discovery, ask_every: asked.then(|| time(ask)) },
             known: self.known.into(),
