--- a/crates/dunelinkd/src/demo/view.rs
+++ b/crates/dunelinkd/src/demo/view.rs
@@ -134,8 +134,8 @@
             Cell::from(bar).style(color(place.state)),
         ])
     });
-    let widths = [6, 9, 9, 5, 7, 6, 30].map(Constraint::Length);
-    let header = Row::new(["server", "state", "in flight", "idle", "in work", "  per s", ""]).bold();
+    let widths = [6, 9, 9, 5, 7, 7, 30].map(Constraint::Length);
+    let header = Row::new(["server", "state", "in flight", "idle", "in work", " per s", ""]).bold();
     let table = Table::new(rows, widths).header(header).block(Block::bordered().title("servers"));
     frame.render_widget(table, servers);
 
