--- a/crates/dunelink/src/node.rs
+++ b/crates/dunelink/src/node.rs
@@ -134,9 +134,14 @@
         let engine = Engine::new(self.balancer, servers, self.mailbox, wanted, self.tally);
         async move {
             let _ended = ended;
-            let _roster = AbortOnDropHandle::new(tokio::task::spawn_local(roster));
-            let _sweep = AbortOnDropHandle::new(tokio::task::spawn_local(sweep));
+            let roster = AbortOnDropHandle::new(tokio::task::spawn_local(roster));
+            let sweep = AbortOnDropHandle::new(tokio::task::spawn_local(sweep));
             engine.run(inbox).await;
+            // Who hears that the node has ended must not find any of it at work.
+            for task in [roster, sweep] {
+                task.abort();
+                let _ = task.await;
+            }
         }
     }
 }
