Library: layer and client service ask the fleet by one function

Read again: Fleet and FleetService each wrote the same call, place and mapping to HTTP, and the layer mapped errors that its future maps anyway; Handle::call took a place as receive does; the longest deadline stood in two files. Each stands once now.

--- a/crates/dunelink/src/config/mod.rs
+++ b/crates/dunelink/src/config/mod.rs
@@ -24,7 +24,7 @@
 /// Descriptors for all but connections: standard streams, epoll, wake-ups, signals, the listener, discovery.
 const SPARE_SOCKETS: usize = 24;
 /// No deadline is longer, whatever the settings say.
-const LONGEST: Duration = Duration::from_secs(3600);
+pub(crate) const LONGEST: Duration = Duration::from_secs(3600);
 
 /// Everything a node goes by. [`Config::default`] is one node with no classes and no servers; it wants at least
 /// a class.
--- a/crates/dunelink/src/intake.rs
+++ b/crates/dunelink/src/intake.rs
@@ -12,13 +12,11 @@
 use http::{Method, StatusCode};
 use tokio::time::Instant;
 
-use crate::config::{Absent, Config, Effect, Intake as Rules};
+use crate::config::{Absent, Config, Effect, Intake as Rules, LONGEST};
 use crate::error::Invalid;
 use crate::headers::{COST, DEADLINE, ID, KEY, OWNER, drop_hop_headers, only};
 use crate::types::Outgoing;
 
-/// No deadline is longer, whatever the settings say.
-const LONGEST: Duration = Duration::from_secs(3600);
 /// The most bytes of headers, as they stand on the wire: what a server's connection buffers.
 const HEADERS_MOST: usize = 32 * 1024;
 /// The longest id.
--- a/crates/dunelink/src/node.rs
+++ b/crates/dunelink/src/node.rs
@@ -303,8 +303,7 @@
         B: Body,
         B::Error: Into<BoxError>,
     {
-        let place = self.places().try_acquire_owned().ok();
-        Ok(self.receive_in(request, None, place).await?.answer().await)
+        Ok(self.receive(request, None).await?.answer().await)
     }
 
     /// Reads and checks a request, by `within` at the latest, without taking it yet. For fronts that have more
--- a/crates/dunelink/src/tower.rs
+++ b/crates/dunelink/src/tower.rs
@@ -52,9 +52,19 @@
         Poll::Ready(Ok(()))
     }
 
-    /// The place in hand, or one that happens to be free.
-    fn take(&mut self) -> Option<OwnedSemaphorePermit> {
-        self.taken.take().or_else(|| self.handle.places().try_acquire_owned().ok())
+    /// Sends a request to the fleet, in the place in hand or one that happens to be free.
+    fn ask<B>(&mut self, request: Request<B>) -> Answering
+    where
+        B: Body + Send + 'static,
+        B::Data: Send,
+        B::Error: Into<BoxError>,
+    {
+        let handle = self.handle.clone();
+        let place = self.taken.take().or_else(|| handle.places().try_acquire_owned().ok());
+        Box::pin(async move {
+            let answer = handle.receive_in(request, None, place).await?.answer().await;
+            Ok(respond(Ok(answer)))
+        })
     }
 }
 
@@ -113,11 +123,7 @@
     }
 
     fn call(&mut self, request: Request<B>) -> Answering {
-        let (handle, place) = (self.places.handle.clone(), self.places.take());
-        Box::pin(async move {
-            let answer = handle.receive_in(request, None, place).await?.answer().await;
-            Ok(respond(Ok(answer)))
-        })
+        self.places.ask(request)
     }
 }
 
@@ -241,16 +247,7 @@
             // A place in hand is for the next one.
             return FleetFuture::Inner { future: self.inner.call(request) };
         }
-        let (handle, place) = (self.places.handle.clone(), self.places.take());
-        FleetFuture::Fleet {
-            future: Box::pin(async move {
-                let received = handle.receive_in(request, None, place).await;
-                Ok(respond(match received {
-                    Ok(received) => Ok(received.answer().await),
-                    Err(error) => Err(error),
-                }))
-            }),
-        }
+        FleetFuture::Fleet { future: self.places.ask(request) }
     }
 }
 
