--- a/bench/src/cost.rs
+++ b/bench/src/cost.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::rc::Rc;
 use std::time::Duration;
@@ -42,11 +42,11 @@
     /// The daemon's program.
     #[arg(long, default_value = "target/release/dunelink")]
     daemon: PathBuf,
+    /// Another build of the daemon, to compare with.
+    #[arg(long)]
+    before: Option<PathBuf>,
 }
 
-/// The ways to the servers.
-const WAYS: [&str; 3] = ["no balancer", "daemon", "library"];
-
 /// What one way showed in one round.
 #[derive(Clone, Copy)]
 struct Figures {
@@ -162,16 +162,16 @@
 }
 
 /// Starts the daemon.
-async fn daemon(options: &Options, list: &[Server]) -> anyhow::Result<(Child, SocketAddr)> {
+async fn daemon(program: &Path, list: &[Server]) -> anyhow::Result<(Child, SocketAddr)> {
     let path = std::env::temp_dir().join(format!("dunelink-bench-{}.toml", std::process::id()));
     std::fs::write(&path, config("daemon", list).to_toml()?)?;
-    let mut child = Command::new(&options.daemon)
+    let mut child = Command::new(program)
         .args(["run", "--config"])
         .arg(&path)
         .stderr(Stdio::piped())
         .kill_on_drop(true)
         .spawn()
-        .with_context(|| format!("{}", options.daemon.display()))?;
+        .with_context(|| format!("{}", program.display()))?;
     let mut line = String::new();
     let mut log = BufReader::new(child.stderr.take().context("no log")?);
     log.read_line(&mut line).await?;
@@ -185,36 +185,40 @@
     let (_servers, addresses) = servers(options.servers).await?;
     let list: Vec<Server> =
         addresses.iter().enumerate().map(|(i, a)| Server::new(format!("s-{i}"), *a)).collect();
-    let (daemon, front) = daemon(options, &list).await?;
-    let daemon = daemon.id().map(|id| (id, daemon)).context("the daemon has ended")?;
+    let programs = options.before.iter().map(|p| ("daemon before", p)).chain([("daemon", &options.daemon)]);
+    let mut ways = vec![("no balancer", Way::Pool(Pool::new(addresses)))];
+    let mut daemons = Vec::new();
+    for (name, program) in programs {
+        let (child, front) = daemon(program, &list).await?;
+        ways.push((name, Way::Pool(Pool::new(vec![front]))));
+        daemons.push(child);
+    }
+    let processes: Vec<u32> = daemons.iter().filter_map(Child::id).chain([std::process::id()]).collect();
     let node = Node::builder(config("library", &list)).roster(roster::Fixed::new(list.clone())).start()?;
-    let ways = [
-        Way::Pool(Pool::new(addresses)),
-        Way::Pool(Pool::new(vec![front])),
-        Way::Library(node.handle().clone()),
-    ];
-    let mut rounds: [Vec<Figures>; 3] = Default::default();
+    ways.push(("library", Way::Library(node.handle().clone())));
+    let mut rounds: Vec<Vec<Figures>> = vec![Vec::new(); ways.len()];
     let mut number = 0;
     for round in 0..=options.rounds {
-        for (way, all) in ways.iter().zip(&mut rounds) {
-            let figures = play(way, options, &mut number, daemon.0).await?;
+        for ((_, way), all) in ways.iter().zip(&mut rounds) {
+            let figures = play(way, options, &mut number, &processes).await?;
             // The first round opens connections and warms up.
             if round > 0 {
                 all.push(figures);
             }
         }
     }
-    report(options, &rounds);
+    let names: Vec<&str> = ways.iter().map(|(name, _)| *name).collect();
+    report(options, &names, &rounds);
     node.shutdown(Duration::from_secs(1)).await;
     Ok(())
 }
 
 /// Sends requests one way for some seconds.
-async fn play(way: &Way, options: &Options, number: &mut u64, daemon: u32) -> anyhow::Result<Figures> {
+async fn play(way: &Way, options: &Options, number: &mut u64, processes: &[u32]) -> anyhow::Result<Figures> {
     let times = Rc::new(RefCell::new(Vec::new()));
     let mut random = fastrand::Rng::with_seed(*number);
     let mut tasks = JoinSet::new();
-    let used = || -> anyhow::Result<Duration> { Ok(cpu(std::process::id())? + cpu(daemon)?) };
+    let used = || processes.iter().map(|process| cpu(*process)).sum::<anyhow::Result<Duration>>();
     let (began, before) = (Instant::now(), used()?);
     let (mut next, end) = (began, began + Duration::from_secs(options.seconds));
     while next < end {
@@ -242,7 +246,7 @@
     Ok(Figures { median: at(0.5), p99: at(0.99), cpu: used / times.len() as u32 })
 }
 
-fn report(options: &Options, rounds: &[Vec<Figures>; 3]) {
+fn report(options: &Options, names: &[&str], rounds: &[Vec<Figures>]) {
     println!(
         "{} requests a second, {} servers that answer at once, {} rounds of {} s for each way, taking turns; \
          medians over the rounds",
@@ -258,7 +262,7 @@
     };
     let figures = |way| [middle(&|f| f.median, way), middle(&|f| f.p99, way), middle(&|f| f.cpu, way)];
     let base = figures(0);
-    for (way, name) in WAYS.iter().enumerate() {
+    for (way, name) in names.iter().enumerate() {
         let [median, p99, cpu] = figures(way);
         println!(
             "| {name} | {median:.0} us | {:+.0} us | {p99:.0} us | {:+.0} us | {cpu:.0} us | {:.2} |",
--- a/crates/dunelink/src/config/mod.rs
+++ b/crates/dunelink/src/config/mod.rs
@@ -117,6 +117,7 @@
     pub deadline: Absent,
     /// Whether a request of HTTP/1.1 without `Host` is an error, as RFC 9112 has it, or is taken: a call from
     /// within a program has no connection that it came by. The daemon turns it down whatever is said here.
+    #[serde(skip_serializing_if = "is_default")]
     pub host: Absent,
 }
 
