Shards: engines on a thread each, with connections and one list dealt out among them

The node ran on one thread. fleet.shards (default 1: nothing changes) gives it so many engines that share nothing but open ids, places and one reader of the list. Each counts as one of nodes x shards balancers, with its part of descriptors and connections. The daemon accepts on a thread of its own and deals connections out by fewest; what a shard that stands still was dealt is dealt again. The library's calls go to the less busy of two shards.

Found by a test: the engine's own count of open calls does not grow while it stands still, so half of all calls went there; callers count now. Before anything is sent, a shard looks up what the reader knows to take requests: calls that came before a drain, in a shard that stood still, go elsewhere.

--- a/crates/dunelink/src/config/check.rs
+++ b/crates/dunelink/src/config/check.rs
@@ -4,7 +4,7 @@
 
 use dunelink_edge::target::is_class_name;
 
-use super::{Config, Effect, Problem, RosterConfig};
+use super::{Config, Effect, Problem, RosterConfig, SHARD_SOCKETS, SPARE_SOCKETS};
 use crate::types::Server;
 
 /// A class's name has to be read alike by all.
@@ -28,6 +28,23 @@
         want(self.attempts.most > 0, "attempts.most", "expected at least 1")?;
         let f = &self.fleet;
         want(f.nodes > 0, "fleet.nodes", "expected at least 1")?;
+        want(f.shards > 0 && f.shards <= 256, "fleet.shards", "expected 1 to 256")?;
+        want(
+            f.nodes.checked_mul(f.shards).is_some(),
+            "fleet.nodes",
+            "expected fewer: times shards, they overflow",
+        )?;
+        let parts = f.shards as usize;
+        want(
+            parts == 1 || l.sockets >= SPARE_SOCKETS + (SHARD_SOCKETS + 8) * parts,
+            "limits.sockets",
+            "expected at least 24, and 12 for each shard",
+        )?;
+        want(
+            l.server_connections.is_none_or(|most| most >= parts),
+            "limits.server_connections",
+            "expected at least one for each shard",
+        )?;
         want(f.rank < f.nodes, "fleet.rank", "expected a number below fleet.nodes")?;
         want(
             f.zone.is_empty() || f.zones.contains(&f.zone),
--- a/crates/dunelink/src/config/mod.rs
+++ b/crates/dunelink/src/config/mod.rs
@@ -24,6 +24,8 @@
 
 /// Descriptors for all but connections: standard streams, epoll, wake-ups, signals, the listener, discovery.
 const SPARE_SOCKETS: usize = 24;
+/// Descriptors that each of several shards needs for itself: its epoll, timers and wake-ups.
+pub(crate) const SHARD_SOCKETS: usize = 4;
 /// No deadline is longer, whatever the settings say.
 pub(crate) const LONGEST: Duration = Duration::from_secs(3600);
 
@@ -202,6 +204,10 @@
 pub struct Fleet {
     /// How many nodes share the work.
     pub nodes: u32,
+    /// How many shards each node has: engines on a thread each, between which its connections are dealt out. The
+    /// same for all nodes of the fleet.
+    #[serde(skip_serializing_if = "is_one")]
+    pub shards: u32,
     /// This node's number among them, from 0.
     pub rank: u32,
     /// The zone that this node is in, one of `zones`.
@@ -395,6 +401,10 @@
     1.0
 }
 
+fn is_one(number: &u32) -> bool {
+    *number == 1
+}
+
 fn is_default<T: Default + PartialEq>(value: &T) -> bool {
     *value == T::default()
 }
@@ -496,6 +506,7 @@
     fn default() -> Fleet {
         Fleet {
             nodes: 1,
+            shards: 1,
             rank: 0,
             zone: String::new(),
             zones: Vec::new(),
@@ -556,6 +567,23 @@
         self.check().map_err(ConfigError::from)
     }
 
+    /// The part of one of its shards: a balancer of its own among `nodes` times `shards`, with its part of
+    /// descriptors and connections. Open requests are bounded for all together.
+    pub(crate) fn shard(&self, number: u32) -> Config {
+        let count = self.fleet.shards;
+        if count <= 1 {
+            return self.clone();
+        }
+        let mut config = Config { name: format!("{}/{number}", self.name), ..self.clone() };
+        let fleet = &mut config.fleet;
+        (fleet.nodes, fleet.rank, fleet.shards) = (fleet.nodes * count, fleet.rank * count + number, 1);
+        let parts = count as usize;
+        let sockets = self.limits.sockets.saturating_sub(SPARE_SOCKETS + SHARD_SOCKETS * parts);
+        config.limits.sockets = SPARE_SOCKETS + sockets / parts;
+        config.limits.server_connections = self.limits.server_connections.map(|most| most / parts);
+        config
+    }
+
     /// The longest that any client waits.
     pub fn longest(&self) -> Duration {
         self.classes.iter().map(|class| class.deadline.min(LONGEST)).max().unwrap_or_default()
--- a/crates/dunelink/src/config/platform.rs
+++ b/crates/dunelink/src/config/platform.rs
@@ -297,6 +297,7 @@
                 },
             },
             fleet: Fleet {
+                shards: 1,
                 nodes: s.balancers.unwrap_or(absent.nodes),
                 rank: s.rank.unwrap_or(absent.rank),
                 zone: zones.get(zone).cloned().unwrap_or_default(),
--- a/crates/dunelink/src/intake.rs
+++ b/crates/dunelink/src/intake.rs
@@ -1,7 +1,7 @@
 //! What a request must look like, and what of it the decision module is told.
 
 use std::collections::{HashMap, HashSet};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,6 +20,8 @@
 
 /// The most bytes of headers, as they stand on the wire: what a server's connection buffers.
 const HEADERS_MOST: usize = 32 * 1024;
+/// How many parts the open ids are kept in.
+const ID_PARTS: usize = 16;
 /// The longest id.
 const ID_MOST: usize = 128;
 /// The host that a server is asked by, where the request names none.
@@ -101,7 +103,8 @@
     classes: HashMap<String, ClassRule>,
     tenants: HashMap<String, u32>,
     rules: Rules,
-    ids: Mutex<HashSet<Box<str>>>,
+    /// In parts, as shards share them.
+    ids: [Mutex<HashSet<Box<str>>>; ID_PARTS],
 }
 
 /// What was found in a request's head.
@@ -128,7 +131,7 @@
             classes: config.classes.iter().enumerate().map(rule).collect(),
             tenants: (0..).zip(&config.tenants).map(|(index, t)| (t.name.clone(), index)).collect(),
             rules: config.intake,
-            ids: Mutex::default(),
+            ids: Default::default(),
         }
     }
 
@@ -193,10 +196,15 @@
         })
     }
 
+    fn ids(&self, id: &str) -> MutexGuard<'_, HashSet<Box<str>>> {
+        let part = xxhash_rust::xxh3::xxh3_64(id.as_bytes()) as usize % ID_PARTS;
+        self.ids[part].lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Takes the request's id, or makes one, for as long as the request is open.
     pub(crate) fn claim(self: &Arc<Self>, head: &Head, number: RequestId) -> Result<Claimed, Invalid> {
         let id = head.id.clone().unwrap_or_else(|| format!("{number:016x}").into());
-        let new = self.ids.lock().unwrap_or_else(PoisonError::into_inner).insert(id.clone());
+        let new = self.ids(&id).insert(id.clone());
         match new {
             true => Ok(Claimed { id, intake: self.clone() }),
             false => {
@@ -215,7 +223,7 @@
 
 impl Drop for Claimed {
     fn drop(&mut self) {
-        self.intake.ids.lock().unwrap_or_else(PoisonError::into_inner).remove(&self.id);
+        self.intake.ids(&self.id).remove(&self.id);
     }
 }
 
--- a/crates/dunelink/src/lib.rs
+++ b/crates/dunelink/src/lib.rs
@@ -66,6 +66,6 @@
 pub use config::Config;
 pub use error::{BodyError, BoxError, CallError, Closed, Invalid, StartError};
 pub use intake::ext;
-pub use node::{Builder, Handle, Node, Received};
+pub use node::{Builder, Handle, Node, Parts, Received, Shard, Source};
 pub use snapshot::{Counts, ServerView, Snapshot};
 pub use types::{Answer, Server, ServerState, Update};
--- a/crates/dunelink/src/roster/mod.rs
+++ b/crates/dunelink/src/roster/mod.rs
@@ -20,6 +20,7 @@
 mod channel;
 mod file;
 mod fixed;
+mod hub;
 mod watch;
 
 use std::collections::HashMap;
@@ -35,6 +36,7 @@
 pub use channel::{ChannelRoster, RosterGone, RosterSender, channel};
 pub use file::File;
 pub use fixed::Fixed;
+pub(crate) use hub::{Hub, Ready};
 pub use watch::{Watch, WatchMover};
 
 use crate::config::Config;
@@ -87,13 +89,22 @@
     }
 }
 
+/// Who is fed.
+enum To {
+    Engine {
+        reader: Reader,
+        servers: Rc<Servers>,
+        engine: Mailbox,
+        /// Told when the module wants to be told of changes.
+        wanted: Rc<Notify>,
+    },
+    /// All shards of a node.
+    Hub(Hub),
+}
+
 /// The way from a roster to the node.
 pub struct Feed {
-    reader: Reader,
-    servers: Rc<Servers>,
-    engine: Mailbox,
-    /// Told when the module wants to be told of changes.
-    wanted: Rc<Notify>,
+    to: To,
     asked: bool,
     rev: u64,
     random: fastrand::Rng,
@@ -108,11 +119,17 @@
         engine: Mailbox,
         wanted: Rc<Notify>,
     ) -> Feed {
+        Feed::to(To::Engine { reader: Reader::new(config), servers, engine, wanted }, config, seed)
+    }
+
+    /// The way to all shards of a node.
+    pub(crate) fn of_hub(config: &Config, seed: u64, hub: Hub) -> Feed {
+        Feed::to(To::Hub(hub), config, seed)
+    }
+
+    fn to(to: To, config: &Config, seed: u64) -> Feed {
         Feed {
-            reader: Reader::new(config),
-            servers,
-            engine,
-            wanted,
+            to,
             asked: config.settings().discovery != Discovery::Pushed,
             rev: config.known.rev,
             random: fastrand::Rng::with_seed(seed),
@@ -122,26 +139,32 @@
 
     /// Passes on a list, or changes to it. From here on nothing new goes to a server that drains or is gone.
     pub fn update(&mut self, update: &Update) {
-        let list = self.take(update);
-        self.engine.send(Happening::Module(if update.whole {
-            Event::ServerList(list)
-        } else {
-            Event::ServerChanges(list)
-        }));
+        self.take(update, if update.whole { Event::ServerList } else { Event::ServerChanges });
     }
 
     /// Passes on the list as it was held before the start: it may be old.
     pub(crate) fn cached(&mut self, update: &Update) {
-        let list = self.take(update);
-        self.engine.send(Happening::Module(Event::CachedList(list)));
+        self.take(update, Event::CachedList);
     }
 
     /// Tells addresses and states to the servers' side at once; the rest is for the engine.
-    fn take(&mut self, update: &Update) -> Vec<ServerEntry> {
+    fn take(&mut self, update: &Update, event: fn(Vec<ServerEntry>) -> Event) {
         self.rev = update.rev;
-        let list: Vec<ServerEntry> = update.servers.iter().map(|s| self.reader.entry(s)).collect();
-        self.servers.list_changed(list.iter().copied().zip(&update.servers), update.whole);
-        list
+        match &self.to {
+            To::Engine { reader, servers, engine, .. } => {
+                let list: Vec<ServerEntry> = update.servers.iter().map(|s| reader.entry(s)).collect();
+                servers.list_changed(list.iter().copied().zip(&update.servers), update.whole);
+                engine.send(Happening::Module(event(list)));
+            }
+            To::Hub(hub) => hub.update(update),
+        }
+    }
+
+    /// From now on nothing new goes to a server that is not among these.
+    pub(crate) fn heed(&self, ready: Arc<Ready>) {
+        if let To::Engine { servers, .. } = &self.to {
+            servers.heed(ready);
+        }
     }
 
     /// The version of the list that was last passed on; at first that of the list which the node started with.
@@ -151,8 +174,12 @@
 
     /// The source failed, for now. Where it is asked, the decision module says when to ask again.
     pub fn failed(&self) {
-        if self.asked {
-            self.engine.send(Happening::Module(Event::DiscoveryFailed));
+        match &self.to {
+            To::Engine { engine, .. } if self.asked => {
+                engine.send(Happening::Module(Event::DiscoveryFailed));
+            }
+            To::Engine { .. } => {}
+            To::Hub(hub) => hub.failed(),
         }
     }
 
@@ -163,8 +190,10 @@
 
     /// Waits until the source should be asked; at once where it sends by itself.
     pub async fn wanted(&self) {
-        if self.asked {
-            self.wanted.notified().await;
+        match &self.to {
+            _ if !self.asked => {}
+            To::Engine { wanted, .. } => wanted.notified().await,
+            To::Hub(hub) => hub.wanted().await,
         }
     }
 
--- a/crates/dunelink/src/servers.rs
+++ b/crates/dunelink/src/servers.rs
@@ -1,6 +1,6 @@
 //! The servers' side: who they are, the idle connections to them, and one attempt at a time on each.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -27,6 +27,7 @@
 
 use crate::config::Config;
 use crate::line::{Line, Place, ServerSocket};
+use crate::roster::Ready;
 use crate::types::{Outgoing, Server};
 
 /// What a connection may buffer; it bounds headers too.
@@ -116,6 +117,8 @@
     body_most: usize,
     connect_timeout: Duration,
     idle_most: Duration,
+    /// What a reader on another thread knows to take requests, where there is one: it hears of drains first.
+    ready: OnceCell<Arc<Ready>>,
     /// Until when kept connections are known to break at their next request.
     wary_until: Cell<Option<Instant>>,
 }
@@ -130,6 +133,7 @@
             body_most: config.limits.body,
             connect_timeout: config.fleet.connect_timeout,
             idle_most: config.fleet.keepalive.mul_f64(IDLE_PART),
+            ready: OnceCell::new(),
             wary_until: Cell::new(None),
         }
     }
@@ -180,7 +184,14 @@
 
     /// Where to reach the server and when it started, if it takes requests.
     fn whereabouts(&self, server: ServerId) -> Option<(SocketAddr, Micros)> {
-        self.members.borrow().get(&server).map(|m| (m.endpoint, m.started))
+        let there = self.members.borrow().get(&server).map(|m| (m.endpoint, m.started))?;
+        self.ready.get().is_none_or(|ready| ready.has(server, there.0)).then_some(there)
+    }
+
+    /// From now on nothing new goes to a server that is not among these.
+    pub(crate) fn heed(&self, ready: Arc<Ready>) {
+        // A shard has one reader for its whole life.
+        let _ = self.ready.set(ready);
     }
 
     /// The freshest idle connection that has rested and is quiet; older ones are retired in time.
--- a/crates/dunelink/src/snapshot.rs
+++ b/crates/dunelink/src/snapshot.rs
@@ -39,6 +39,20 @@
     pub invalid: u64,
 }
 
+impl Counts {
+    /// Both together.
+    pub(crate) fn plus(self, other: Counts) -> Counts {
+        Counts {
+            taken: self.taken + other.taken,
+            served: self.served + other.served,
+            refused: self.refused + other.refused,
+            failed: self.failed + other.failed,
+            left: self.left + other.left,
+            invalid: self.invalid + other.invalid,
+        }
+    }
+}
+
 /// How a node stands.
 ///
 /// ```
@@ -70,6 +84,27 @@
     pub counts: Counts,
 }
 
+impl Snapshot {
+    /// Adds another shard's.
+    pub(crate) fn add(&mut self, other: Snapshot) {
+        for server in other.servers {
+            match self.servers.binary_search_by(|own| own.uid.cmp(&server.uid)) {
+                Ok(at) => {
+                    self.servers[at].in_flight += server.in_flight;
+                    self.servers[at].idle += server.idle;
+                }
+                Err(at) => self.servers.insert(at, server),
+            }
+        }
+        self.open += other.open;
+        self.kept += other.kept;
+        self.held += other.held;
+        self.in_flight += other.in_flight;
+        self.connections += other.connections;
+        self.counts = self.counts.plus(other.counts);
+    }
+}
+
 /// A server, as the node sees it.
 ///
 /// ```
--- a/crates/dunelinkd/src/clients.rs
+++ b/crates/dunelinkd/src/clients.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::pin::pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -24,6 +25,7 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::dealer::Seat;
 use crate::socket::{ClientSocket, Seen};
 
 /// What a connection may buffer; it bounds headers too.
@@ -39,9 +41,9 @@
 /// For how long an older one has to be idle before it is closed.
 const IDLE_LEAST: Duration = Duration::from_millis(100);
 /// How long accepting pauses when there are no descriptors left.
-const NO_SOCKETS: Duration = Duration::from_millis(10);
+pub(crate) const NO_SOCKETS: Duration = Duration::from_millis(10);
 /// How long the listener has to stay silent, once told to stop, for the kernel to have nothing more.
-const LAST_LOOK: Duration = Duration::from_millis(20);
+pub(crate) const LAST_LOOK: Duration = Duration::from_millis(20);
 /// How long the first request on a connection may lag behind it at the end.
 const LATE_REQUEST: Duration = Duration::from_millis(200);
 /// How long a connection may take to end once it should, beyond the longest deadline.
@@ -86,6 +88,10 @@
 /// The listener's side of the node.
 pub(crate) struct Clients {
     node: Handle,
+    /// The whole node, where this is one of its shards.
+    whole: Handle,
+    /// Who deals connections out, where there are several shards.
+    seat: Option<Arc<Seat>>,
     /// How many connections there may be, of clients and to servers together, and of clients alone. A client's
     /// is taken while its request is held, a server's only while an attempt is out: clients need more.
     all: usize,
@@ -94,6 +100,8 @@
     longest: Duration,
     phase: Cell<Phase>,
     able: Cell<bool>,
+    /// The number of the next connection.
+    next: Cell<u64>,
     connections: RefCell<HashMap<u64, Rc<Connection>>>,
     /// How many of them have a request open, and how many were told to end.
     busy: Cell<usize>,
@@ -103,15 +111,17 @@
 }
 
 impl Clients {
-    pub(crate) fn new(config: &Config, node: Handle) -> Clients {
-        let all = config.limits.connections();
+    pub(crate) fn new(config: &Config, node: Handle, whole: Handle) -> Clients {
         Clients {
             node,
-            all,
-            most: all.saturating_sub(config.limits.to_servers()).max(1),
+            whole,
+            seat: None,
+            all: config.limits.connections(),
+            most: Clients::most(config),
             longest: config.longest(),
             phase: Cell::new(Phase::Serving),
             able: Cell::new(false),
+            next: Cell::new(0),
             connections: RefCell::default(),
             busy: Cell::new(0),
             closing: Cell::new(0),
@@ -119,9 +129,18 @@
         }
     }
 
+    /// How many connections of clients there may be.
+    pub(crate) fn most(config: &Config) -> usize {
+        config.limits.connections().saturating_sub(config.limits.to_servers()).max(1)
+    }
+
+    /// The clients of one shard, that has this place at the dealer's.
+    pub(crate) fn at(self, seat: Arc<Seat>) -> Clients {
+        Clients { seat: Some(seat), ..self }
+    }
+
     /// Takes connections in until `stop` is told, then what the kernel still has: that counts as taken.
     pub(crate) async fn accept(self: Rc<Self>, listener: TcpListener, stop: Rc<Notify>) {
-        let mut number = 0;
         let mut stopping = false;
         loop {
             // Beyond the budget connections wait in the kernel: to accept and drop one would lose a request.
@@ -139,10 +158,7 @@
                 }
             };
             match accepted {
-                Ok((stream, _)) => {
-                    number += 1;
-                    self.clone().adopt(number, stream);
-                }
+                Ok((stream, _)) => self.clone().adopt(stream),
                 Err(error) => {
                     if out_of_sockets(&error) {
                         self.make_room();
@@ -155,7 +171,8 @@
     }
 
     /// Serves a new connection; if there are many, the one that is idle for longest makes room.
-    fn adopt(self: Rc<Self>, number: u64, stream: TcpStream) {
+    pub(crate) fn adopt(self: Rc<Self>, stream: TcpStream) {
+        let number = self.next.replace(self.next.get() + 1);
         // It costs speed only.
         let _ = stream.set_nodelay(true);
         let (socket, seen) = ClientSocket::new(stream);
@@ -175,6 +192,9 @@
             self.connections.borrow_mut().remove(&number);
             self.closing.set(self.closing.get() - usize::from(connection.closing.get()));
             self.freed.notify_one();
+            if let Some(seat) = &self.seat {
+                seat.ended();
+            }
         });
     }
 
@@ -207,7 +227,7 @@
     }
 
     /// Ends the connection that has been idle for longest, if one can be.
-    fn make_room(&self) {
+    pub(crate) fn make_room(&self) {
         let connections = self.connections.borrow();
         let idle = connections.values().filter_map(|c| Some((c.spare_since()?, c)));
         if let Some((_, connection)) = idle.min_by_key(|(since, _)| *since) {
@@ -304,7 +324,7 @@
         if method != Method::GET && method != Method::HEAD {
             return plain(StatusCode::METHOD_NOT_ALLOWED, "GET only");
         }
-        self.able.set(self.able.get() || self.node.is_ready());
+        self.able.set(self.able.get() || self.whole.is_ready());
         match self.able.get() && self.phase.get() == Phase::Serving {
             true => plain(StatusCode::OK, "ok"),
             false => plain(StatusCode::SERVICE_UNAVAILABLE, "not serving"),
@@ -340,7 +360,7 @@
 type Wrong = Response<Full<Bytes>>;
 
 /// Whether the node or its machine has no descriptor left.
-fn out_of_sockets(error: &io::Error) -> bool {
+pub(crate) fn out_of_sockets(error: &io::Error) -> bool {
     const ENFILE: i32 = 23;
     const EMFILE: i32 = 24;
     matches!(error.raw_os_error(), Some(ENFILE | EMFILE))
--- a/crates/dunelinkd/src/main.rs
+++ b/crates/dunelinkd/src/main.rs
@@ -1,8 +1,10 @@
 //! One dunelink node as a program, and what operators do with its files.
 
 mod clients;
+mod dealer;
 mod demo;
 mod serve;
+mod shards;
 mod socket;
 
 use std::path::PathBuf;
--- a/crates/dunelinkd/src/serve.rs
+++ b/crates/dunelinkd/src/serve.rs
@@ -7,7 +7,7 @@
 use anyhow::{Context, anyhow};
 use dunelink::config::{Absent, RosterConfig};
 use dunelink::roster::{Watch, WatchMover};
-use dunelink::{Config, Node};
+use dunelink::{Config, Counts, Node, Parts};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::Notify;
@@ -15,13 +15,14 @@
 use tokio::time::{sleep, timeout};
 
 use crate::clients::Clients;
+use crate::shards::Shards;
 
 /// For how long after SIGTERM connections are taken in: new ones come for up to 0.4 s.
 const STILL_ACCEPT: Duration = Duration::from_millis(500);
 /// SIGKILL may come 3.7 s after SIGTERM: by then all has to be answered.
 const STAY_MOST: Duration = Duration::from_millis(3400);
 /// What comes on top of the longest deadline, and what the last answers may take.
-const LAST_ANSWERS: Duration = Duration::from_millis(100);
+pub(crate) const LAST_ANSWERS: Duration = Duration::from_millis(100);
 
 /// The file that the configuration is in.
 pub(crate) enum Source {
@@ -81,9 +82,28 @@
         builder = builder.roster(watch);
         mover = Some(moves);
     }
-    let node = builder.start_local()?;
+    let Parts { node, mut shards, source: list, .. } = builder.split()?;
     spawn_local(reread(source, hang_up, mover));
-    let clients = Rc::new(Clients::new(&config, node.handle().clone()));
+    let wait = (config.longest() + LAST_ANSWERS).min(STAY_MOST.saturating_sub(STILL_ACCEPT));
+    if let Some(list) = list {
+        spawn_local(list.run());
+        let mut shards = Shards::start(shards, node.handle(), listener)?;
+        terminate.recv().await;
+        eprintln!("dunelink: {} is leaving", config.name);
+        shards.leave();
+        sleep(STILL_ACCEPT).await;
+        shards.stop().await;
+        shards.close(wait).await;
+        // A shard that stands still can't be waited for; its requests are lost with the process.
+        let handle = node.handle().clone();
+        let ended = timeout(2 * LAST_ANSWERS, node.shutdown(Duration::ZERO)).await;
+        farewell(&config, ended.unwrap_or_else(|_| handle.counts()));
+        shards.end().await;
+        return Ok(());
+    }
+    let shard = shards.pop().context("a node has a shard")?;
+    let clients = Rc::new(Clients::new(&config, shard.handle(), node.handle().clone()));
+    spawn_local(shard.run());
     let watched = clients.clone();
     spawn_local(async move { watched.sweep().await });
     let stop = Rc::new(Notify::new());
@@ -96,18 +116,22 @@
     stop.notify_one();
     // Where all connections are busy, the kernel's would be waited for too long.
     let _ = timeout(LAST_ANSWERS, accepting).await;
-    let wait = (config.longest() + LAST_ANSWERS).min(STAY_MOST.saturating_sub(STILL_ACCEPT));
     let in_time = timeout(wait, clients.close()).await.is_ok();
     // What is open now is answered as failed: the process is about to be ended.
     let counts = node.shutdown(Duration::ZERO).await;
     if !in_time {
         let _ = timeout(LAST_ANSWERS, clients.close()).await;
     }
+    farewell(&config, counts);
+    Ok(())
+}
+
+/// The last line of the log.
+fn farewell(config: &Config, counts: Counts) {
     eprintln!(
         "dunelink: {} has ended: {} served, {} refused, {} failed, {} left",
         config.name, counts.served, counts.refused, counts.failed, counts.left
     );
-    Ok(())
 }
 
 /// Reads the configuration anew at each SIGHUP. Only discovery moves while the node runs; a file that is
