Hot path: one clock a turn, no second task a request, idle connections evicted in order; load bench

A profile at full load showed no single spot: C library allocations 14%, clock readings 4.5%, with thousands of servers the walk over all of them for each eviction.

--- /dev/null
+++ b/bench/src/load/plot.rs
@@ -0,0 +1,78 @@
+//! The plot: throughput and p99 by the size of the fleet, by shards and by connections.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+
+use anyhow::anyhow;
+use plotters::prelude::*;
+
+use super::{Case, Figures, Way};
+
+const SIZE: (u32, u32) = (1200, 720);
+/// Colours that are told apart by those who see few.
+const COLOURS: [RGBColor; 4] =
+    [RGBColor(120, 120, 120), RGBColor(0, 114, 178), RGBColor(230, 159, 0), RGBColor(0, 158, 115)];
+
+/// Draws to this file.
+pub(super) fn draw(path: &Path, medians: &BTreeMap<Case, Figures>) -> anyhow::Result<()> {
+    if let Some(folder) = path.parent() {
+        std::fs::create_dir_all(folder)?;
+    }
+    panels(path, medians).map_err(|error| anyhow!("{}: {error}", path.display()))
+}
+
+/// A dimension: its title, and a case's place on it if it lies there.
+type Dimension = (&'static str, fn(&Case) -> Option<f64>);
+/// A figure: its title, and its value.
+type Figure = (&'static str, fn(&Figures) -> f64);
+
+fn panels(path: &Path, medians: &BTreeMap<Case, Figures>) -> Result<(), Box<dyn std::error::Error>> {
+    let area = SVGBackend::new(path, SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let dimensions: [Dimension; 3] = [
+        ("servers", |c| (c.shards == 1 && c.connections == 64).then_some(c.fleet as f64)),
+        ("shards (64 connections each)", |c| {
+            (c.fleet == 8 && c.connections == 64 * c.shards as usize).then_some(f64::from(c.shards))
+        }),
+        ("connections", |c| (c.fleet == 8 && c.shards == 1).then_some(c.connections as f64)),
+    ];
+    let figures: [Figure; 2] = [("requests a second", |f| f.per_second), ("p99, ms", |f| f.p99_ms)];
+    for (at, panel) in area.split_evenly((2, 3)).iter().enumerate() {
+        let ((figure, value), (dimension, place)) = (figures[at / 3], dimensions[at % 3]);
+        let lines: Vec<(Way, Vec<(f64, f64)>)> = Way::ALL
+            .iter()
+            .map(|way| {
+                let own = medians.iter().filter(|(case, _)| case.way == *way);
+                (*way, own.filter_map(|(case, figures)| Some((place(case)?, value(figures)))).collect())
+            })
+            .collect();
+        let points = || lines.iter().flat_map(|(_, points)| points);
+        let (least, most) = points().fold((f64::MAX, 1.0_f64), |(l, m), (x, _)| (l.min(*x), m.max(*x)));
+        let top = points().fold(0.0_f64, |top, (_, y)| top.max(*y)) * 1.1;
+        if top <= 0.0 {
+            continue;
+        }
+        let mut chart = ChartBuilder::on(panel)
+            .caption(format!("{figure} by {dimension}"), ("sans-serif", 16))
+            .margin(10)
+            .x_label_area_size(28)
+            .y_label_area_size(60)
+            .build_cartesian_2d((least * 0.9..most * 1.1).log_scale(), 0.0..top)?;
+        chart.configure_mesh().x_labels(6).y_labels(6).light_line_style(WHITE).draw()?;
+        for ((way, points), colour) in lines.iter().zip(COLOURS).filter(|((_, points), _)| !points.is_empty())
+        {
+            chart
+                .draw_series(LineSeries::new(points.iter().copied(), colour.stroke_width(2)))?
+                .label(way.name())
+                .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour.stroke_width(2)));
+            chart.draw_series(points.iter().map(|point| Circle::new(*point, 3, colour.filled())))?;
+        }
+        if at == 0 {
+            let legend = chart.configure_series_labels();
+            let mut legend = legend;
+            legend.background_style(WHITE.mix(0.8)).border_style(BLACK.mix(0.3)).draw()?;
+        }
+    }
+    area.present()?;
+    Ok(())
+}
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -2,8 +2,10 @@
 //! process. One command prints the table; the modes take turns within the run, so that they meet the same machine.
 //!
 //!     cargo build --release --workspace && target/release/dunelink-bench cost
+//!     target/release/dunelink-bench load --svg docs/load.svg
 
 mod cost;
+mod load;
 mod servers;
 mod usage;
 
@@ -22,6 +24,17 @@
 enum Command {
     /// Added time and CPU for each request: no balancer, the daemon, the library.
     Cost(cost::Options),
+    /// Requests a second and latency under full load, side by side with other proxies; a table and a plot.
+    Load(load::Options),
+    /// A proxy to stand beside; it prints its address.
+    #[command(hide = true)]
+    Peer(load::Peer),
+    /// The clients of a case; they print what they saw.
+    #[command(hide = true)]
+    Generate(load::Generate),
+    /// Stand-in servers for `load`; they print their addresses and serve until their input ends.
+    #[command(hide = true)]
+    Stand,
     /// Stand-in servers; told their number, they print their addresses and serve until their input ends.
     #[command(hide = true)]
     Servers {
@@ -33,6 +46,10 @@
 fn main() -> ExitCode {
     let done = match Line::parse().command {
         Command::Cost(options) => cost::run(&options),
+        Command::Load(options) => load::run(&options),
+        Command::Peer(peer) => load::peer(&peer),
+        Command::Generate(options) => load::generate(&options),
+        Command::Stand => load::stand(),
         Command::Servers { count } => servers::run(count),
     };
     match done {
--- a/crates/dunelink/src/engine.rs
+++ b/crates/dunelink/src/engine.rs
@@ -17,7 +17,7 @@
 use tokio_util::time::DelayQueue;
 use tokio_util::time::delay_queue::Key;
 
-use crate::servers::Servers;
+use crate::servers::{Attempted, Servers};
 use crate::snapshot::{ServerView, Snapshot, Tally};
 use crate::types::{Answer, Outgoing};
 
@@ -95,6 +95,8 @@
     subscribe: Rc<Notify>,
     started: Instant,
     started_us: Micros,
+    /// The time of this turn of the loop: all that happens in one has one time.
+    now: Micros,
     timers: DelayQueue<u64>,
     open: HashMap<RequestId, Open>,
     queue: VecDeque<Event>,
@@ -114,13 +116,15 @@
     ) -> Engine {
         // One clock: Unix time, so that the servers' start times compare, moved on by the monotonic one.
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let started_us = unix.as_micros() as Micros;
         Engine {
+            now: started_us,
             balancer,
             servers,
             mailbox,
             subscribe,
             started: Instant::now(),
-            started_us: unix.as_micros() as Micros,
+            started_us,
             timers: DelayQueue::new(),
             open: HashMap::new(),
             queue: VecDeque::new(),
@@ -130,7 +134,11 @@
     }
 
     fn now(&self) -> Micros {
-        self.started_us + self.started.elapsed().as_micros() as Micros
+        self.now
+    }
+
+    fn read_clock(&mut self) {
+        self.now = self.started_us + self.started.elapsed().as_micros() as Micros;
     }
 
     /// Works until it is told to end. Everything taken has its answer then.
@@ -148,10 +156,14 @@
             };
             tokio::select! {
                 happening = inbox.recv() => match happening {
-                    Some(happening) => self.take(happening),
+                    Some(happening) => {
+                        self.read_clock();
+                        self.take(happening);
+                    }
                     None => break,
                 },
                 Some(due) = poll_fn(|cx| self.timers.poll_expired(cx)), if !self.timers.is_empty() => {
+                    self.read_clock();
                     self.woken(due.into_inner());
                 }
                 () = late, if ends.is_some() => break,
@@ -328,11 +340,15 @@
         let (outgoing, answered) = (open.outgoing.clone(), open.answer.is_none());
         let task = tokio::task::spawn_local(async move {
             // Nothing is sent for a request after its answer.
-            let (outcome, response) = match answered {
-                true => (Outcome::NotSent, None),
+            let Attempted { outcome, response, spare } = match answered {
+                true => Attempted::of(Outcome::NotSent),
                 false => servers.attempt(&outgoing, server).await,
             };
             mailbox.send(Happening::Ended(request, number, outcome, response));
+            // The answer does not wait for the connection to prove that it can be used again.
+            if let Some(spare) = spare {
+                servers.keep(spare).await;
+            }
         });
         open.attempts.push(Attempt { server, sent_at, task: Some(task.abort_handle()) });
     }
--- /dev/null
+++ b/crates/dunelink/src/idle.rs
@@ -0,0 +1,70 @@
+//! In which order connections became idle, over all servers: who has been so for longest is found without a look at
+//! each server.
+
+use std::collections::VecDeque;
+
+/// Stale entries are thrown out once there are this many, and more than half are.
+const STALE_LEAST: usize = 64;
+
+/// Entries in the order in which they came. One that is no more is not taken out at once: whoever asks says which
+/// ones still are.
+#[derive(Debug)]
+pub(crate) struct Order<K> {
+    entries: VecDeque<(K, u64)>,
+    next: u64,
+}
+
+impl<K> Default for Order<K> {
+    fn default() -> Order<K> {
+        Order { entries: VecDeque::new(), next: 0 }
+    }
+}
+
+impl<K: Copy> Order<K> {
+    /// Adds one, and tells its number. `live` is how many there are now, this one included.
+    pub(crate) fn push(&mut self, key: K, live: usize, is_live: impl Fn(K, u64) -> bool) -> u64 {
+        if self.entries.len() >= STALE_LEAST.max(2 * live) {
+            self.entries.retain(|(key, number)| is_live(*key, *number));
+        }
+        let number = self.next;
+        self.next += 1;
+        self.entries.push_back((key, number));
+        number
+    }
+
+    /// Takes out the oldest that still is.
+    pub(crate) fn pop(&mut self, is_live: impl Fn(K, u64) -> bool) -> Option<(K, u64)> {
+        while let Some((key, number)) = self.entries.pop_front() {
+            if is_live(key, number) {
+                return Some((key, number));
+            }
+        }
+        None
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::collections::HashSet;
+
+    use super::*;
+
+    #[test]
+    fn the_oldest_that_still_is_comes_first_and_stale_ones_do_not_pile_up() {
+        let mut order = Order::default();
+        let mut live = HashSet::new();
+        for round in 0..10_000_u64 {
+            let number = order.push(round % 7, live.len() + 1, |_, number| live.contains(&number));
+            live.insert(number);
+            // All but every hundredth is used again at once.
+            if round % 100 != 0 {
+                live.remove(&number);
+            }
+            assert!(order.entries.len() <= STALE_LEAST.max(2 * live.len() + 2), "{}", order.entries.len());
+        }
+        let popped: Vec<u64> = std::iter::from_fn(|| order.pop(|_, number| live.contains(&number)))
+            .map(|(_, number)| number)
+            .collect();
+        assert_eq!(popped, (0..10_000).step_by(100).collect::<Vec<_>>());
+    }
+}
--- a/crates/dunelink/src/lib.rs
+++ b/crates/dunelink/src/lib.rs
@@ -52,6 +52,7 @@
 mod error;
 pub mod headers;
 pub mod http;
+mod idle;
 mod intake;
 mod line;
 mod listing;
--- a/crates/dunelink/src/servers.rs
+++ b/crates/dunelink/src/servers.rs
@@ -26,6 +26,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::config::Config;
+use crate::idle::Order;
 use crate::line::{Line, Place, ServerSocket};
 use crate::roster::Ready;
 use crate::types::{Outgoing, Server};
@@ -77,6 +78,8 @@
     /// When its server had started as it was opened.
     started: Micros,
     idle_since: Instant,
+    /// Its number among those that became idle.
+    number: u64,
     _task: AbortOnDropHandle<()>,
 }
 
@@ -106,11 +109,37 @@
     idle: Vec<Connection>,
 }
 
+/// Whether a server has this idle connection. Numbers grow along each server's list.
+fn is_idle(members: &HashMap<ServerId, Member>, server: ServerId, number: u64) -> Option<usize> {
+    members.get(&server)?.idle.binary_search_by_key(&number, |c| c.number).ok()
+}
+
+/// A connection that an attempt has left over, for [`Servers::keep`].
+pub(crate) struct Spare {
+    server: ServerId,
+    connection: Connection,
+}
+
+/// How an attempt ended.
+pub(crate) struct Attempted {
+    pub(crate) outcome: Outcome,
+    pub(crate) response: Option<Response<Bytes>>,
+    pub(crate) spare: Option<Spare>,
+}
+
+impl Attempted {
+    pub(crate) fn of(outcome: Outcome) -> Attempted {
+        Attempted { outcome, response: None, spare: None }
+    }
+}
+
 /// All servers that discovery has named, and the connections to them.
 pub(crate) struct Servers {
     members: RefCell<HashMap<ServerId, Member>>,
     /// Whether there is any to send to, for other threads.
     any_ready: Arc<AtomicBool>,
+    /// Who became idle when, over all servers.
+    order: RefCell<Order<ServerId>>,
     open: Rc<Cell<usize>>,
     most: usize,
     /// The most bytes in an answer's body.
@@ -128,6 +157,7 @@
         Servers {
             members: RefCell::default(),
             any_ready,
+            order: RefCell::default(),
             open: Rc::default(),
             most: config.limits.to_servers(),
             body_most: config.limits.body,
@@ -198,9 +228,11 @@
     fn take_idle(&self, server: ServerId) -> Option<Connection> {
         let mut members = self.members.borrow_mut();
         let idle = &mut members.get_mut(&server)?.idle;
-        while let Some(at) = idle.iter().rposition(|c| c.idle_since.elapsed() >= REST) {
+        let now = Instant::now();
+        let idle_for = |c: &Connection| now.saturating_duration_since(c.idle_since);
+        while let Some(at) = idle.iter().rposition(|c| idle_for(c) >= REST) {
             let connection = idle.remove(at);
-            let fresh = connection.idle_since.elapsed() < self.idle_most;
+            let fresh = idle_for(&connection) < self.idle_most;
             // What has come since would be read as the next request's answer.
             if fresh && connection.sender.is_ready() && connection.line.is_quiet() {
                 return Some(connection);
@@ -210,15 +242,20 @@
     }
 
     /// Keeps a connection for the next attempt, if the server still takes any.
-    async fn keep(&self, server: ServerId, mut connection: Connection) {
+    pub(crate) async fn keep(&self, Spare { server, mut connection }: Spare) {
         // hyper says it is ready once it has found nothing behind the answer that it has read.
         if !matches!(timeout(WHOLE_WITHIN, connection.sender.ready()).await, Ok(Ok(()))) {
             return;
         }
         connection.idle_since = Instant::now();
-        if let Some(member) = self.members.borrow_mut().get_mut(&server)
-            && (member.endpoint, member.started) == (connection.endpoint, connection.started)
-        {
+        let mut members = self.members.borrow_mut();
+        let there = members.get(&server).map(|m| (m.endpoint, m.started));
+        if there != Some((connection.endpoint, connection.started)) {
+            return;
+        }
+        let still = |server, number| is_idle(&members, server, number).is_some();
+        connection.number = self.order.borrow_mut().push(server, self.open.get(), still);
+        if let Some(member) = members.get_mut(&server) {
             member.idle.push(connection);
         }
     }
@@ -243,21 +280,19 @@
     /// Closes the connection that has been idle for longest; tells whether there was one.
     pub(crate) fn evict(&self) -> bool {
         let mut members = self.members.borrow_mut();
-        let oldest = members.values_mut().filter(|m| !m.idle.is_empty());
-        match oldest.min_by_key(|m| m.idle[0].idle_since) {
-            Some(member) => {
-                member.idle.remove(0);
-                true
-            }
-            None => false,
-        }
+        let still = |server, number| is_idle(&members, server, number).is_some();
+        let Some((server, number)) = self.order.borrow_mut().pop(still) else { return false };
+        let at = is_idle(&members, server, number);
+        members.get_mut(&server).zip(at).map(|(member, at)| member.idle.remove(at)).is_some()
     }
 
     /// Retires idle connections well before servers close them: a request that crosses a close is lost.
     pub(crate) async fn sweep(&self) {
         loop {
             sleep(SWEEP).await;
-            let fits = |c: &Connection| c.idle_since.elapsed() < self.idle_most && !c.sender.is_closed();
+            let now = Instant::now();
+            let idle_for = |c: &Connection| now.saturating_duration_since(c.idle_since);
+            let fits = |c: &Connection| idle_for(c) < self.idle_most && !c.sender.is_closed();
             self.members.borrow_mut().values_mut().for_each(|m| m.idle.retain(fits));
         }
     }
@@ -285,47 +320,40 @@
             let _ = connection.await;
         });
         let _task = AbortOnDropHandle::new(task);
-        Ok(Connection { sender, line, endpoint, started, idle_since: Instant::now(), _task })
+        Ok(Connection { sender, line, endpoint, started, idle_since: Instant::now(), number: 0, _task })
     }
 
     /// One attempt, to its end.
-    pub(crate) async fn attempt(
-        self: &Rc<Self>,
-        outgoing: &Outgoing,
-        server: ServerId,
-    ) -> (Outcome, Option<Response<Bytes>>) {
+    pub(crate) async fn attempt(&self, outgoing: &Outgoing, server: ServerId) -> Attempted {
         let begun = Cell::new(false);
         match timeout_at(outgoing.deadline, self.send(outgoing, server, &begun)).await {
             Ok(ended) => ended,
-            Err(_) if begun.get() => (Outcome::TimedOut, None),
-            Err(_) => (Outcome::NotSent, None),
+            Err(_) if begun.get() => Attempted::of(Outcome::TimedOut),
+            Err(_) => Attempted::of(Outcome::NotSent),
         }
     }
 
     /// Sends the request on an idle connection or a new one; `begun` is set once it may be on the socket.
-    async fn send(
-        self: &Rc<Self>,
-        outgoing: &Outgoing,
-        server: ServerId,
-        begun: &Cell<bool>,
-    ) -> (Outcome, Option<Response<Bytes>>) {
+    async fn send(&self, outgoing: &Outgoing, server: ServerId, begun: &Cell<bool>) -> Attempted {
         loop {
             let kept = if self.wary(outgoing) { None } else { self.take_idle(server) };
             let (mut connection, fresh) = match kept {
                 Some(connection) => (connection, false),
                 None => {
-                    let Some(there) = self.whereabouts(server) else { return (Outcome::NotSent, None) };
+                    let Some(there) = self.whereabouts(server) else {
+                        return Attempted::of(Outcome::NotSent);
+                    };
                     match self.connect(there).await {
                         Ok(connection) => (connection, true),
-                        Err(outcome) => return (outcome, None),
+                        Err(outcome) => return Attempted::of(outcome),
                     }
                 }
             };
             // A drain may have been heard of while the connection came up.
             if self.whereabouts(server) != Some((connection.endpoint, connection.started)) {
-                return (Outcome::NotSent, None);
+                return Attempted::of(Outcome::NotSent);
             }
-            let Some(mut request) = outgoing.request() else { return (Outcome::NotSent, None) };
+            let Some(mut request) = outgoing.request() else { return Attempted::of(Outcome::NotSent) };
             let hints = Arc::new(AtomicUsize::new(0));
             let heard_hint = hints.clone();
             on_informational(&mut request, move |_| {
@@ -341,7 +369,7 @@
                 biased;
                 answered = connection.sender.send_request(request) => answered,
                 // What has come is no answer, nor will be one.
-                () = stuck.as_mut() => return (Outcome::Reset, None),
+                () = stuck.as_mut() => return Attempted::of(Outcome::Reset),
             };
             let written = line.written() - before;
             let response = match answered {
@@ -355,51 +383,50 @@
                     continue;
                 }
                 // A server begins a request when its last byte has come.
-                Err(_) if written < whole => return (Outcome::ConnectFailed, None),
+                Err(_) if written < whole => return Attempted::of(Outcome::ConnectFailed),
                 Err(error) => {
                     // Nothing came: not a spoilt answer, but the end of a connection that had looked well.
                     if !fresh && !error.is_parse() {
                         self.wary_until.set(Some(Instant::now() + WARY));
                     }
-                    return (Outcome::Reset, None);
+                    return Attempted::of(Outcome::Reset);
                 }
             };
             return tokio::select! {
                 biased;
                 finished = self.finish(server, connection, response) => finished,
-                () = stuck.as_mut() => (Outcome::Reset, None),
+                () = stuck.as_mut() => Attempted::of(Outcome::Reset),
             };
         }
     }
 
     /// Reads an answer whole, and keeps the connection if it can be used again.
     async fn finish(
-        self: &Rc<Self>,
+        &self,
         server: ServerId,
         connection: Connection,
         response: Response<hyper::body::Incoming>,
-    ) -> (Outcome, Option<Response<Bytes>>) {
+    ) -> Attempted {
         let (mut parts, body) = response.into_parts();
         // Of an answer that ends with its connection, a part looks whole.
         if !answer::states_its_end(&parts.headers, parts.version)
             || body.size_hint().lower() > self.body_most as u64
         {
-            return (Outcome::Reset, None);
+            return Attempted::of(Outcome::Reset);
         }
         let Ok(body) = Limited::new(body, self.body_most).collect().await else {
-            return (Outcome::Reset, None);
+            return Attempted::of(Outcome::Reset);
         };
         let body = body.to_bytes();
-        let servers = self.clone();
-        tokio::task::spawn_local(async move { servers.keep(server, connection).await });
-        match Meaning::of(&parts) {
+        let (outcome, response) = match Meaning::of(&parts) {
             Meaning::Served => {
                 answer::onward(&mut parts);
                 (Outcome::Served, Some(Response::from_parts(parts, body)))
             }
             Meaning::Declined => (Outcome::TurnedAway, None),
             Meaning::Error => (Outcome::Error, None),
-        }
+        };
+        Attempted { outcome, response, spare: Some(Spare { server, connection }) }
     }
 }
 
