--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -6,6 +6,7 @@
 
 mod cost;
 mod load;
+mod memory;
 mod servers;
 mod usage;
 
@@ -26,6 +27,8 @@
     Cost(cost::Options),
     /// Requests a second and latency under full load, side by side with other proxies; a table and a plot.
     Load(load::Options),
+    /// What a connection, a server and a tenant cost in memory.
+    Memory(memory::Options),
     /// A proxy to stand beside; it prints its address.
     #[command(hide = true)]
     Peer(load::Peer),
@@ -47,6 +50,7 @@
     let done = match Line::parse().command {
         Command::Cost(options) => cost::run(&options),
         Command::Load(options) => load::run(&options),
+        Command::Memory(options) => memory::run(&options),
         Command::Peer(peer) => load::peer(&peer),
         Command::Generate(options) => load::generate(&options),
         Command::Stand => load::stand(),
