--- a/crates/dunelinkd/src/main.rs
+++ b/crates/dunelinkd/src/main.rs
@@ -14,10 +14,6 @@
 
 use crate::serve::Source;
 
-/// Requests and answers are made of many small pieces: the C library's allocator took a seventh of the time.
-#[global_allocator]
-static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
-
 /// A load-balancing node: every request gets one final answer, and no effect happens twice.
 ///
 /// Without a command it serves by the platform's JSON file that GW_CONFIG names.
