--- a/crates/dunelink/src/node/handle.rs
+++ b/crates/dunelink/src/node/handle.rs
@@ -243,7 +243,7 @@
         self.engine().mailbox.send(Happening::Evict);
     }
 
-    /// As [`Node::shutdown`], for all owners of the node.
+    /// As [`Node::shutdown`](crate::Node::shutdown), for all owners of the node.
     pub async fn shutdown(&self, deadline: Duration) -> Counts {
         self.close(deadline);
         for engine in self.engines() {
