GraphQL: a request's bytes read in one way, and what may run twice told from them

The new crate dunelink-graphql has no I/O: parameters of URL and body, documents by apollo-parser under the operator's limits, a table from operation to class, known documents, the order in a batch, answers as GraphQL responses. Two readings are turned down; what can't be told is unsafe.

--- /dev/null
+++ b/crates/graphql/src/documents.rs
@@ -0,0 +1,81 @@
+//! Documents that are known by name: the operator's manifest.
+
+use std::collections::HashMap;
+
+use serde::Deserialize;
+
+/// Documents by name: an Apollo client's manifest, or an object of names and texts as Relay's compiler writes it.
+///
+/// ```
+/// let relay = dunelink_graphql::Documents::from_json(r#"{"7f3a": "query A { a }"}"#)?;
+/// let apollo = dunelink_graphql::Documents::from_json(r#"{
+///     "format": "apollo-persisted-query-manifest", "version": 1,
+///     "operations": [{"id": "7f3a", "name": "A", "type": "query", "body": "query A { a }"}]
+/// }"#)?;
+/// assert_eq!((relay.get("7f3a"), relay.len()), (apollo.get("7f3a"), 1));
+/// # Ok::<(), serde_json::Error>(())
+/// ```
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Documents(HashMap<String, String>);
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Manifest {
+    Apollo(Apollo),
+    Plain(HashMap<String, String>),
+}
+
+#[derive(Deserialize)]
+struct Apollo {
+    #[serde(rename = "format")]
+    _format: ApolloFormat,
+    operations: Vec<ApolloOperation>,
+}
+
+#[derive(Deserialize)]
+enum ApolloFormat {
+    #[serde(rename = "apollo-persisted-query-manifest")]
+    Manifest,
+}
+
+#[derive(Deserialize)]
+struct ApolloOperation {
+    id: String,
+    body: String,
+}
+
+impl Documents {
+    /// Reads a manifest.
+    ///
+    /// # Errors
+    ///
+    /// It is not JSON, or of neither form.
+    pub fn from_json(text: &str) -> Result<Documents, serde_json::Error> {
+        let documents = match serde_json::from_str(text)? {
+            Manifest::Apollo(apollo) => apollo.operations.into_iter().map(|o| (o.id, o.body)).collect(),
+            Manifest::Plain(texts) => texts,
+        };
+        // Hashes are compared in lower case.
+        Ok(Documents(documents.into_iter().map(|(name, text)| (name.to_ascii_lowercase(), text)).collect()))
+    }
+
+    /// The text of a document.
+    pub fn get(&self, name: &str) -> Option<&str> {
+        self.0.get(name).map(String::as_str)
+    }
+
+    /// Names and texts.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &str)> {
+        self.0.iter().map(|(name, text)| (name.as_str(), text.as_str()))
+    }
+
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/graphql/src/json.rs
@@ -0,0 +1,125 @@
+//! JSON that all parsers read alike: no member of an object is named twice. The first of two is heeded by some
+//! parsers and the last by most (RFC 8259, 4).
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::de::{Deserializer, Error, MapAccess, SeqAccess, Visitor};
+use serde_json::{Map, Number, Value};
+
+use crate::error::{Code, Rejection};
+
+/// A value, at any depth without a name that an object has twice.
+struct Strict(Value);
+
+/// What is said of a name that an object has twice.
+const TWICE: &str = "a member is named twice";
+
+impl<'de> Deserialize<'de> for Strict {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Strict, D::Error> {
+        from.deserialize_any(StrictVisitor).map(Strict)
+    }
+}
+
+struct StrictVisitor;
+
+impl<'de> Visitor<'de> for StrictVisitor {
+    type Value = Value;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a JSON value")
+    }
+
+    fn visit_unit<E>(self) -> Result<Value, E> {
+        Ok(Value::Null)
+    }
+
+    fn visit_bool<E>(self, value: bool) -> Result<Value, E> {
+        Ok(Value::Bool(value))
+    }
+
+    fn visit_u64<E>(self, value: u64) -> Result<Value, E> {
+        Ok(Value::Number(value.into()))
+    }
+
+    fn visit_i64<E>(self, value: i64) -> Result<Value, E> {
+        Ok(Value::Number(value.into()))
+    }
+
+    fn visit_f64<E>(self, value: f64) -> Result<Value, E> {
+        Ok(Number::from_f64(value).map_or(Value::Null, Value::Number))
+    }
+
+    fn visit_str<E>(self, value: &str) -> Result<Value, E> {
+        Ok(Value::String(value.to_string()))
+    }
+
+    fn visit_string<E>(self, value: String) -> Result<Value, E> {
+        Ok(Value::String(value))
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut from: A) -> Result<Value, A::Error> {
+        let mut values = Vec::new();
+        while let Some(Strict(value)) = from.next_element()? {
+            values.push(value);
+        }
+        Ok(Value::Array(values))
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut from: A) -> Result<Value, A::Error> {
+        let mut members = Map::new();
+        while let Some(name) = from.next_key::<String>()? {
+            if members.contains_key(&name) {
+                return Err(A::Error::custom(TWICE));
+            }
+            let Strict(value) = from.next_value()?;
+            members.insert(name, value);
+        }
+        Ok(Value::Object(members))
+    }
+}
+
+/// Reads an object.
+pub(crate) fn object(text: &str, what: &str) -> Result<Map<String, Value>, Rejection> {
+    let read: Result<Strict, serde_json::Error> = serde_json::from_str(text);
+    match read {
+        Ok(Strict(Value::Object(members))) => Ok(members),
+        Ok(_) => Err(Rejection::new(Code::BadRequest, format!("{what}: expected an object"))),
+        Err(error) => {
+            let code = if error.to_string().starts_with(TWICE) { Code::Ambiguous } else { Code::BadRequest };
+            Err(Rejection::new(code, format!("{what}: {error}")))
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_parsers_could_read_differently_is_turned_down() {
+        let code = |text: &str| object(text, "the body").err().map(|wrong| wrong.code);
+        for (text, wrong) in [
+            (r#"{"a": 1, "b": [{"c": null}], "d": -0.5e3}"#, None),
+            (r#"{"a": 1, "a": 1}"#, Some(Code::Ambiguous)),
+            (r#"{"a": 1, "\u0061": 1}"#, Some(Code::Ambiguous)),
+            (r#"{"a": [{"b": 1, "b": 1}]}"#, Some(Code::Ambiguous)),
+            (r#"{"a": "\ud800"}"#, Some(Code::BadRequest)),
+            (r#"{"a": 1} {"b": 1}"#, Some(Code::BadRequest)),
+            (r#"{"a": 1,}"#, Some(Code::BadRequest)),
+            (r#"{'a': 1}"#, Some(Code::BadRequest)),
+            (r#"{"a": 1 /* b */}"#, Some(Code::BadRequest)),
+            (r#"{"a": NaN}"#, Some(Code::BadRequest)),
+            ("\u{feff}{}", Some(Code::BadRequest)),
+            ("{\"a\": \"\n\"}", Some(Code::BadRequest)),
+            ("{\"a\": \"\0\"}", Some(Code::BadRequest)),
+            ("[]", Some(Code::BadRequest)),
+            ("7", Some(Code::BadRequest)),
+            ("", Some(Code::BadRequest)),
+        ] {
+            assert_eq!(code(text), wrong, "{text:?}");
+        }
+        let deep = format!("{{\"a\": {}{}}}", "[".repeat(100_000), "]".repeat(100_000));
+        assert_eq!(code(&deep), Some(Code::BadRequest), "bounded");
+    }
+}
