--- a/crates/dunelink/src/config/check.rs
+++ b/crates/dunelink/src/config/check.rs
@@ -98,6 +98,7 @@
             check_servers("roster.servers", servers, true)?;
         }
         check_servers("known.servers", &self.known.servers, false)?;
+        self.graphql.as_ref().map_or(Ok(()), |graphql| graphql.check(&self.classes))?;
         self.settings().check().map_err(|e| Problem::new("", e.0))
     }
 }
--- a/crates/dunelink/src/config/mod.rs
+++ b/crates/dunelink/src/config/mod.rs
@@ -5,20 +5,26 @@
 //! file, the line, the key and what was expected.
 
 mod check;
+mod classes;
 mod error;
+mod fleet;
+mod graphql;
 mod platform;
 mod settings;
 mod text;
 
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use check::check_servers;
+pub use classes::{Class, Dedup, Effect, Group, Tenant};
 pub use error::ConfigError;
 use error::Problem;
+pub use fleet::{Fleet, RosterConfig};
+pub use graphql::{GraphQl, GraphQlLimits, GraphQlOperation, GraphQlType, GraphQlWeights};
 
 use crate::types::{Server, Update};
 
@@ -72,6 +78,9 @@
     pub classes: Vec<Class>,
     /// The tenants and their shares; may be empty.
     pub tenants: Vec<Tenant>,
+    /// An endpoint that speaks GraphQL over HTTP.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub graphql: Option<GraphQl>,
 }
 
 /// What the node may hold.
@@ -178,287 +187,33 @@
     /// The longest stay away that a refused client honours; 0 for none, and then none is told.
     #[serde(with = "humantime_serde")]
     pub retry_after: Duration,
+    /// Which answers of servers are final.
+    pub answers: Answers,
 }
 
-/// The fleet as a whole, and this node's place in it.
-///
-/// ```
-/// let toml = r#"
-///     [fleet]
-///     nodes = 3
-///     rank = 1
-///     zone = "b"
-///     zones = ["a", "b"]
-///
-///     [[classes]]
-///     name = "view"
-///     effect = "safe"
-///     deadline = "2s"
-/// "#;
-/// let config = dunelink::Config::from_toml(toml)?;
-/// assert_eq!(config.settings().zone, 1);
-/// # Ok::<(), Box<dyn std::error::Error>>(())
-/// ```
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct Fleet {
-    /// How many nodes share the work.
-    pub nodes: u32,
-    /// How many shards each node has: engines on a thread each, between which its connections are dealt out. The
-    /// same for all nodes of the fleet.
-    #[serde(skip_serializing_if = "is_one")]
-    pub shards: u32,
-    /// This node's number among them, from 0.
-    pub rank: u32,
-    /// The zone that this node is in, one of `zones`.
-    #[serde(skip_serializing_if = "String::is_empty")]
-    pub zone: String,
-    /// The names of zones.
-    pub zones: Vec<String>,
-    /// The names of kinds of machine.
-    pub kinds: Vec<String>,
-    /// A starting server has at least this part of its capacity (slow start).
-    pub cold_from: f64,
-    /// A server is warm after this time at most.
-    #[serde(with = "humantime_serde")]
-    pub warm_up: Duration,
-    /// A cold server falls over when it is sent this multiple of what it can do at that moment.
-    pub fall_multiple: f64,
-    /// A connection that is not up after this has failed.
-    #[serde(with = "humantime_serde")]
-    pub connect_timeout: Duration,
-    /// Servers close a connection that has been idle for this long.
-    #[serde(with = "humantime_serde")]
-    pub keepalive: Duration,
-    /// Whether related requests are cheaper on a server that met their key lately.
-    pub warm_keys: bool,
-    /// Whether weights shrink while a server holds requests, and so tell of load as well as of size.
-    pub live_weights: bool,
-    /// What crossing zones costs, for every request once, as a part of all worth.
-    pub cross_zone_price: f64,
-    /// The longest time between two looks at the clock.
-    #[serde(with = "humantime_serde")]
-    pub step: Duration,
-    /// How many labels tenants are hashed to: each has a pool of servers of its own. The same at every node.
-    pub labels: u16,
-    /// The least that a label's pool takes while servers last; four or more. The same at every node.
-    pub pool_min: u16,
-}
-
-/// Where the list of servers comes from.
-///
-/// ```
-/// let toml = r#"
-///     [roster]
-///     from = "file"
-///     path = "servers.toml"
-///     every = "1s"
-///
-///     [[classes]]
-///     name = "view"
-///     effect = "safe"
-///     deadline = "2s"
-/// "#;
-/// let config = dunelink::Config::from_toml(toml)?;
-/// assert!(matches!(config.roster, dunelink::config::RosterConfig::File { .. }));
-/// # Ok::<(), Box<dyn std::error::Error>>(())
-/// ```
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(tag = "from", rename_all = "lowercase", deny_unknown_fields)]
-pub enum RosterConfig {
-    /// From the host program, through [`crate::Builder::roster`]; without one, `known` is all there is.
-    #[default]
-    Host,
-    /// From the list here, which never changes.
-    Fixed {
-        /// The servers.
-        servers: Vec<Server>,
-    },
-    /// From a TOML file with `[[servers]]` entries, read again when it changes.
-    File {
-        /// Where it is.
-        path: PathBuf,
-        /// How often to look.
-        #[serde(default = "File::every", with = "humantime_serde")]
-        every: Duration,
-    },
-    /// From the platform's discovery, by a watch over HTTP.
-    Watch {
-        /// Where it answers.
-        address: SocketAddr,
-        /// Whether it wants to be asked at least this often, and sends nothing by itself; it is asked when the
-        /// decision module says so.
-        #[serde(default, skip_serializing_if = "Option::is_none", with = "humantime_serde")]
-        ask_every: Option<Duration>,
-    },
-}
-
-/// Defaults of a file roster.
-struct File;
-
-impl File {
-    fn every() -> Duration {
-        Duration::from_millis(500)
-    }
-}
-
-/// What may happen to a request that is sent more than once.
-///
-/// ```
-/// use dunelink::config::Effect;
-///
-/// assert_eq!(serde_json::from_str::<Effect>("\"unsafe\"")?, Effect::Unsafe);
-/// # Ok::<(), Box<dyn std::error::Error>>(())
-/// ```
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Effect {
-    /// Repeats do no harm. Sent as `GET`, without a body.
-    Safe,
-    /// Servers drop a repeat with the same `Idempotency-Key`, within the class's `dedup`. Sent as `POST`.
-    Keyed,
-    /// It must never run twice. Sent as `POST`.
-    Unsafe,
-}
-
-/// Which servers drop each other's repeats, and for how long.
+/// Which answers of a server are the client's: final, passed on, not asked for elsewhere, and not held against the
+/// server.
 ///
 /// ```
-/// use dunelink::config::{Class, Dedup, Effect, Group};
-/// use std::time::Duration;
+/// use dunelink::config::{Answers, Attempts};
 ///
-/// let window = Duration::from_secs(4);
-/// let dedup = Some(Dedup { group: Group::Cell, window });
-/// let class = Class { dedup, ..Class::new("timesheet-submit", Effect::Keyed, window) };
-/// assert_eq!(class.aim(), window);
+/// assert_eq!(Attempts::default().answers, Answers::Http);
 /// ```
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Dedup {
-    /// Which servers share what they remember.
-    pub group: Group,
-    /// For how long after the first attempt was sent.
-    #[serde(with = "humantime_serde")]
-    pub window: Duration,
-}
-
-/// Which servers share what they remember.
-///
-/// ```
-/// use dunelink::config::Group;
-///
-/// assert_eq!(serde_json::to_string(&Group::Zone)?, "\"zone\"");
-/// # Ok::<(), Box<dyn std::error::Error>>(())
-/// ```
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
-pub enum Group {
-    /// All.
-    All,
-    /// Those of one zone.
-    Zone,
-    /// Those of one cell.
-    Cell,
-}
-
-/// A class of requests.
-///
-/// ```
-/// use dunelink::config::{Class, Effect};
-/// use std::time::Duration;
-///
-/// let class = Class { aim: Some(Duration::from_millis(300)), ..Class::new("view", Effect::Safe, Duration::from_secs(2)) };
-/// assert!(class.aim() < class.deadline);
-/// ```
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Class {
-    /// Its name: the first part of the path, unless an extension says otherwise.
-    pub name: String,
-    /// What a repeat does.
-    pub effect: Effect,
-    /// Keyed classes: where and for how long repeats are dropped.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub dedup: Option<Dedup>,
-    /// A client's whole wait; up to an hour.
-    #[serde(with = "humantime_serde")]
-    pub deadline: Duration,
-    /// An answer within this time earns the full worth; the deadline if absent.
-    #[serde(default, skip_serializing_if = "Option::is_none", with = "humantime_serde")]
-    pub aim: Option<Duration>,
-    /// The aim grows by this multiple of the request's expected work, up to the deadline.
-    #[serde(default)]
-    pub aim_stretch: f64,
-    /// What an answer in time is worth against other classes'.
-    #[serde(default = "one")]
-    pub worth: f64,
-    /// The part of the worth that a late answer earns.
-    #[serde(default)]
-    pub late_worth: f64,
-}
-
-fn one() -> f64 {
-    1.0
-}
-
-fn is_one(number: &u32) -> bool {
-    *number == 1
+pub enum Answers {
+    /// Every 2xx, and every 4xx that is about the request: all but 408, 421, 425 and 429, which are about the server
+    /// or its connection.
+    #[default]
+    Http,
+    /// 200 alone; any other is the server's failure. As the platform has it.
+    Ok,
 }
 
 fn is_default<T: Default + PartialEq>(value: &T) -> bool {
     *value == T::default()
 }
 
-impl Class {
-    /// A class of this name, with a worth of 1.
-    pub fn new(name: impl Into<String>, effect: Effect, deadline: Duration) -> Class {
-        Class {
-            name: name.into(),
-            effect,
-            dedup: None,
-            deadline,
-            aim: None,
-            aim_stretch: 0.0,
-            worth: 1.0,
-            late_worth: 0.0,
-        }
-    }
-
-    /// The time within which an answer earns the full worth.
-    pub fn aim(&self) -> Duration {
-        self.aim.unwrap_or(self.deadline)
-    }
-}
-
-/// A tenant and its share.
-///
-/// ```
-/// let toml = r#"
-///     [[tenants]]
-///     name = "hakodate-keiri"
-///     quota_per_s = 12.0
-///     share = 0.14
-///
-///     [[classes]]
-///     name = "view"
-///     effect = "safe"
-///     deadline = "2s"
-/// "#;
-/// let config = dunelink::Config::from_toml(toml)?;
-/// assert_eq!(config.tenants[0].name, "hakodate-keiri");
-/// # Ok::<(), Box<dyn std::error::Error>>(())
-/// ```
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Tenant {
-    /// Its name, as requests have it.
-    pub name: String,
-    /// Requests a second, over all nodes, that are within its share.
-    pub quota_per_s: f64,
-    /// The part of the service that it has a right to, from 0 to 1.
-    pub share: f64,
-}
-
 impl Default for Config {
     fn default() -> Config {
         Config {
@@ -474,6 +229,7 @@
             known: Update::default(),
             classes: Vec::new(),
             tenants: Vec::new(),
+            graphql: None,
         }
     }
 }
@@ -498,31 +254,7 @@
 
 impl Default for Attempts {
     fn default() -> Attempts {
-        Attempts { most: 3, cancel: true, hedge: true, retry_after: Duration::from_secs(2) }
-    }
-}
-
-impl Default for Fleet {
-    fn default() -> Fleet {
-        Fleet {
-            nodes: 1,
-            shards: 1,
-            rank: 0,
-            zone: String::new(),
-            zones: Vec::new(),
-            kinds: Vec::new(),
-            cold_from: 0.1,
-            warm_up: Duration::from_secs(30),
-            fall_multiple: 2.0,
-            connect_timeout: Duration::from_millis(250),
-            keepalive: Duration::from_secs(5),
-            warm_keys: false,
-            live_weights: false,
-            cross_zone_price: 0.0,
-            step: Duration::from_millis(5),
-            labels: 2,
-            pool_min: 4,
-        }
+        Attempts { most: 3, cancel: true, hedge: true, retry_after: Duration::from_secs(2), answers: Answers::Http }
     }
 }
 
--- a/crates/dunelink/src/config/platform.rs
+++ b/crates/dunelink/src/config/platform.rs
@@ -295,6 +295,7 @@
                     true => time(s.allowed.max_retry_after_us),
                     false => Duration::ZERO,
                 },
+                answers: Answers::Ok,
             },
             fleet: Fleet {
                 shards: 1,
@@ -323,6 +324,7 @@
                 .into_iter()
                 .map(|p| Tenant { name: p.name, quota_per_s: p.quota_rps, share: p.share })
                 .collect(),
+            graphql: None,
         }
     }
 }
--- a/crates/dunelink/src/error.rs
+++ b/crates/dunelink/src/error.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use dunelink_edge::Fault;
+use dunelink_graphql::{Media, Rejection};
 use http::StatusCode;
 
 /// An error of any kind, as tower's middleware hands them on.
@@ -31,6 +32,14 @@
     /// Its body could not be read.
     #[error("{0}")]
     Body(#[from] BodyError),
+    /// The GraphQL in it is not to be passed on.
+    #[error("{rejection}")]
+    GraphQl {
+        /// Why.
+        rejection: Rejection,
+        /// What its client reads.
+        media: Media,
+    },
     /// The node was shut down. Nothing ran; another node may be asked.
     #[error("the node was shut down")]
     Closed,
@@ -38,13 +47,15 @@
 
 impl CallError {
     /// The HTTP status for it: 4xx but never 429 for what the sender has to mend, 503 where a repeat elsewhere
-    /// is harmless.
+    /// is harmless. To a GraphQL client that reads `application/json` alone, a document that can't be run is told of
+    /// with 200, as that specification has it.
     pub fn status(&self) -> StatusCode {
         match self {
             CallError::Invalid(invalid) => invalid.status,
             CallError::Body(BodyError::TooLarge { .. }) => StatusCode::PAYLOAD_TOO_LARGE,
             CallError::Body(BodyError::TimedOut { .. }) => StatusCode::REQUEST_TIMEOUT,
             CallError::Body(BodyError::Broken(_)) => StatusCode::BAD_REQUEST,
+            CallError::GraphQl { rejection, media } => rejection.status(*media),
             CallError::Closed => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
--- a/crates/dunelink/src/http.rs
+++ b/crates/dunelink/src/http.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dunelink_graphql::{Code, Fate, Media, Rejection, error_body};
 use http::header::{self, HeaderValue};
 use http::{Response, StatusCode};
 use http_body_util::Full;
@@ -65,6 +66,43 @@
     response
 }
 
+/// How what became of a request is written for its client.
+///
+/// ```
+/// use dunelink::http::Rendering;
+/// use dunelink::{Answer, graphql::Media};
+///
+/// let response = Rendering::GraphQl(Media::Json).respond(Ok(Answer::Failed { timed_out: true }));
+/// assert_eq!(response.headers()["content-type"], "application/json; charset=utf-8");
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rendering {
+    /// As plain HTTP, by [`respond`].
+    Plain,
+    /// As a GraphQL response of this media type, with [`respond`]'s status.
+    GraphQl(Media),
+}
+
+impl Rendering {
+    /// An answer, or the reason why there is none, as an HTTP response.
+    pub fn respond(self, result: Result<Answer, CallError>) -> Response<Full<Bytes>> {
+        let Rendering::GraphQl(media) = self else { return respond(result) };
+        let body = match &result {
+            Ok(Answer::Served(_)) | Err(CallError::GraphQl { .. }) => None,
+            Ok(Answer::Refused { retry_after }) => Some(Fate::Refused(*retry_after).body()),
+            Ok(Answer::Failed { timed_out }) => Some(Fate::Failed { timed_out: *timed_out }.body()),
+            Err(error @ CallError::Closed) => Some(error_body(&error.to_string(), "REFUSED")),
+            Err(error) => Some(error_body(&error.to_string(), "BAD_REQUEST")),
+        };
+        let mut response = respond(result);
+        if let Some(body) = body {
+            *response.body_mut() = Full::new(body);
+            response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(media.name()));
+        }
+        response
+    }
+}
+
 /// A response of one line of text.
 ///
 /// ```
@@ -78,6 +116,9 @@
 }
 
 fn not_taken(error: &CallError) -> Response<Full<Bytes>> {
+    if let CallError::GraphQl { rejection, media } = error {
+        return graphql(rejection, *media);
+    }
     let mut response = plain(error.status(), error.to_string());
     // RFC 9110, 15.5.6.
     if let CallError::Invalid(Invalid { allow: Some(method), .. }) = error {
@@ -86,6 +127,17 @@
     response
 }
 
+fn graphql(rejection: &Rejection, media: Media) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(rejection.body()));
+    *response.status_mut() = rejection.status(media);
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(media.name()));
+    if rejection.code == Code::MethodNotAllowed {
+        headers.insert(header::ALLOW, HeaderValue::from_static("GET, POST"));
+    }
+    response
+}
+
 fn refused(retry_after: Option<Duration>) -> Response<Full<Bytes>> {
     let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
     let value = retry_after.and_then(|d| HeaderValue::from_str(&format!("{:.3}", d.as_secs_f64())).ok());
--- a/crates/dunelink/src/intake.rs
+++ b/crates/dunelink/src/intake.rs
@@ -8,6 +8,7 @@
 use cherryusher::RequestId;
 use dunelink_edge::fields::{COST, DEADLINE, ID, KEY, OWNER, only};
 use dunelink_edge::request::{self, Hosting};
+use dunelink_edge::target::Target;
 use http::header::{self, HeaderMap, HeaderValue};
 use http::request::Parts;
 use http::uri::PathAndQuery;
@@ -23,7 +24,7 @@
 /// How many parts the open ids are kept in.
 const ID_PARTS: usize = 16;
 /// The longest id.
-const ID_MOST: usize = 128;
+pub(crate) const ID_MOST: usize = 128;
 /// The host that a server is asked by, where the request names none.
 const HOST: &str = "origin.svc";
 /// A deadline counts from the client's sending; this much of it has passed when the request is read, and
@@ -101,16 +102,30 @@
 /// Checks requests, and keeps the ids of all open ones: servers and logs tell requests apart by them.
 pub(crate) struct Intake {
     classes: HashMap<String, ClassRule>,
+    /// The same by number.
+    rules_of: Vec<ClassRule>,
     tenants: HashMap<String, u32>,
     rules: Rules,
     /// In parts, as shards share them.
     ids: [Mutex<HashSet<Box<str>>>; ID_PARTS],
 }
 
+/// What a request's head says, whatever its class is.
+#[derive(Clone)]
+pub(crate) struct Basics {
+    pub(crate) id: Option<Box<str>>,
+    /// When it came.
+    came: Instant,
+    /// How long its client waits, if it says so.
+    patience: Option<Duration>,
+    tenant: Option<u32>,
+    expected_work: Option<u64>,
+}
+
 /// What was found in a request's head.
 pub(crate) struct Head {
     class: ClassRule,
-    id: Option<Box<str>>,
+    pub(crate) id: Option<Box<str>>,
     pub(crate) deadline: Instant,
     tenant: Option<u32>,
     expected_work: Option<u64>,
@@ -128,6 +143,7 @@
             (class.name.clone(), ClassRule { index, effect: class.effect, deadline })
         };
         Intake {
+            rules_of: config.classes.iter().enumerate().map(|class| rule(class).1).collect(),
             classes: config.classes.iter().enumerate().map(rule).collect(),
             tenants: (0..).zip(&config.tenants).map(|(index, t)| (t.name.clone(), index)).collect(),
             rules: config.intake,
@@ -135,9 +151,9 @@
         }
     }
 
-    /// Reads a request's head. Extensions go before headers and path.
-    pub(crate) fn head(&self, parts: &Parts, came: Instant) -> Result<Head, Invalid> {
-        let (headers, ext) = (&parts.headers, &parts.extensions);
+    /// Reads a request's target, and the fields that could give it another meaning.
+    pub(crate) fn target<'a>(&self, parts: &'a Parts) -> Result<Target<'a>, Invalid> {
+        let headers = &parts.headers;
         let size = headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum::<usize>();
         if size > HEADERS_MOST {
             let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
@@ -147,15 +163,12 @@
             Absent::Refuse => Hosting::Wire,
             Absent::Default => Hosting::Program,
         };
-        let target = request::read(parts, hosting)?;
-        let named = match ext.get::<ext::Class>() {
-            // The host may have found it in any part of the path.
-            Some(class) => target.plain().map(|()| &*class.0)?,
-            None => target.class(),
-        };
-        let Some(class) = self.classes.get(named).copied() else {
-            return Err(Invalid::new(StatusCode::NOT_FOUND, "no such class"));
-        };
+        Ok(request::read(parts, hosting)?)
+    }
+
+    /// Reads what a request's head says beside its target. Extensions go before headers.
+    pub(crate) fn basics(&self, parts: &Parts, came: Instant) -> Result<Basics, Invalid> {
+        let (headers, ext) = (&parts.headers, &parts.extensions);
         let id = match ext.get::<ext::Id>() {
             Some(id) => Some(&*id.0),
             None if headers.contains_key(&ID) || self.rules.id == Absent::Refuse => {
@@ -169,14 +182,13 @@
             return Err(bad("Req-Id is unreadable"));
         }
         let patience = match ext.get::<ext::Deadline>() {
-            Some(at) => at.0.saturating_duration_since(came.into_std()),
+            Some(at) => Some(at.0.saturating_duration_since(came.into_std())),
             None if headers.contains_key(&DEADLINE) || self.rules.deadline == Absent::Refuse => {
                 let stated = only(headers, &DEADLINE).and_then(seconds);
-                stated.ok_or(bad("Req-Deadline is missing or unreadable"))?.saturating_sub(TRANSIT)
+                Some(stated.ok_or(bad("Req-Deadline is missing or unreadable"))?.saturating_sub(TRANSIT))
             }
-            None => class.deadline,
+            None => None,
         };
-        method_fits(&class, &parts.method, headers)?;
         let tenant = match ext.get::<ext::Tenant>() {
             Some(tenant) => Some(&*tenant.0),
             None => only(headers, &OWNER),
@@ -185,25 +197,52 @@
             Some(work) => u64::try_from(work.0.as_micros()).ok(),
             None => only(headers, &COST).and_then(|us| us.parse::<f64>().ok()).map(|us| us as u64),
         };
-        Ok(Head {
-            class,
+        Ok(Basics {
             id: id.map(Box::from),
-            // No client waits longer than its class allows; this also bounds all that is done for it.
-            deadline: came + patience.min(class.deadline.saturating_sub(TRANSIT)),
+            came,
+            patience,
             tenant: tenant.and_then(|name| self.tenants.get(name)).copied(),
             expected_work: expected_work.filter(|us| *us > 0),
-            key: target.key().map(|part| xxhash_rust::xxh3::xxh3_64(part.as_bytes())),
         })
     }
 
+    /// Reads a request's head. Extensions go before headers and path.
+    pub(crate) fn head(&self, parts: &Parts, came: Instant) -> Result<Head, Invalid> {
+        let target = self.target(parts)?;
+        let named = match parts.extensions.get::<ext::Class>() {
+            // The host may have found it in any part of the path.
+            Some(class) => target.plain().map(|()| &*class.0)?,
+            None => target.class(),
+        };
+        let Some(class) = self.classes.get(named).copied() else {
+            return Err(Invalid::new(StatusCode::NOT_FOUND, "no such class"));
+        };
+        let basics = self.basics(parts, came)?;
+        method_fits(&class, &parts.method, &parts.headers)?;
+        let key = target.key().map(|part| xxhash_rust::xxh3::xxh3_64(part.as_bytes()));
+        Ok(Head { key, ..basics.of(class) })
+    }
+
+    /// The head of a request whose class was found elsewhere, by its number. `work` stands in where the client says
+    /// nothing of it.
+    pub(crate) fn head_of(&self, class: usize, mut basics: Basics, work: Option<Duration>) -> Head {
+        let work = work.and_then(|work| u64::try_from(work.as_micros()).ok());
+        basics.expected_work = basics.expected_work.or(work);
+        basics.of(self.rules_of[class])
+    }
+
     fn ids(&self, id: &str) -> MutexGuard<'_, HashSet<Box<str>>> {
         let part = xxhash_rust::xxh3::xxh3_64(id.as_bytes()) as usize % ID_PARTS;
         self.ids[part].lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Takes the request's id, or makes one, for as long as the request is open.
-    pub(crate) fn claim(self: &Arc<Self>, head: &Head, number: RequestId) -> Result<Claimed, Invalid> {
-        let id = head.id.clone().unwrap_or_else(|| format!("{number:016x}").into());
+    pub(crate) fn claim(
+        self: &Arc<Self>,
+        id: Option<&str>,
+        number: RequestId,
+    ) -> Result<Claimed, Invalid> {
+        let id = id.map_or_else(|| format!("{number:016x}").into(), Box::from);
         let new = self.ids(&id).insert(id.clone());
         match new {
             true => Ok(Claimed { id, intake: self.clone() }),
@@ -221,12 +260,38 @@
     intake: Arc<Intake>,
 }
 
+impl Claimed {
+    pub(crate) fn id(&self) -> &str {
+        &self.id
+    }
+}
+
 impl Drop for Claimed {
     fn drop(&mut self) {
         self.intake.ids(&self.id).remove(&self.id);
     }
 }
 
+impl Basics {
+    /// When a client gives up at the latest, if no class says less.
+    pub(crate) fn by(&self, longest: Duration) -> Instant {
+        self.came + self.patience.unwrap_or(longest).min(longest)
+    }
+
+    fn of(self, class: ClassRule) -> Head {
+        let patience = self.patience.unwrap_or(class.deadline);
+        Head {
+            class,
+            id: self.id,
+            // No client waits longer than its class allows; this also bounds all that is done for it.
+            deadline: self.came + patience.min(class.deadline.saturating_sub(TRANSIT)),
+            tenant: self.tenant,
+            expected_work: self.expected_work,
+            key: None,
+        }
+    }
+}
+
 impl Head {
     /// What the decision module is told.
     pub(crate) fn request(&self, id: RequestId) -> cherryusher::Request {
--- a/crates/dunelink/src/lib.rs
+++ b/crates/dunelink/src/lib.rs
@@ -65,6 +65,8 @@
 mod types;
 
 pub use config::Config;
+/// What a GraphQL request is, and what the node says of it.
+pub use dunelink_graphql as graphql;
 pub use error::{BodyError, BoxError, CallError, Closed, Invalid, StartError};
 pub use intake::ext;
 pub use node::{Builder, Handle, Node, Parts, Received, Shard, Source};
--- /dev/null
+++ b/crates/dunelink/src/node/graphql.rs
@@ -0,0 +1,200 @@
+//! Requests at the GraphQL endpoint: what they are is told by `dunelink_graphql`, all else is as for any other.
+
+use std::sync::{Arc, PoisonError, RwLock};
+use std::time::Duration;
+
+use ::http::request::Parts;
+use bytes::Bytes;
+use dunelink_graphql::{self as graphql, Effect, Media, Reader, Rejection, Ruling, Verdict};
+use dunelink_edge::fields::KEY;
+use dunelink_edge::request;
+use http::{HeaderValue, StatusCode};
+use http_body::Body;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::time::Instant;
+
+use super::batch::{Batch, Part};
+use super::body::read_body;
+use super::handle::{BODY_LEAST, Handle};
+use super::received::{One, Received, Work};
+use crate::config::{Config, ConfigError};
+use crate::error::{BoxError, CallError, Invalid};
+use crate::http::Rendering;
+use crate::intake::{Basics, ID_MOST, ext};
+
+/// The endpoint, if a node has one.
+pub(super) struct Endpoint {
+    /// For reading the manifest anew.
+    config: Config,
+    path: String,
+    /// The longest that any client waits there.
+    longest: Duration,
+    reader: RwLock<Arc<Reader>>,
+}
+
+impl Endpoint {
+    pub(super) fn new(config: &Config) -> Result<Option<Endpoint>, ConfigError> {
+        let (Some(reader), Some(endpoint)) = (config.graphql_reader()?, &config.graphql) else { return Ok(None) };
+        Ok(Some(Endpoint {
+            path: endpoint.path.clone(),
+            longest: config.longest(),
+            reader: RwLock::new(Arc::new(reader)),
+            config: config.clone(),
+        }))
+    }
+
+    fn reader(&self) -> Arc<Reader> {
+        self.reader.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Whether a request is for it. One whose host has found its class goes by that.
+    fn is_at(&self, head: &Parts) -> bool {
+        head.uri.path() == self.path && head.extensions.get::<ext::Class>().is_none()
+    }
+}
+
+/// What stands in the way of a request at the endpoint.
+fn rejected(media: Media) -> impl Fn(Rejection) -> CallError {
+    move |rejection| CallError::GraphQl { rejection, media }
+}
+
+impl Handle {
+    /// The GraphQL endpoint that a request is for, if it is.
+    pub(super) fn endpoint(&self, head: &Parts) -> Option<&Endpoint> {
+        self.shared.graphql.as_ref().filter(|endpoint| endpoint.is_at(head))
+    }
+
+    /// The path of the GraphQL endpoint, if there is one.
+    pub fn graphql_path(&self) -> Option<&str> {
+        self.shared.graphql.as_ref().map(|endpoint| endpoint.path.as_str())
+    }
+
+    /// How what becomes of a request with this head is to be written for its client: as plain HTTP, or as a GraphQL
+    /// response in the media type that it reads.
+    pub fn rendering(&self, head: &Parts) -> Rendering {
+        match self.endpoint(head) {
+            Some(_) => Rendering::GraphQl(Media::accepted(&head.headers).unwrap_or(Media::Response)),
+            None => Rendering::Plain,
+        }
+    }
+
+    /// Reads the manifest of the GraphQL endpoint anew; tells how many documents it has. Requests that were read
+    /// before go by the old one.
+    ///
+    /// # Errors
+    ///
+    /// It can't be read, or has a document that would be turned down. The old one stays then.
+    pub fn reread_documents(&self) -> Result<usize, ConfigError> {
+        let Some(endpoint) = &self.shared.graphql else { return Ok(0) };
+        let reader = endpoint.config.graphql_reader()?.map(Arc::new);
+        let count = reader.as_ref().map_or(0, |reader| reader.documents.len());
+        if let Some(reader) = reader {
+            *endpoint.reader.write().unwrap_or_else(PoisonError::into_inner) = reader;
+        }
+        Ok(count)
+    }
+
+    /// Reads and checks a request at the endpoint.
+    pub(super) async fn read_graphql<B>(
+        &self,
+        endpoint: &Endpoint,
+        (parts, body): (Parts, B),
+        within: Option<Instant>,
+        place: Option<OwnedSemaphorePermit>,
+    ) -> Result<Received, CallError>
+    where
+        B: Body,
+        B::Error: Into<BoxError>,
+    {
+        let came = Instant::now();
+        self.shared.intake.target(&parts)?;
+        let basics = self.shared.intake.basics(&parts, came)?;
+        let media = Media::accepted(&parts.headers).map_err(rejected(Media::Response))?;
+        let latest = basics.by(endpoint.longest);
+        let by = within.map_or(latest, |within| within.min(latest)).max(came + BODY_LEAST);
+        let body = read_body(body, self.shared.body_most, came, by).await?;
+        let reader = endpoint.reader();
+        let verdict = reader.read(graphql::Request {
+            method: &parts.method,
+            query: parts.uri.query(),
+            headers: &parts.headers,
+            body: &body,
+            has_key: request::key(&parts.headers).is_some(),
+        });
+        let rendering = Rendering::GraphQl(media);
+        match verdict.map_err(rejected(media))? {
+            Verdict::Single(ruling) => {
+                let one = self.one(parts, body.clone(), basics, &ruling, place)?;
+                Ok(Received { body, deadline: one.head.deadline, rendering, work: Work::One(one) })
+            }
+            Verdict::Batch(rulings) => {
+                let batch = self.batch(&parts, rulings, basics, place, media)?;
+                let deadline = |part: &Part| part.one.as_ref().ok().map(|one| one.head.deadline);
+                let deadline = batch.parts.iter().filter_map(deadline).max().unwrap_or(latest);
+                Ok(Received { body, deadline, rendering, work: Work::Batch(batch) })
+            }
+        }
+    }
+
+    /// One request for the engine, of the class that it was taken for.
+    fn one(
+        &self,
+        parts: Parts,
+        body: Bytes,
+        basics: Basics,
+        ruling: &Ruling,
+        place: Option<OwnedSemaphorePermit>,
+    ) -> Result<One, Invalid> {
+        let engine = self.engine();
+        let number = engine.mailbox.number();
+        let work = ruling.operation.as_ref().map(|operation| operation.work);
+        let head = self.shared.intake.head_of(ruling.class.index, basics, work);
+        let claimed = self.shared.intake.claim(head.id.as_deref(), number)?;
+        let outgoing = Arc::new(head.outgoing(parts, body, &claimed)?);
+        Ok(One { engine: engine.clone(), head, outgoing, number, claimed, place })
+    }
+
+    /// The parts of a batch. Each has an id and a place of its own; keyed ones but the first have a key of their own
+    /// too, or servers would drop them as repeats of the first. A client that sends the same batch again sends the
+    /// same keys.
+    fn batch(
+        &self,
+        parts: &Parts,
+        rulings: Vec<graphql::Part>,
+        basics: Basics,
+        mut place: Option<OwnedSemaphorePermit>,
+        media: Media,
+    ) -> Result<Batch, Invalid> {
+        let number = self.engine().mailbox.number();
+        let claimed = self.shared.intake.claim(basics.id.as_deref(), number)?;
+        let mut keyed = 0;
+        let mut ones = Vec::with_capacity(rulings.len());
+        for (at, graphql::Part { body, ruling }) in rulings.into_iter().enumerate() {
+            let ruling = match ruling {
+                Ok(ruling) => ruling,
+                Err(rejection) => {
+                    ones.push(Part { reads: true, one: Err(rejection) });
+                    continue;
+                }
+            };
+            let mut parts = parts.clone();
+            if ruling.class.effect == Effect::Keyed {
+                if let (Some(key), true) = (request::key(&parts.headers), keyed > 0) {
+                    let key = HeaderValue::from_str(&format!("{key}.{keyed}"));
+                    let wrong = |_| Invalid::new(StatusCode::BAD_REQUEST, "Idempotency-Key is unreadable");
+                    parts.headers.insert(KEY, key.map_err(wrong)?);
+                }
+                keyed += 1;
+            }
+            let mut basics = basics.clone();
+            basics.id = Some(format!("{}.{at}", claimed.id()).into());
+            if basics.id.as_ref().is_some_and(|id| id.len() > ID_MOST) {
+                return Err(Invalid::new(StatusCode::BAD_REQUEST, "Req-Id leaves no room for a batch's parts"));
+            }
+            let place = place.take().or_else(|| self.places().try_acquire_owned().ok());
+            let one = self.one(parts, body, basics, &ruling, place)?;
+            ones.push(Part { reads: ruling.class.effect == Effect::Safe, one: Ok(one) });
+        }
+        Ok(Batch { parts: ones, media, _claimed: claimed })
+    }
+}
--- a/crates/dunelink/src/node/handle.rs
+++ b/crates/dunelink/src/node/handle.rs
@@ -5,24 +5,23 @@
 use std::time::Duration;
 
 use ::http::Request;
-use bytes::Bytes;
-use cherryusher::RequestId;
 use http_body::Body;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use super::body::read_body;
+use super::graphql::Endpoint;
+use super::received::{One, Received, Work};
 use crate::engine::{Happening, Mailbox};
 use crate::error::{BoxError, CallError, Closed};
-use crate::intake::{Claimed, Head, Intake};
+use crate::http::Rendering;
+use crate::intake::Intake;
 use crate::snapshot::{Counts, Snapshot, Tally};
-use crate::types::{Answer, Outgoing};
+use crate::types::Answer;
 
 /// How long a body may take in any case.
-const BODY_LEAST: Duration = Duration::from_millis(20);
-/// For how long what comes beyond `limits.requests` is told to stay away.
-const CROWDED: Duration = Duration::from_secs(1);
+pub(super) const BODY_LEAST: Duration = Duration::from_millis(20);
 
 /// The way to a node: cheap to clone, and usable from any thread.
 ///
@@ -49,6 +48,7 @@
 pub(super) struct Shared {
     pub(super) engines: Vec<Arc<Engine>>,
     pub(super) intake: Arc<Intake>,
+    pub(super) graphql: Option<Endpoint>,
     pub(super) body_most: usize,
     pub(super) places: Arc<Semaphore>,
     /// Whether it takes nothing more.
@@ -66,31 +66,6 @@
     pub(super) ended: CancellationToken,
 }
 
-/// A request that the node can take: whole, and in order. It counts as taken once [`Received::answer`] is
-/// polled; dropped before that, nothing has happened.
-///
-/// ```
-/// # #[tokio::main(flavor = "current_thread")]
-/// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
-/// # use dunelink::{Config, Node, config::{Class, Effect}};
-/// # use std::time::Duration;
-/// # let classes = vec![Class::new("view", Effect::Safe, Duration::from_secs(1))];
-/// # let node = Node::builder(Config { classes, ..Config::default() }).start()?;
-/// let received = node.handle().receive(http::Request::get("/view/7").body(String::new())?, None).await?;
-/// // A front that has no room itself turns it away; it still has its one final answer.
-/// assert!(received.refuse(Duration::from_secs(1)).is_refused());
-/// assert_eq!(node.handle().counts().refused, 1);
-/// # Ok(()) }
-/// ```
-pub struct Received {
-    engine: Arc<Engine>,
-    head: Head,
-    outgoing: Arc<Outgoing>,
-    number: RequestId,
-    claimed: Claimed,
-    place: Option<OwnedSemaphorePermit>,
-}
-
 impl Handle {
     /// The engines that this handle speaks for.
     fn engines(&self) -> &[Arc<Engine>] {
@@ -102,7 +77,7 @@
 
     /// Who gets the next request: of two shards the one with fewer open, so that one which stands still gets no
     /// more than its share of what is open.
-    fn engine(&self) -> &Arc<Engine> {
+    pub(super) fn engine(&self) -> &Arc<Engine> {
         match self.engines() {
             [only] => only,
             engines => {
@@ -167,7 +142,7 @@
         B::Error: Into<BoxError>,
     {
         let received = self.read(request, within, place).await;
-        if matches!(received, Err(CallError::Invalid(_) | CallError::Body(_))) {
+        if matches!(received, Err(CallError::Invalid(_) | CallError::Body(_) | CallError::GraphQl { .. })) {
             self.engine().tally.invalid();
         }
         received
@@ -188,14 +163,19 @@
         }
         let came = Instant::now();
         let (parts, body) = request.into_parts();
+        if let Some(endpoint) = self.endpoint(&parts) {
+            return self.read_graphql(endpoint, (parts, body), within, place).await;
+        }
         let head = self.shared.intake.head(&parts, came)?;
         let by = within.map_or(head.deadline, |within| within.min(head.deadline)).max(came + BODY_LEAST);
         let body = read_body(body, self.shared.body_most, came, by).await?;
         let engine = self.engine();
         let number = engine.mailbox.number();
-        let claimed = self.shared.intake.claim(&head, number)?;
-        let outgoing = Arc::new(head.outgoing(parts, body, &claimed)?);
-        Ok(Received { engine: engine.clone(), head, outgoing, number, claimed, place })
+        let claimed = self.shared.intake.claim(head.id.as_deref(), number)?;
+        let outgoing = Arc::new(head.outgoing(parts, body.clone(), &claimed)?);
+        let one = One { engine: engine.clone(), head, outgoing, number, claimed, place };
+        let (deadline, rendering) = (one.head.deadline, Rendering::Plain);
+        Ok(Received { body, deadline, rendering, work: Work::One(one) })
     }
 
     /// The places for open requests.
@@ -267,62 +247,3 @@
     }
 }
 
-impl Received {
-    /// When no answer is of use any more.
-    pub fn deadline(&self) -> Instant {
-        self.head.deadline
-    }
-
-    /// The request's body.
-    pub fn body(&self) -> &Bytes {
-        &self.outgoing.body
-    }
-
-    /// Refuses the request without asking the engine: its front has no room for it.
-    pub fn refuse(self, retry_after: Duration) -> Answer {
-        self.engine.tally.turned_away();
-        Answer::Refused { retry_after: Some(retry_after) }
-    }
-
-    /// Takes the request and waits for its one final answer, as [`Handle::call`] does.
-    pub async fn answer(self) -> Answer {
-        if self.place.is_none() {
-            return self.refuse(CROWDED);
-        }
-        let Received { engine, head, outgoing, number, claimed: _claimed, place: _place } = self;
-        let (sender, answer) = oneshot::channel();
-        let mut waiting = Waiting::new(number, &engine);
-        if !engine.mailbox.send(Happening::Arrived(head.request(number), outgoing, sender)) {
-            waiting.answered = true;
-            engine.tally.turned_away();
-            return Answer::Refused { retry_after: None };
-        }
-        let answer = answer.await;
-        waiting.answered = true;
-        // The engine answers all that it has heard of; without an answer its thread has died.
-        answer.unwrap_or(Answer::Failed { timed_out: false })
-    }
-}
-
-/// A call that waits for its engine. Tells it if the client goes away first: its future is then dropped.
-struct Waiting<'a> {
-    number: RequestId,
-    engine: &'a Engine,
-    answered: bool,
-}
-
-impl Waiting<'_> {
-    fn new(number: RequestId, engine: &Engine) -> Waiting<'_> {
-        engine.waiting.fetch_add(1, Ordering::Relaxed);
-        Waiting { number, engine, answered: false }
-    }
-}
-
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        self.engine.waiting.fetch_sub(1, Ordering::Relaxed);
-        if !self.answered {
-            self.engine.mailbox.send(Happening::Left(self.number));
-        }
-    }
-}
--- a/crates/dunelink/src/node/mod.rs
+++ b/crates/dunelink/src/node/mod.rs
@@ -1,7 +1,10 @@
 //! A running node: how it is started and ended.
 
+mod batch;
 mod body;
+mod graphql;
 mod handle;
+mod received;
 mod shards;
 
 use std::future::Future;
@@ -17,7 +20,8 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 
-pub use handle::{Handle, Received};
+pub use handle::Handle;
+pub use received::Received;
 pub use shards::{Parts, Shard, Source};
 
 use crate::config::{Config, ConfigError, RosterConfig};
--- a/crates/dunelink/src/node/shards.rs
+++ b/crates/dunelink/src/node/shards.rs
@@ -10,6 +10,7 @@
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 
+use super::graphql::Endpoint;
 use super::handle::{Engine, Handle, Shared};
 use super::{Engineering, Node};
 use crate::config::{Config, ConfigError};
@@ -123,6 +124,7 @@
 ) -> Result<Parts, ConfigError> {
     let count = config.fleet.shards;
     let intake = Arc::new(Intake::new(&config));
+    let graphql = Endpoint::new(&config)?;
     let hub = (count > 1).then(|| Hub::new(count as usize));
     if let Some(hub) = &hub {
         // The source may be read by another thread before the shards have begun.
@@ -164,6 +166,7 @@
     let shared = Shared {
         engines,
         intake,
+        graphql,
         body_most: config.limits.body,
         places: Arc::new(Semaphore::new(config.limits.requests)),
         closing: AtomicBool::new(false),
--- a/crates/dunelink/src/servers.rs
+++ b/crates/dunelink/src/servers.rs
@@ -25,7 +25,7 @@
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::config::Config;
+use crate::config::{Answers, Config};
 use crate::idle::Order;
 use crate::line::{Line, Place, ServerSocket};
 use crate::roster::Ready;
@@ -144,6 +144,8 @@
     most: usize,
     /// The most bytes in an answer's body.
     body_most: usize,
+    /// Which answers are the client's.
+    answers: Answers,
     connect_timeout: Duration,
     idle_most: Duration,
     /// What a reader on another thread knows to take requests, where there is one: it hears of drains first.
@@ -161,6 +163,7 @@
             open: Rc::default(),
             most: config.limits.to_servers(),
             body_most: config.limits.body,
+            answers: config.attempts.answers,
             connect_timeout: config.fleet.connect_timeout,
             idle_most: config.fleet.keepalive.mul_f64(IDLE_PART),
             ready: OnceCell::new(),
@@ -408,7 +411,8 @@
     ) -> Attempted {
         let (mut parts, body) = response.into_parts();
         // Of an answer that ends with its connection, a part looks whole.
-        if !answer::states_its_end(&parts.headers, parts.version)
+        let ends = answer::has_no_body(parts.status) || answer::states_its_end(&parts.headers, parts.version);
+        if !ends
             || body.size_hint().lower() > self.body_most as u64
         {
             return Attempted::of(Outcome::Reset);
@@ -418,7 +422,8 @@
         };
         let body = body.to_bytes();
         let (outcome, response) = match Meaning::of(&parts) {
-            Meaning::Served => {
+            Meaning::Done | Meaning::ClientError if self.answers == Answers::Ok => (Outcome::Error, None),
+            Meaning::Served | Meaning::Done | Meaning::ClientError => {
                 answer::onward(&mut parts);
                 (Outcome::Served, Some(Response::from_parts(parts, body)))
             }
--- a/crates/dunelink/src/tower.rs
+++ b/crates/dunelink/src/tower.rs
@@ -22,7 +22,7 @@
 use tower_service::Service;
 
 use crate::error::{BoxError, CallError};
-use crate::http::respond;
+use crate::http::Rendering;
 use crate::node::Handle;
 
 /// A call on its way to its response.
@@ -62,8 +62,9 @@
         let handle = self.handle.clone();
         let place = self.taken.take().or_else(|| handle.places().try_acquire_owned().ok());
         Box::pin(async move {
-            let answer = handle.receive_in(request, None, place).await?.answer().await;
-            Ok(respond(Ok(answer)))
+            let received = handle.receive_in(request, None, place).await?;
+            let rendering = received.rendering();
+            Ok(rendering.respond(Ok(received.answer().await)))
         })
     }
 }
@@ -78,7 +79,8 @@
 /// The fleet as a service: every request goes there.
 ///
 /// `poll_ready` waits while `limits.requests` requests are open; one that is called without it, when there is
-/// no place, is refused at once. Answers are mapped to HTTP by [`respond`]; how they came to be is in their
+/// no place, is refused at once. Answers are mapped to HTTP by [`respond`](crate::http::respond), at the GraphQL endpoint
+/// by its [`Rendering`]; how they came to be is in their
 /// extensions, as a [`Verdict`](crate::http::Verdict). An error is a request that was not taken.
 ///
 /// ```
@@ -178,6 +180,32 @@
         FleetLayer::new(handle, move |head| head.uri.path().starts_with(&prefix))
     }
 
+    /// Requests at the node's GraphQL endpoint, `graphql.path`, go to the fleet; none if it has no endpoint.
+    ///
+    /// ```
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    /// # use dunelink::{Config, Node, config::{Class, Effect, GraphQl}};
+    /// # use std::time::Duration;
+    /// # let classes = vec![
+    /// #     Class::new("read", Effect::Safe, Duration::from_secs(1)),
+    /// #     Class::new("pay", Effect::Unsafe, Duration::from_secs(1)),
+    /// # ];
+    /// use dunelink::tower::FleetLayer;
+    ///
+    /// let graphql = Some(GraphQl::new("/graphql", "read", "pay"));
+    /// let node = Node::builder(Config { classes, graphql, ..Config::default() }).start()?;
+    /// let portal: axum::Router = axum::Router::new()
+    ///     .fallback(|| async { "no such page" })
+    ///     .layer(FleetLayer::graphql(node.handle().clone()));
+    /// # drop(portal);
+    /// # Ok(()) }
+    /// ```
+    pub fn graphql(handle: Handle) -> FleetLayer {
+        let path = handle.graphql_path().map(String::from);
+        FleetLayer::new(handle, move |head| path.as_deref() == Some(head.uri.path()))
+    }
+
     /// `poll_ready` waits for a place at the node too. That holds the inner service's requests back as well;
     /// without it, what comes when there is no place is refused at once and told when to come back.
     pub fn wait_for_room(mut self) -> FleetLayer {
@@ -242,12 +270,13 @@
     fn call(&mut self, request: Request<B>) -> Self::Future {
         let (mut head, body) = request.into_parts();
         let to_fleet = (self.route)(&mut head);
+        let rendering = self.places.handle.rendering(&head);
         let request = Request::from_parts(head, body);
         if !to_fleet {
             // A place in hand is for the next one.
             return FleetFuture::Inner { future: self.inner.call(request) };
         }
-        FleetFuture::Fleet { future: self.places.ask(request) }
+        FleetFuture::Fleet { future: self.places.ask(request), rendering }
     }
 }
 
@@ -257,7 +286,7 @@
     #[allow(missing_docs)]
     pub enum FleetFuture<F> {
         /// The request went to the fleet.
-        Fleet { future: Answering },
+        Fleet { future: Answering, rendering: Rendering },
         /// It went to the inner service.
         Inner { #[pin] future: F },
     }
@@ -271,8 +300,9 @@
 
     fn poll(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Self::Output> {
         match self.project() {
-            FleetFutureProjection::Fleet { future } => {
-                let response = ready!(future.as_mut().poll(cx)).unwrap_or_else(|error| respond(Err(error)));
+            FleetFutureProjection::Fleet { future, rendering } => {
+                let response = ready!(future.as_mut().poll(cx));
+                let response = response.unwrap_or_else(|error| rendering.respond(Err(error)));
                 Poll::Ready(Ok(response.map(Either::Left)))
             }
             FleetFutureProjection::Inner { future } => {
--- a/crates/dunelinkd/src/clients.rs
+++ b/crates/dunelinkd/src/clients.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dunelink::http::{plain, respond};
+use dunelink::http::plain;
 use dunelink::{Answer, CallError, Config, Handle};
 use dunelink_edge::Fault;
 use dunelink_edge::request::{self, Hosting};
@@ -307,17 +307,22 @@
             request::read(&head, Hosting::Wire).map_err(turned_down)?;
             return Ok((self.health(&head.method), chunked));
         }
-        let received = match self.node.receive(request, Some(by)).await {
+        let (head, body) = request.into_parts();
+        let rendering = self.node.rendering(&head);
+        let received = match self.node.receive(Request::from_parts(head, body), Some(by)).await {
             Ok(received) => received,
-            Err(CallError::Closed) => return Ok((respond(Err(CallError::Closed)), chunked)),
-            Err(error) => return Err(respond(Err(error))),
+            // The request was read to its end; it is but what it asks for that is wrong.
+            Err(error @ (CallError::Closed | CallError::GraphQl { .. })) => {
+                return Ok((rendering.respond(Err(error)), chunked));
+            }
+            Err(error) => return Err(rendering.respond(Err(error))),
         };
         // Where all others are busy too, a refusal needs no server and makes room.
         let answer: Answer = match self.busy.get() > self.served() {
             true => received.refuse(CROWDED),
             false => received.answer().await,
         };
-        Ok((respond(Ok(answer)), chunked))
+        Ok((rendering.respond(Ok(answer)), chunked))
     }
 
     fn health(&self, method: &Method) -> Response<Full<Bytes>> {
--- a/crates/edge/src/answer.rs
+++ b/crates/edge/src/answer.rs
@@ -21,6 +21,11 @@
     Served,
     /// It has not run: the server's word, said once and clearly.
     Declined,
+    /// A 2xx other than 200: it ran too, where servers go by HTTP alone.
+    Done,
+    /// A 4xx about the request, which any other server would answer alike: all but 408, 421, 425 and 429, which are
+    /// about the server or its connection.
+    ClientError,
     /// It may have run.
     Error,
 }
@@ -35,6 +40,12 @@
             {
                 Meaning::Declined
             }
+            StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_EARLY
+            | StatusCode::TOO_MANY_REQUESTS => Meaning::Error,
+            status if status.is_success() => Meaning::Done,
+            status if status.is_client_error() => Meaning::ClientError,
             _ => Meaning::Error,
         }
     }
@@ -67,6 +78,15 @@
     }
 }
 
+/// Whether an answer of this status has no body, whatever its fields say (RFC 9112, 6.3).
+///
+/// ```
+/// assert!(dunelink_edge::answer::has_no_body(http::StatusCode::NO_CONTENT));
+/// ```
+pub fn has_no_body(status: StatusCode) -> bool {
+    matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+}
+
 /// Makes a server's head one that can be passed on: without the fields of its hop and its framing, in the
 /// node's own version (RFC 9110, 6.2).
 ///
--- a/crates/graphql/benches/classify.rs
+++ b/crates/graphql/benches/classify.rs
@@ -1,5 +1,7 @@
 //! What it costs to say what a request is, by the size of its document.
 
+#![allow(missing_docs)]
+
 use bytes::Bytes;
 use criterion::{BenchmarkId, Criterion, Throughput, criterion_group, criterion_main};
 use dunelink_graphql::{Class, Documents, Effect, Limits, Reader, Request, Table, Weights};
--- a/crates/graphql/src/table.rs
+++ b/crates/graphql/src/table.rs
@@ -190,8 +190,8 @@
         let (class, why) = self.class_of(meant, name, has_key);
         // Which operation runs is the server's choice in the end.
         let stricter = |other: &&Operation| {
-            let effect = self.class_of(other, name, has_key).0.effect;
-            effect > class.effect || effect == Effect::Keyed && other.kind != meant.kind
+            let of = self.class_of(other, name, has_key).0;
+            of.effect > class.effect || of.effect == Effect::Keyed && of != class
         };
         let (class, why) = match document.operations.iter().find(stricter) {
             Some(other) => (self.mutation, Why::Companion(other.kind)),
--- a/crates/graphql/tests/differential/mod.rs
+++ b/crates/graphql/tests/differential/mod.rs
@@ -7,7 +7,7 @@
 use serde_json::Value;
 
 /// An endpoint whose operator lists nothing.
-pub fn reader() -> Reader {
+pub(crate) fn reader() -> Reader {
     let class = |index, effect| Class { index, effect };
     Reader {
         table: Table { query: class(0, Effect::Safe), mutation: class(1, Effect::Unsafe), rules: Vec::new() },
@@ -19,7 +19,7 @@
 }
 
 /// Reads a request of JSON, whatever its bytes are.
-pub fn post(reader: &Reader, body: &[u8]) -> Result<Verdict, Rejection> {
+pub(crate) fn post(reader: &Reader, body: &[u8]) -> Result<Verdict, Rejection> {
     let mut headers = HeaderMap::new();
     headers.insert("content-type", HeaderValue::from_static("application/json"));
     let body = Bytes::copy_from_slice(body);
@@ -27,7 +27,7 @@
 }
 
 /// Reads a request by GET.
-pub fn get(reader: &Reader, query: &str) -> Result<Verdict, Rejection> {
+pub(crate) fn get(reader: &Reader, query: &str) -> Result<Verdict, Rejection> {
     let (headers, body) = (HeaderMap::new(), Bytes::new());
     let request =
         Request { method: &Method::GET, query: Some(query), headers: &headers, body: &body, has_key: true };
@@ -35,7 +35,7 @@
 }
 
 /// Checks one body, and tells whether it is taken for safe.
-pub fn check_post(body: &[u8]) -> bool {
+pub(crate) fn check_post(body: &[u8]) -> bool {
     match post(&reader(), body) {
         Ok(Verdict::Single(ruling)) => check_ruling(&ruling, body),
         Ok(Verdict::Batch(parts)) => {
@@ -58,7 +58,7 @@
 }
 
 /// Checks one URL's query, and tells whether it is taken for safe. None is sent that surely holds a mutation.
-pub fn check_get(query: &str) -> bool {
+pub(crate) fn check_get(query: &str) -> bool {
     let Ok(Verdict::Single(ruling)) = get(&reader(), query) else { return false };
     let safe = ruling.class.effect == Effect::Safe;
     if safe {
