--- a/crates/dunelink/src/config/graphql.rs
+++ b/crates/dunelink/src/config/graphql.rs
@@ -148,7 +148,8 @@
 
 impl Default for GraphQlLimits {
     fn default() -> GraphQlLimits {
-        let graphql::Limits { bytes, tokens, depth, aliases, directives, fields, work, batch } = Default::default();
+        let graphql::Limits { bytes, tokens, depth, aliases, directives, fields, work, batch } =
+            Default::default();
         GraphQlLimits { bytes, tokens, depth, aliases, directives, fields, work, batch }
     }
 }
@@ -209,7 +210,8 @@
             true => Ok(()),
             false => Err(Problem::new(format!("graphql.{key}"), expected)),
         };
-        let parts: Vec<&str> = self.path.strip_prefix('/').map(|path| path.split('/').collect()).unwrap_or_default();
+        let parts: Vec<&str> =
+            self.path.strip_prefix('/').map(|path| path.split('/').collect()).unwrap_or_default();
         let plain = !parts.is_empty() && parts.iter().all(|part| is_class_name(part));
         want(plain, "path", "expected a path such as \"/graphql\", of parts that need no encoding")?;
         let first = parts.first().copied().unwrap_or_default();
@@ -301,7 +303,8 @@
     pub fn graphql_reader(&self) -> Result<Option<Reader>, ConfigError> {
         let Some(endpoint) = &self.graphql else { return Ok(None) };
         endpoint.check(&self.classes)?;
-        let GraphQlLimits { bytes, tokens, depth, aliases, directives, fields, work, batch } = endpoint.limits.clone();
+        let GraphQlLimits { bytes, tokens, depth, aliases, directives, fields, work, batch } =
+            endpoint.limits.clone();
         let w = &endpoint.weights;
         let reader = Reader {
             table: endpoint.table(&self.classes),
--- a/crates/dunelink/src/config/mod.rs
+++ b/crates/dunelink/src/config/mod.rs
@@ -254,7 +254,13 @@
 
 impl Default for Attempts {
     fn default() -> Attempts {
-        Attempts { most: 3, cancel: true, hedge: true, retry_after: Duration::from_secs(2), answers: Answers::Http }
+        Attempts {
+            most: 3,
+            cancel: true,
+            hedge: true,
+            retry_after: Duration::from_secs(2),
+            answers: Answers::Http,
+        }
     }
 }
 
--- a/crates/dunelink/src/intake.rs
+++ b/crates/dunelink/src/intake.rs
@@ -237,11 +237,7 @@
     }
 
     /// Takes the request's id, or makes one, for as long as the request is open.
-    pub(crate) fn claim(
-        self: &Arc<Self>,
-        id: Option<&str>,
-        number: RequestId,
-    ) -> Result<Claimed, Invalid> {
+    pub(crate) fn claim(self: &Arc<Self>, id: Option<&str>, number: RequestId) -> Result<Claimed, Invalid> {
         let id = id.map_or_else(|| format!("{number:016x}").into(), Box::from);
         let new = self.ids(&id).insert(id.clone());
         match new {
--- a/crates/dunelink/src/node/graphql.rs
+++ b/crates/dunelink/src/node/graphql.rs
@@ -5,9 +5,9 @@
 
 use ::http::request::Parts;
 use bytes::Bytes;
-use dunelink_graphql::{self as graphql, Effect, Media, Reader, Rejection, Ruling, Verdict};
 use dunelink_edge::fields::KEY;
 use dunelink_edge::request;
+use dunelink_graphql::{self as graphql, Effect, Media, Reader, Rejection, Ruling, Verdict};
 use http::{HeaderValue, StatusCode};
 use http_body::Body;
 use tokio::sync::OwnedSemaphorePermit;
@@ -34,7 +34,9 @@
 
 impl Endpoint {
     pub(super) fn new(config: &Config) -> Result<Option<Endpoint>, ConfigError> {
-        let (Some(reader), Some(endpoint)) = (config.graphql_reader()?, &config.graphql) else { return Ok(None) };
+        let (Some(reader), Some(endpoint)) = (config.graphql_reader()?, &config.graphql) else {
+            return Ok(None);
+        };
         Ok(Some(Endpoint {
             path: endpoint.path.clone(),
             longest: config.longest(),
@@ -189,7 +191,10 @@
             let mut basics = basics.clone();
             basics.id = Some(format!("{}.{at}", claimed.id()).into());
             if basics.id.as_ref().is_some_and(|id| id.len() > ID_MOST) {
-                return Err(Invalid::new(StatusCode::BAD_REQUEST, "Req-Id leaves no room for a batch's parts"));
+                return Err(Invalid::new(
+                    StatusCode::BAD_REQUEST,
+                    "Req-Id leaves no room for a batch's parts",
+                ));
             }
             let place = place.take().or_else(|| self.places().try_acquire_owned().ok());
             let one = self.one(parts, body, basics, &ruling, place)?;
--- a/crates/dunelink/src/node/handle.rs
+++ b/crates/dunelink/src/node/handle.rs
@@ -246,4 +246,3 @@
         }
     }
 }
-
--- a/crates/dunelink/src/servers.rs
+++ b/crates/dunelink/src/servers.rs
@@ -412,9 +412,7 @@
         let (mut parts, body) = response.into_parts();
         // Of an answer that ends with its connection, a part looks whole.
         let ends = answer::has_no_body(parts.status) || answer::states_its_end(&parts.headers, parts.version);
-        if !ends
-            || body.size_hint().lower() > self.body_most as u64
-        {
+        if !ends || body.size_hint().lower() > self.body_most as u64 {
             return Attempted::of(Outcome::Reset);
         }
         let Ok(body) = Limited::new(body, self.body_most).collect().await else {
--- a/crates/dunelink/tests/conformance/main.rs
+++ b/crates/dunelink/tests/conformance/main.rs
@@ -22,7 +22,28 @@
 
 impl<const SHARDS: u32> Subject for Library<SHARDS> {
     fn start(config: &Value) -> Self {
+        Self::of(Config::from_platform(&config.to_string()).unwrap())
+    }
+
+    fn start_with(config: &Value, more: &str) -> Self {
         let mut config = Config::from_platform(&config.to_string()).unwrap();
+        config.attempts.answers = dunelink::config::Answers::Http;
+        Self::of(Config::from_toml(&(config.to_toml().unwrap() + more)).unwrap())
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    fn end(&mut self) -> Answers {
+        let node = self.node.take().unwrap();
+        let counts = self.host.block_on(node.shutdown(Duration::from_secs(20)));
+        Answers { served: counts.served, refused: counts.refused, failed: counts.failed }
+    }
+}
+
+impl<const SHARDS: u32> Library<SHARDS> {
+    fn of(mut config: Config) -> Self {
         config.fleet.shards = SHARDS;
         let node = Node::builder(config).start().unwrap();
         let (handle, seen) = (node.handle().clone(), node.handle().clone());
@@ -42,20 +63,14 @@
         host.spawn(async move { axum::serve(listener, portal).await });
         Library { host, node: Some(node), address }
     }
-
-    fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    fn end(&mut self) -> Answers {
-        let node = self.node.take().unwrap();
-        let counts = self.host.block_on(node.shutdown(Duration::from_secs(20)));
-        Answers { served: counts.served, refused: counts.refused, failed: counts.failed }
-    }
 }
 
 testkit::conformance!(Library<1>);
 
+mod graphql {
+    testkit::graphql_conformance!(super::Library<1>);
+}
+
 mod sharded {
     testkit::conformance!(spread super::Library<2>);
 }
--- a/crates/dunelinkd/tests/conformance/main.rs
+++ b/crates/dunelinkd/tests/conformance/main.rs
@@ -26,6 +26,16 @@
         Daemon(process::Process::start(command, ""))
     }
 
+    fn start_with(config: &Value, more: &str) -> Self {
+        let mut config = dunelink::Config::from_platform(&config.to_string()).unwrap();
+        config.fleet.shards = SHARDS;
+        config.attempts.answers = dunelink::config::Answers::Http;
+        let path = process::write_as("toml", &(config.to_toml().unwrap() + more));
+        let mut command = process::program();
+        command.args(["run", "--config", &path]);
+        Daemon(process::Process::start(command, ""))
+    }
+
     fn address(&self) -> SocketAddr {
         self.0.address
     }
@@ -39,6 +49,10 @@
 
 testkit::conformance!(Daemon<1>);
 
+mod graphql {
+    testkit::graphql_conformance!(super::Daemon<1>);
+}
+
 mod sharded {
     testkit::conformance!(super::Daemon<3>);
 }
