--- a/crates/dunelinkd/src/main.rs
+++ b/crates/dunelinkd/src/main.rs
@@ -3,6 +3,7 @@
 mod clients;
 mod dealer;
 mod demo;
+mod graphql;
 mod serve;
 mod shards;
 mod socket;
@@ -30,6 +31,9 @@
     Run(Run),
     /// Say whether a configuration can be used, and what is wrong with it if not.
     Check(Check),
+    /// What a node makes of GraphQL requests.
+    #[command(subcommand)]
+    Graphql(graphql::Command),
     /// Show a fleet at work: stand-in servers, a roster and a node in one process, on loopback only.
     Demo(demo::Options),
 }
@@ -51,7 +55,10 @@
 fn check(file: PathBuf) -> anyhow::Result<()> {
     let name = file.display().to_string();
     let config = Source::of(file).read()?;
-    println!("{name}: {} classes, {} tenants; it can be used", config.classes.len(), config.tenants.len());
+    let documents =
+        config.graphql_reader()?.map(|reader| format!(", {} known documents", reader.documents.len()));
+    let (classes, tenants) = (config.classes.len(), config.tenants.len());
+    println!("{name}: {classes} classes, {tenants} tenants{}; it can be used", documents.unwrap_or_default());
     Ok(())
 }
 
@@ -60,6 +67,7 @@
         None => Source::find(None).and_then(serve::serve),
         Some(Command::Run(run)) => Source::find(run.config).and_then(serve::serve),
         Some(Command::Check(Check { file })) => check(file),
+        Some(Command::Graphql(command)) => graphql::run(command),
         Some(Command::Demo(options)) => demo::run(&options),
     };
     match done {
--- a/crates/dunelinkd/src/serve.rs
+++ b/crates/dunelinkd/src/serve.rs
@@ -7,7 +7,7 @@
 use anyhow::{Context, anyhow};
 use dunelink::config::{Absent, RosterConfig};
 use dunelink::roster::{Watch, WatchMover};
-use dunelink::{Config, Counts, Node, Parts};
+use dunelink::{Config, Counts, Handle, Node, Parts};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::Notify;
@@ -83,7 +83,7 @@
         mover = Some(moves);
     }
     let Parts { node, mut shards, source: list, .. } = builder.split()?;
-    spawn_local(reread(source, hang_up, mover));
+    spawn_local(reread(source, hang_up, mover, node.handle().clone()));
     let wait = (config.longest() + LAST_ANSWERS).min(STAY_MOST.saturating_sub(STILL_ACCEPT));
     if let Some(list) = list {
         spawn_local(list.run());
@@ -134,17 +134,24 @@
     );
 }
 
-/// Reads the configuration anew at each SIGHUP. Only discovery moves while the node runs; a file that is
-/// wrong changes nothing.
-async fn reread(source: Source, mut hang_up: Signal, mover: Option<WatchMover>) {
+/// Reads the configuration anew at each SIGHUP. Only discovery and the manifest of GraphQL documents move while the
+/// node runs; a file that is wrong changes nothing.
+async fn reread(source: Source, mut hang_up: Signal, mover: Option<WatchMover>, node: Handle) {
     while hang_up.recv().await.is_some() {
+        let path = source.path().display();
+        if node.graphql_path().is_some() {
+            match node.reread_documents() {
+                Ok(count) => eprintln!("dunelink: {path} read anew; {count} GraphQL documents are known"),
+                Err(error) => eprintln!("dunelink: {error}; the documents stay as they were"),
+            }
+        }
         match (source.read(), &mover) {
             (Ok(Config { roster: RosterConfig::Watch { address, .. }, .. }), Some(mover)) => {
-                eprintln!("dunelink: {} read anew; discovery is at {address}", source.path().display());
+                eprintln!("dunelink: {path} read anew; discovery is at {address}");
                 mover.move_to(address);
             }
             (Ok(_), _) => {
-                eprintln!("dunelink: {}: only discovery's address can move", source.path().display())
+                eprintln!("dunelink: {path}: only discovery's address and GraphQL documents can move")
             }
             (Err(error), _) => eprintln!("dunelink: {error}; the configuration stays as it was"),
         }
