--- a/crates/dunelink/src/config/graphql.rs
+++ b/crates/dunelink/src/config/graphql.rs
@@ -6,7 +6,7 @@
 
 use dunelink_edge::target::is_class_name;
 use dunelink_graphql as graphql;
-use dunelink_graphql::{Documents, Reader, Rule, Table, TableError, Weights};
+use dunelink_graphql::{Documents, Known, Reader, Rule, Table, TableError, Weights};
 use serde::{Deserialize, Serialize};
 
 use super::{Class, Config, ConfigError, Effect, Problem, error};
@@ -144,13 +144,15 @@
     pub work: Duration,
     /// Requests in a batch; 0 where none are taken.
     pub batch: usize,
+    /// Bytes of documents that are remembered, so as not to parse them again; 0 for none.
+    pub known: usize,
 }
 
 impl Default for GraphQlLimits {
     fn default() -> GraphQlLimits {
         let graphql::Limits { bytes, tokens, depth, aliases, directives, fields, work, batch } =
             Default::default();
-        GraphQlLimits { bytes, tokens, depth, aliases, directives, fields, work, batch }
+        GraphQlLimits { bytes, tokens, depth, aliases, directives, fields, work, batch, known: 4 << 20 }
     }
 }
 
@@ -303,7 +305,7 @@
     pub fn graphql_reader(&self) -> Result<Option<Reader>, ConfigError> {
         let Some(endpoint) = &self.graphql else { return Ok(None) };
         endpoint.check(&self.classes)?;
-        let GraphQlLimits { bytes, tokens, depth, aliases, directives, fields, work, batch } =
+        let GraphQlLimits { bytes, tokens, depth, aliases, directives, fields, work, batch, known } =
             endpoint.limits.clone();
         let w = &endpoint.weights;
         let reader = Reader {
@@ -317,6 +319,7 @@
             },
             documents: endpoint.read_documents()?,
             passed: endpoint.parameters.clone(),
+            known: Known::holding(known as u64),
         };
         for (name, text) in reader.documents.iter() {
             let read = graphql::Document::read(text, &Default::default(), &reader.limits, &reader.weights);
--- a/crates/graphql/benches/allocations.rs
+++ b/crates/graphql/benches/allocations.rs
@@ -7,7 +7,7 @@
 
 fn main() {
     let _profiler = dhat::Profiler::builder().testing().build();
-    let reader = common::reader();
+    let reader = common::reader(0);
     println!("{:>8} {:>12} {:>12}", "bytes", "allocations", "bytes in all");
     for fields in common::FIELDS {
         let body = common::body(fields);
--- a/crates/graphql/benches/classify.rs
+++ b/crates/graphql/benches/classify.rs
@@ -7,16 +7,18 @@
 use criterion::{BenchmarkId, Criterion, Throughput, criterion_group, criterion_main};
 
 fn classify(criterion: &mut Criterion) {
-    let reader = common::reader();
-    let mut group = criterion.benchmark_group("classify");
-    for fields in common::FIELDS {
-        let body = common::body(fields);
-        group.throughput(Throughput::Bytes(body.len() as u64));
-        group.bench_with_input(BenchmarkId::from_parameter(body.len()), &body, |bencher, body| {
-            bencher.iter(|| common::read(&reader, body));
-        });
+    for (name, known) in [("new", 0), ("known", 1 << 20)] {
+        let reader = common::reader(known);
+        let mut group = criterion.benchmark_group(name);
+        for fields in common::FIELDS {
+            let body = common::body(fields);
+            group.throughput(Throughput::Bytes(body.len() as u64));
+            group.bench_with_input(BenchmarkId::from_parameter(body.len()), &body, |bencher, body| {
+                bencher.iter(|| common::read(&reader, body));
+            });
+        }
+        group.finish();
     }
-    group.finish();
 }
 
 criterion_group!(benches, classify);
--- a/crates/graphql/benches/common/mod.rs
+++ b/crates/graphql/benches/common/mod.rs
@@ -1,13 +1,14 @@
 //! The requests that are read.
 
 use bytes::Bytes;
-use dunelink_graphql::{Class, Documents, Effect, Limits, Reader, Request, Table, Weights};
+use dunelink_graphql::{Class, Documents, Effect, Known, Limits, Reader, Request, Table, Weights};
 use http::{HeaderMap, HeaderValue, Method};
 
 /// How many payslips a document asks for, with two fields each.
 pub(crate) const FIELDS: [usize; 4] = [1, 10, 100, 1_000];
 
-pub(crate) fn reader() -> Reader {
+/// A reader that remembers so many bytes.
+pub(crate) fn reader(known: u64) -> Reader {
     let class = |index, effect| Class { index, effect };
     Reader {
         table: Table { query: class(0, Effect::Safe), mutation: class(1, Effect::Unsafe), rules: Vec::new() },
@@ -15,6 +16,7 @@
         weights: Weights::default(),
         documents: Documents::default(),
         passed: Vec::new(),
+        known: Known::holding(known),
     }
 }
 
--- a/crates/graphql/src/document.rs
+++ b/crates/graphql/src/document.rs
@@ -68,6 +68,8 @@
 pub struct Document {
     /// Its operations, in order; at least one.
     pub operations: Vec<Operation>,
+    /// The variables that their work follows from, and the values that these had.
+    weighed_by: Vec<(String, Option<f64>)>,
 }
 
 impl Document {
@@ -111,7 +113,12 @@
             .map(|operation| read_operation(operation, &mut walk))
             .collect::<Result<_, _>>()?;
         check_names(&operations)?;
-        Ok(Document { operations })
+        Ok(Document { operations, weighed_by: walk.weighed_by() })
+    }
+
+    /// Whether its work is the same with these values of variables.
+    pub(crate) fn fits(&self, variables: &Map<String, Value>) -> bool {
+        self.weighed_by.iter().all(|(name, value)| walk::value_of(variables, name) == *value)
     }
 
     /// The operation that a request means.
--- a/crates/graphql/src/document/walk.rs
+++ b/crates/graphql/src/document/walk.rs
@@ -1,5 +1,6 @@
 //! Going through selections, each fragment once.
 
+use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
@@ -48,6 +49,13 @@
     variables: &'a Map<String, Value>,
     limits: &'a Limits,
     weights: &'a Weights,
+    weighed_by: RefCell<Vec<(String, Option<f64>)>>,
+}
+
+/// The number that a variable was given; a default where it is defined is not one.
+pub(super) fn value_of(variables: &Map<String, Value>, name: &str) -> Option<f64> {
+    // Something that is no number is no length, nor is it absent.
+    variables.get(name).map(|value| value.as_f64().unwrap_or(1.0))
 }
 
 impl<'a> Walk<'a> {
@@ -65,7 +73,7 @@
                 return Err(invalid("two fragments have one name"));
             }
         }
-        Ok(Walk { fragments: known, variables, limits, weights })
+        Ok(Walk { fragments: known, variables, limits, weights, weighed_by: RefCell::default() })
     }
 
     /// What selections add up to. `level` counts how deep this goes, in fields and fragments.
@@ -163,8 +171,13 @@
     /// The number that a variable stands for: its value, else the default where it is defined.
     fn number(&self, variable: &cst::Variable) -> Option<f64> {
         let name = variable.name()?.text().to_string();
-        if let Some(value) = self.variables.get(&name) {
-            return value.as_f64();
+        let value = value_of(self.variables, &name);
+        let mut weighed_by = self.weighed_by.borrow_mut();
+        if !weighed_by.iter().any(|(known, _)| *known == name) {
+            weighed_by.push((name.clone(), value));
+        }
+        if value.is_some() {
+            return value;
         }
         // The operation is the outermost of the nodes around it; a fragment's variables have no default there.
         let operation = variable.syntax().ancestors().find_map(cst::OperationDefinition::cast)?;
@@ -218,6 +231,11 @@
         Ok(())
     }
 
+    /// The variables that were looked at for lengths, and what they were.
+    pub(super) fn weighed_by(self) -> Vec<(String, Option<f64>)> {
+        self.weighed_by.into_inner()
+    }
+
     /// The time for so many microseconds beside the operation's own.
     pub(super) fn work(&self, us: f64) -> Duration {
         let more = Duration::try_from_secs_f64(us / 1e6).unwrap_or(Duration::MAX);
--- a/crates/graphql/src/lib.rs
+++ b/crates/graphql/src/lib.rs
@@ -15,6 +15,7 @@
 //!     weights: Weights::default(),
 //!     documents: Documents::default(),
 //!     passed: Vec::new(),
+//!     known: Known::holding(1 << 20),
 //! };
 //! let mut headers = http::HeaderMap::new();
 //! headers.insert("content-type", "application/json".parse()?);
@@ -32,6 +33,7 @@
 mod documents;
 mod error;
 mod json;
+mod known;
 mod limits;
 mod media;
 mod order;
@@ -43,6 +45,7 @@
 pub use document::{Document, Kind, Operation, Size};
 pub use documents::Documents;
 pub use error::{Code, Limit, Rejection};
+pub use known::Known;
 pub use limits::{Limits, Weights};
 pub use media::Media;
 pub use order::{End, Order, Step};
--- a/crates/graphql/src/reader.rs
+++ b/crates/graphql/src/reader.rs
@@ -1,5 +1,7 @@
 //! From a request's bytes to what it is taken for.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use http::{HeaderMap, Method};
 use serde_json::value::RawValue;
@@ -7,6 +9,7 @@
 use crate::document::{Document, Kind};
 use crate::documents::Documents;
 use crate::error::{Code, Limit, Rejection};
+use crate::known::Known;
 use crate::limits::{Limits, Weights};
 use crate::media;
 use crate::params::{Params, check_beside_body};
@@ -25,6 +28,8 @@
     pub documents: Documents,
     /// Parameters that servers don't heed ([`crate::is_passable`]), and that are passed on.
     pub passed: Vec<String>,
+    /// Documents that were read before.
+    pub known: Known,
 }
 
 /// A request, as far as it tells what runs.
@@ -82,7 +87,7 @@
         let (document, ruling) = self.rule(&params, request.has_key)?;
         // A document that the server alone knows goes once: it has to turn a mutation down itself.
         let mutates = |document: &Document| document.operations.iter().any(|o| o.kind == Kind::Mutation);
-        if document.as_ref().is_some_and(mutates) {
+        if document.as_deref().is_some_and(mutates) {
             return Err(Rejection::new(Code::MethodNotAllowed, "a mutation needs POST"));
         }
         Ok(ruling)
@@ -130,7 +135,7 @@
     }
 
     /// What a request with these parameters is taken for, and its document if that is known.
-    fn rule(&self, params: &Params, has_key: bool) -> Result<(Option<Document>, Ruling), Rejection> {
+    fn rule(&self, params: &Params, has_key: bool) -> Result<(Option<Arc<Document>>, Ruling), Rejection> {
         let stored = params.document.as_deref();
         let text = match (&params.query, stored) {
             (Some(text), _) => text,
@@ -141,7 +146,8 @@
             // Checked before.
             (None, None) => return Err(Rejection::new(Code::BadRequest, "there is no query")),
         };
-        let document = Document::read(text, &params.variables, &self.limits, &self.weights)?;
+        let read = || Document::read(text, &params.variables, &self.limits, &self.weights);
+        let document = self.known.get(text, &params.variables, read)?;
         let ruling = self.table.rule(&document, params.operation.as_deref(), stored, has_key)?;
         if ruling.operation.as_ref().is_some_and(|o| o.work > self.limits.work) {
             return Err(Limit::Work.exceeded());
--- a/crates/graphql/tests/differential/mod.rs
+++ b/crates/graphql/tests/differential/mod.rs
@@ -15,6 +15,7 @@
         weights: Weights::default(),
         documents: Documents::default(),
         passed: vec!["cache".into()],
+        known: Known::default(),
     }
 }
 
