--- a/bench/src/cost.rs
+++ b/bench/src/cost.rs
@@ -30,6 +30,9 @@
     /// Requests a second, evenly spaced with some chance.
     #[arg(long, default_value_t = 2000)]
     rate: u32,
+    /// So many clients that ask as soon as they are answered, in place of a rate.
+    #[arg(long)]
+    clients: Option<usize>,
     /// Seconds that each way is used for in each round.
     #[arg(long, default_value_t = 4)]
     seconds: u64,
@@ -59,6 +62,8 @@
 struct Figures {
     median: Duration,
     p99: Duration,
+    /// Requests a second.
+    rate: f64,
     /// CPU time for each request, of the caller and the daemon together; servers aside.
     cpu: Duration,
 }
@@ -236,7 +241,19 @@
     let used = || processes.iter().map(|process| cpu(*process)).sum::<anyhow::Result<Duration>>();
     let (began, before) = (Instant::now(), used()?);
     let (mut next, end) = (began, began + Duration::from_secs(options.seconds));
-    while next < end {
+    for client in 0..options.clients.unwrap_or(0) as u64 {
+        let (way, times, mut number) = (way.clone(), times.clone(), *number + (client << 32));
+        tasks.spawn_local(async move {
+            while Instant::now() < end {
+                let asked = Instant::now();
+                number += 1;
+                way.ask(number).await?;
+                times.borrow_mut().push(asked.elapsed());
+            }
+            anyhow::Ok(())
+        });
+    }
+    while options.clients.is_none() && next < end {
         next += Duration::from_secs_f64((0.5 + random.f64()) / f64::from(options.rate));
         sleep_until(next).await;
         *number += 1;
@@ -255,20 +272,27 @@
         done??;
     }
     let used = used()? - before;
+    let lasted = began.elapsed();
     let mut times = times.take();
+    *number += if options.clients.is_some() { times.len() as u64 } else { 0 };
     times.sort_unstable();
     let at = |part: f64| times[((times.len() - 1) as f64 * part) as usize];
-    Ok(Figures { median: at(0.5), p99: at(0.99), cpu: used / times.len() as u32 })
+    let rate = times.len() as f64 / lasted.as_secs_f64();
+    Ok(Figures { rate, median: at(0.5), p99: at(0.99), cpu: used / times.len() as u32 })
 }
 
 fn report(options: &Options, names: &[&str], rounds: &[Vec<Figures>]) {
+    let load = match options.clients {
+        Some(clients) => format!("{clients} clients that ask again at once"),
+        None => format!("{} requests a second", options.rate),
+    };
     println!(
-        "{} requests a second, {} servers that answer at once, {} rounds of {} s for each way, taking turns; \
+        "{load}, {} servers that answer at once, {} rounds of {} s for each way, taking turns; \
          medians over the rounds",
-        options.rate, options.servers, options.rounds, options.seconds
+        options.servers, options.rounds, options.seconds
     );
-    println!("\n| way | median | added | p99 | added | CPU a request | ratio |");
-    println!("| --- | --- | --- | --- | --- | --- | --- |");
+    println!("\n| way | a second | median | added | p99 | added | CPU a request | ratio |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
     let micros = |time: Duration| time.as_secs_f64() * 1e6;
     let middle = |of: &dyn Fn(&Figures) -> Duration, way: usize| {
         let mut all: Vec<f64> = rounds[way].iter().map(|f| micros(of(f))).collect();
@@ -276,11 +300,17 @@
         all[all.len() / 2]
     };
     let figures = |way| [middle(&|f| f.median, way), middle(&|f| f.p99, way), middle(&|f| f.cpu, way)];
+    let rate = |way: usize| {
+        let mut all: Vec<f64> = rounds[way].iter().map(|figures| figures.rate).collect();
+        all.sort_by(f64::total_cmp);
+        all[all.len() / 2]
+    };
     let base = figures(0);
     for (way, name) in names.iter().enumerate() {
         let [median, p99, cpu] = figures(way);
         println!(
-            "| {name} | {median:.0} us | {:+.0} us | {p99:.0} us | {:+.0} us | {cpu:.0} us | {:.2} |",
+            "| {name} | {:.0} | {median:.0} us | {:+.0} us | {p99:.0} us | {:+.0} us | {cpu:.0} us | {:.2} |",
+            rate(way),
             median - base[0],
             p99 - base[1],
             cpu / base[2]
--- a/crates/dunelink/tests/config.rs
+++ b/crates/dunelink/tests/config.rs
@@ -99,6 +99,76 @@
     }
 }
 
+#[test]
+fn a_graphql_endpoint_makes_light_of_no_effect() {
+    let least = r#"
+[[classes]]
+name = "read"
+effect = "safe"
+deadline = "2s"
+[[classes]]
+name = "submit"
+effect = "keyed"
+deadline = "2s"
+dedup = { group = "all", window = "2s" }
+[[classes]]
+name = "pay"
+effect = "unsafe"
+deadline = "2s"
+[graphql]
+path = "/api/graphql"
+query = "read"
+mutation = "pay"
+"#;
+    assert!(Config::from_toml(least).is_ok());
+    let line = |kind: &str, class: &str, more: &str| {
+        format!("{least}[[graphql.operations]]\ntype = \"{kind}\"\nclass = \"{class}\"\n{more}")
+    };
+    assert!(Config::from_toml(&line("mutation", "submit", "fields = [\"submit\"]\n")).is_ok());
+    for (text, expected) in [
+        (
+            least.replace("query = \"read\"", "query = \"pay\""),
+            "line 17: graphql.query: expected a class whose",
+        ),
+        (
+            least.replace("mutation = \"pay\"", "mutation = \"submit\""),
+            "line 18: graphql.mutation: expected a class",
+        ),
+        (
+            least.replace("query = \"read\"", "query = \"reed\""),
+            "line 17: graphql.query: expected the name of one",
+        ),
+        (
+            least.replace("/api/graphql", "/Pay/graphql"),
+            "line 16: graphql.path: expected a path that does not begin",
+        ),
+        (
+            least.replace("/api/graphql", "/_health"),
+            "line 16: graphql.path: expected a path that does not begin",
+        ),
+        (least.replace("/api/graphql", "graphql"), "line 16: graphql.path: expected a path such as"),
+        (least.replace("/api/graphql", "/api/../x"), "line 16: graphql.path: expected a path such as"),
+        (line("mutation", "submit", ""), "line 19: graphql.operations[0].fields: expected the root fields"),
+        (
+            line("mutation", "read", "fields = [\"a\"]\n"),
+            "line 21: graphql.operations[0].class: expected a class",
+        ),
+        (line("query", "submit", ""), "line 21: graphql.operations[0].class: expected a class whose"),
+        (line("subscription", "read", ""), "line 20: graphql.operations[0].type: unknown variant"),
+        (
+            least.to_string() + "parameters = [\"Query\"]\n",
+            "line 19: graphql.parameters[0]: expected letters",
+        ),
+        (
+            least.to_string() + "[graphql.limits]\ndepth = 65\n",
+            "line 20: graphql.limits.depth: expected at most 64",
+        ),
+    ] {
+        let error = Config::from_toml(&text).unwrap_err().to_string();
+        assert!(error.starts_with(expected), "\n{text}\nsays: {error}\nnot:  {expected}");
+    }
+}
+
 #[test]
 fn mistakes_name_their_file() {
     let path = std::env::temp_dir().join(format!("dunelink-config-{}.toml", std::process::id()));
