Read again: one way from a head to the engine; the endpoint keeps no copy of the configuration

The plain and the GraphQL intake each claimed the id, built what goes on and bounded the body by themselves: both use Handle::one and Handle::read_body now. The endpoint held the whole configuration, server list and tenants included, to read its manifest anew: it keeps its own table and the classes. Class rules stood twice in the intake. An operation was copied, strings and all, for each request though its document is remembered: it is shared. GraphQL responses of the node are made in one place.

Left: Accept is read twice a GraphQL request (for errors before it is read, and for 406); GraphQlLimits and the domain's Limits name the same limits.

--- a/crates/dunelink/src/config/graphql.rs
+++ b/crates/dunelink/src/config/graphql.rs
@@ -293,23 +293,20 @@
             wrong.at((e.line() > 0).then_some(e.line()), "").in_file(path)
         })
     }
-}
 
-impl Config {
-    /// What reads the requests at the GraphQL endpoint, with the manifest as it is now; nothing without an endpoint.
+    /// What reads the requests at the endpoint, with the manifest as it is now.
     ///
     /// # Errors
     ///
-    /// The configuration does not hold together, or the manifest can't be read or has a document that would be
+    /// It does not hold together with the classes, or the manifest can't be read or has a document that would be
     /// turned down.
-    pub fn graphql_reader(&self) -> Result<Option<Reader>, ConfigError> {
-        let Some(endpoint) = &self.graphql else { return Ok(None) };
-        endpoint.check(&self.classes)?;
+    pub(crate) fn reader(&self, classes: &[Class]) -> Result<Reader, ConfigError> {
+        self.check(classes)?;
         let GraphQlLimits { bytes, tokens, depth, aliases, directives, fields, work, batch, known } =
-            endpoint.limits.clone();
-        let w = &endpoint.weights;
+            self.limits.clone();
+        let w = &self.weights;
         let reader = Reader {
-            table: endpoint.table(&self.classes),
+            table: self.table(classes),
             limits: graphql::Limits { bytes, tokens, depth, aliases, directives, fields, work, batch },
             weights: Weights {
                 base: w.base,
@@ -317,17 +314,29 @@
                 fields: w.fields.iter().map(|(name, weight)| (name.clone(), **weight)).collect(),
                 list_arguments: w.list_arguments.clone(),
             },
-            documents: endpoint.read_documents()?,
-            passed: endpoint.parameters.clone(),
+            documents: self.read_documents()?,
+            passed: self.parameters.clone(),
             known: Known::holding(known as u64),
         };
         for (name, text) in reader.documents.iter() {
             let read = graphql::Document::read(text, &Default::default(), &reader.limits, &reader.weights);
             read.map_err(|wrong| {
                 let wrong = ConfigError::of(wrong.to_string()).at(None, name);
-                endpoint.documents.iter().fold(wrong, |wrong, path| wrong.in_file(path))
+                self.documents.iter().fold(wrong, |wrong, path| wrong.in_file(path))
             })?;
         }
-        Ok(Some(reader))
+        Ok(reader)
+    }
+}
+
+impl Config {
+    /// What reads the requests at the GraphQL endpoint, with the manifest as it is now; nothing without an endpoint.
+    ///
+    /// # Errors
+    ///
+    /// The configuration does not hold together, or the manifest can't be read or has a document that would be
+    /// turned down.
+    pub fn graphql_reader(&self) -> Result<Option<Reader>, ConfigError> {
+        self.graphql.as_ref().map(|endpoint| endpoint.reader(&self.classes)).transpose()
     }
 }
--- a/crates/dunelink/src/http.rs
+++ b/crates/dunelink/src/http.rs
@@ -117,7 +117,7 @@
 
 fn not_taken(error: &CallError) -> Response<Full<Bytes>> {
     if let CallError::GraphQl { rejection, media } = error {
-        return graphql(rejection, *media);
+        return rejected(rejection, *media);
     }
     let mut response = plain(error.status(), error.to_string());
     // RFC 9110, 15.5.6.
@@ -127,13 +127,18 @@
     response
 }
 
-fn graphql(rejection: &Rejection, media: Media) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(rejection.body()));
-    *response.status_mut() = rejection.status(media);
-    let headers = response.headers_mut();
-    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(media.name()));
+/// A GraphQL response of the node's own.
+pub(crate) fn graphql<B>(status: StatusCode, media: Media, body: B) -> Response<B> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(media.name()));
+    response
+}
+
+fn rejected(rejection: &Rejection, media: Media) -> Response<Full<Bytes>> {
+    let mut response = graphql(rejection.status(media), media, Full::new(rejection.body()));
     if rejection.code == Code::MethodNotAllowed {
-        headers.insert(header::ALLOW, HeaderValue::from_static("GET, POST"));
+        response.headers_mut().insert(header::ALLOW, HeaderValue::from_static("GET, POST"));
     }
     response
 }
--- a/crates/dunelink/src/intake.rs
+++ b/crates/dunelink/src/intake.rs
@@ -101,9 +101,9 @@
 
 /// Checks requests, and keeps the ids of all open ones: servers and logs tell requests apart by them.
 pub(crate) struct Intake {
-    classes: HashMap<String, ClassRule>,
-    /// The same by number.
-    rules_of: Vec<ClassRule>,
+    /// The numbers of classes.
+    classes: HashMap<String, usize>,
+    class_rules: Vec<ClassRule>,
     tenants: HashMap<String, u32>,
     rules: Rules,
     /// In parts, as shards share them.
@@ -140,11 +140,12 @@
     pub(crate) fn new(config: &Config) -> Intake {
         let rule = |(index, class): (usize, &crate::config::Class)| {
             let deadline = class.deadline.min(LONGEST);
-            (class.name.clone(), ClassRule { index, effect: class.effect, deadline })
+            ClassRule { index, effect: class.effect, deadline }
         };
+        let number = |(index, class): (usize, &crate::config::Class)| (class.name.clone(), index);
         Intake {
-            rules_of: config.classes.iter().enumerate().map(|class| rule(class).1).collect(),
-            classes: config.classes.iter().enumerate().map(rule).collect(),
+            classes: config.classes.iter().enumerate().map(number).collect(),
+            class_rules: config.classes.iter().enumerate().map(rule).collect(),
             tenants: (0..).zip(&config.tenants).map(|(index, t)| (t.name.clone(), index)).collect(),
             rules: config.intake,
             ids: Default::default(),
@@ -214,7 +215,7 @@
             Some(class) => target.plain().map(|()| &*class.0)?,
             None => target.class(),
         };
-        let Some(class) = self.classes.get(named).copied() else {
+        let Some(class) = self.classes.get(named).map(|class| self.class_rules[*class]) else {
             return Err(Invalid::new(StatusCode::NOT_FOUND, "no such class"));
         };
         let basics = self.basics(parts, came)?;
@@ -228,7 +229,7 @@
     pub(crate) fn head_of(&self, class: usize, mut basics: Basics, work: Option<Duration>) -> Head {
         let work = work.and_then(|work| u64::try_from(work.as_micros()).ok());
         basics.expected_work = basics.expected_work.or(work);
-        basics.of(self.rules_of[class])
+        basics.of(self.class_rules[class])
     }
 
     fn ids(&self, id: &str) -> MutexGuard<'_, HashSet<Box<str>>> {
--- a/crates/dunelink/src/node/batch.rs
+++ b/crates/dunelink/src/node/batch.rs
@@ -6,10 +6,10 @@
 use dunelink_graphql::{End, Fate, Media, Order, Rejection, Step, is_json, join};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use http::header::{self, HeaderValue};
-use http::{Response, StatusCode};
+use http::StatusCode;
 
 use super::received::One;
+use crate::http::graphql;
 use crate::intake::Claimed;
 use crate::types::Answer;
 
@@ -124,8 +124,5 @@
         false => StatusCode::BAD_REQUEST,
     };
     let bodies: Vec<Bytes> = outcomes.iter().map(Outcome::body).collect();
-    let mut response = Response::new(join(&bodies));
-    *response.status_mut() = status;
-    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(media.name()));
-    Answer::Served(response)
+    Answer::Served(graphql(status, media, join(&bodies)))
 }
--- a/crates/dunelink/src/node/graphql.rs
+++ b/crates/dunelink/src/node/graphql.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use ::http::request::Parts;
-use bytes::Bytes;
 use dunelink_edge::fields::KEY;
 use dunelink_edge::request;
 use dunelink_graphql::{self as graphql, Effect, Media, Reader, Rejection, Ruling, Verdict};
@@ -14,19 +13,18 @@
 use tokio::time::Instant;
 
 use super::batch::{Batch, Part};
-use super::body::read_body;
-use super::handle::{BODY_LEAST, Handle};
-use super::received::{One, Received, Work};
-use crate::config::{Config, ConfigError};
+use super::handle::Handle;
+use super::received::{Received, Work};
+use crate::config::{Class, Config, ConfigError, GraphQl};
 use crate::error::{BoxError, CallError, Invalid};
 use crate::http::Rendering;
-use crate::intake::{Basics, ID_MOST, ext};
+use crate::intake::{Basics, Head, ID_MOST, ext};
 
 /// The endpoint, if a node has one.
 pub(super) struct Endpoint {
     /// For reading the manifest anew.
-    config: Config,
-    path: String,
+    settings: GraphQl,
+    classes: Vec<Class>,
     /// The longest that any client waits there.
     longest: Duration,
     reader: RwLock<Arc<Reader>>,
@@ -34,15 +32,9 @@
 
 impl Endpoint {
     pub(super) fn new(config: &Config) -> Result<Option<Endpoint>, ConfigError> {
-        let (Some(reader), Some(endpoint)) = (config.graphql_reader()?, &config.graphql) else {
-            return Ok(None);
-        };
-        Ok(Some(Endpoint {
-            path: endpoint.path.clone(),
-            longest: config.longest(),
-            reader: RwLock::new(Arc::new(reader)),
-            config: config.clone(),
-        }))
+        let Some(settings) = config.graphql.clone() else { return Ok(None) };
+        let reader = RwLock::new(Arc::new(settings.reader(&config.classes)?));
+        Ok(Some(Endpoint { settings, classes: config.classes.clone(), longest: config.longest(), reader }))
     }
 
     fn reader(&self) -> Arc<Reader> {
@@ -51,7 +43,7 @@
 
     /// Whether a request is for it. One whose host has found its class goes by that.
     fn is_at(&self, head: &Parts) -> bool {
-        head.uri.path() == self.path && head.extensions.get::<ext::Class>().is_none()
+        head.uri.path() == self.settings.path && head.extensions.get::<ext::Class>().is_none()
     }
 }
 
@@ -68,7 +60,7 @@
 
     /// The path of the GraphQL endpoint, if there is one.
     pub fn graphql_path(&self) -> Option<&str> {
-        self.shared.graphql.as_ref().map(|endpoint| endpoint.path.as_str())
+        self.shared.graphql.as_ref().map(|endpoint| endpoint.settings.path.as_str())
     }
 
     /// How what becomes of a request with this head is to be written for its client: as plain HTTP, or as a GraphQL
@@ -88,11 +80,9 @@
     /// It can't be read, or has a document that would be turned down. The old one stays then.
     pub fn reread_documents(&self) -> Result<usize, ConfigError> {
         let Some(endpoint) = &self.shared.graphql else { return Ok(0) };
-        let reader = endpoint.config.graphql_reader()?.map(Arc::new);
-        let count = reader.as_ref().map_or(0, |reader| reader.documents.len());
-        if let Some(reader) = reader {
-            *endpoint.reader.write().unwrap_or_else(PoisonError::into_inner) = reader;
-        }
+        let reader = Arc::new(endpoint.settings.reader(&endpoint.classes)?);
+        let count = reader.documents.len();
+        *endpoint.reader.write().unwrap_or_else(PoisonError::into_inner) = reader;
         Ok(count)
     }
 
@@ -101,6 +91,7 @@
         &self,
         endpoint: &Endpoint,
         (parts, body): (Parts, B),
+        came: Instant,
         within: Option<Instant>,
         place: Option<OwnedSemaphorePermit>,
     ) -> Result<Received, CallError>
@@ -108,13 +99,11 @@
         B: Body,
         B::Error: Into<BoxError>,
     {
-        let came = Instant::now();
         self.shared.intake.target(&parts)?;
         let basics = self.shared.intake.basics(&parts, came)?;
         let media = Media::accepted(&parts.headers).map_err(rejected(Media::Response))?;
         let latest = basics.by(endpoint.longest);
-        let by = within.map_or(latest, |within| within.min(latest)).max(came + BODY_LEAST);
-        let body = read_body(body, self.shared.body_most, came, by).await?;
+        let body = self.read_body(body, came, latest, within).await?;
         let reader = endpoint.reader();
         let verdict = reader.read(graphql::Request {
             method: &parts.method,
@@ -126,7 +115,7 @@
         let rendering = Rendering::GraphQl(media);
         match verdict.map_err(rejected(media))? {
             Verdict::Single(ruling) => {
-                let one = self.one(parts, body.clone(), basics, &ruling, place)?;
+                let one = self.one(self.head_of(&ruling, basics), parts, body.clone(), place)?;
                 Ok(Received { body, deadline: one.head.deadline, rendering, work: Work::One(one) })
             }
             Verdict::Batch(rulings) => {
@@ -138,22 +127,10 @@
         }
     }
 
-    /// One request for the engine, of the class that it was taken for.
-    fn one(
-        &self,
-        parts: Parts,
-        body: Bytes,
-        basics: Basics,
-        ruling: &Ruling,
-        place: Option<OwnedSemaphorePermit>,
-    ) -> Result<One, Invalid> {
-        let engine = self.engine();
-        let number = engine.mailbox.number();
+    /// The head of a request of the class that it was taken for.
+    fn head_of(&self, ruling: &Ruling, basics: Basics) -> Head {
         let work = ruling.operation.as_ref().map(|operation| operation.work);
-        let head = self.shared.intake.head_of(ruling.class.index, basics, work);
-        let claimed = self.shared.intake.claim(head.id.as_deref(), number)?;
-        let outgoing = Arc::new(head.outgoing(parts, body, &claimed)?);
-        Ok(One { engine: engine.clone(), head, outgoing, number, claimed, place })
+        self.shared.intake.head_of(ruling.class.index, basics, work)
     }
 
     /// The parts of a batch. Each has an id and a place of its own; keyed ones but the first have a key of their own
@@ -197,7 +174,7 @@
                 ));
             }
             let place = place.take().or_else(|| self.places().try_acquire_owned().ok());
-            let one = self.one(parts, body, basics, &ruling, place)?;
+            let one = self.one(self.head_of(&ruling, basics), parts, body, place)?;
             ones.push(Part { reads: ruling.class.effect == Effect::Safe, one: Ok(one) });
         }
         Ok(Batch { parts: ones, media, _claimed: claimed })
--- a/crates/dunelink/src/node/handle.rs
+++ b/crates/dunelink/src/node/handle.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use ::http::Request;
+use ::http::request::Parts;
+use bytes::Bytes;
 use http_body::Body;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
 use tokio::time::Instant;
@@ -14,14 +16,14 @@
 use super::graphql::Endpoint;
 use super::received::{One, Received, Work};
 use crate::engine::{Happening, Mailbox};
-use crate::error::{BoxError, CallError, Closed};
+use crate::error::{BodyError, BoxError, CallError, Closed, Invalid};
 use crate::http::Rendering;
-use crate::intake::Intake;
+use crate::intake::{Head, Intake};
 use crate::snapshot::{Counts, Snapshot, Tally};
 use crate::types::Answer;
 
 /// How long a body may take in any case.
-pub(super) const BODY_LEAST: Duration = Duration::from_millis(20);
+const BODY_LEAST: Duration = Duration::from_millis(20);
 
 /// The way to a node: cheap to clone, and usable from any thread.
 ///
@@ -164,18 +166,44 @@
         let came = Instant::now();
         let (parts, body) = request.into_parts();
         if let Some(endpoint) = self.endpoint(&parts) {
-            return self.read_graphql(endpoint, (parts, body), within, place).await;
+            return self.read_graphql(endpoint, (parts, body), came, within, place).await;
         }
         let head = self.shared.intake.head(&parts, came)?;
-        let by = within.map_or(head.deadline, |within| within.min(head.deadline)).max(came + BODY_LEAST);
-        let body = read_body(body, self.shared.body_most, came, by).await?;
+        let body = self.read_body(body, came, head.deadline, within).await?;
+        let one = self.one(head, parts, body.clone(), place)?;
+        let (deadline, rendering) = (one.head.deadline, Rendering::Plain);
+        Ok(Received { body, deadline, rendering, work: Work::One(one) })
+    }
+
+    /// Reads a body, until its request's deadline or `within`; it has a little time in any case.
+    pub(super) async fn read_body<B>(
+        &self,
+        body: B,
+        came: Instant,
+        deadline: Instant,
+        within: Option<Instant>,
+    ) -> Result<Bytes, BodyError>
+    where
+        B: Body,
+        B::Error: Into<BoxError>,
+    {
+        let by = within.map_or(deadline, |within| within.min(deadline)).max(came + BODY_LEAST);
+        read_body(body, self.shared.body_most, came, by).await
+    }
+
+    /// One request for the engine, under its id.
+    pub(super) fn one(
+        &self,
+        head: Head,
+        parts: Parts,
+        body: Bytes,
+        place: Option<OwnedSemaphorePermit>,
+    ) -> Result<One, Invalid> {
         let engine = self.engine();
         let number = engine.mailbox.number();
         let claimed = self.shared.intake.claim(head.id.as_deref(), number)?;
-        let outgoing = Arc::new(head.outgoing(parts, body.clone(), &claimed)?);
-        let one = One { engine: engine.clone(), head, outgoing, number, claimed, place };
-        let (deadline, rendering) = (one.head.deadline, Rendering::Plain);
-        Ok(Received { body, deadline, rendering, work: Work::One(one) })
+        let outgoing = Arc::new(head.outgoing(parts, body, &claimed)?);
+        Ok(One { engine: engine.clone(), head, outgoing, number, claimed, place })
     }
 
     /// The places for open requests.
--- a/crates/graphql/src/document.rs
+++ b/crates/graphql/src/document.rs
@@ -3,6 +3,7 @@
 mod walk;
 
 use std::collections::HashSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use apollo_parser::Parser;
@@ -67,7 +68,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Document {
     /// Its operations, in order; at least one.
-    pub operations: Vec<Operation>,
+    pub operations: Vec<Arc<Operation>>,
     /// The variables that their work follows from, and the values that these had.
     weighed_by: Vec<(String, Option<f64>)>,
 }
@@ -108,9 +109,9 @@
             }
         }
         let mut walk = Walk::new(&fragments, variables, limits, weights)?;
-        let operations: Vec<Operation> = operations
+        let operations: Vec<Arc<Operation>> = operations
             .iter()
-            .map(|operation| read_operation(operation, &mut walk))
+            .map(|operation| read_operation(operation, &mut walk).map(Arc::new))
             .collect::<Result<_, _>>()?;
         check_names(&operations)?;
         Ok(Document { operations, weighed_by: walk.weighed_by() })
@@ -126,7 +127,7 @@
     /// # Errors
     ///
     /// There is none of that name, or no name where there are several.
-    pub fn pick(&self, name: Option<&str>) -> Result<&Operation, Rejection> {
+    pub fn pick(&self, name: Option<&str>) -> Result<&Arc<Operation>, Rejection> {
         let none = |message: &'static str| Rejection::new(Code::Operation, message);
         match (name, &self.operations[..]) {
             (None, [only]) => Ok(only),
@@ -193,7 +194,7 @@
 }
 
 /// Checks that operations can be told apart; only one that is alone has no name.
-fn check_names(operations: &[Operation]) -> Result<(), Rejection> {
+fn check_names(operations: &[Arc<Operation>]) -> Result<(), Rejection> {
     if operations.is_empty() {
         return Err(Rejection::new(Code::Operation, "the document has no operation"));
     }
--- a/crates/graphql/src/table.rs
+++ b/crates/graphql/src/table.rs
@@ -1,5 +1,7 @@
 //! The operator's table: which class an operation is of.
 
+use std::sync::Arc;
+
 use crate::document::{Document, Kind, Operation};
 use crate::error::Rejection;
 
@@ -131,7 +133,7 @@
     /// Why.
     pub why: Why,
     /// The operation, if it is known.
-    pub operation: Option<Operation>,
+    pub operation: Option<Arc<Operation>>,
 }
 
 impl Table {
@@ -189,7 +191,7 @@
         }
         let (class, why) = self.class_of(meant, name, has_key);
         // Which operation runs is the server's choice in the end.
-        let stricter = |other: &&Operation| {
+        let stricter = |other: &&Arc<Operation>| {
             let of = self.class_of(other, name, has_key).0;
             of.effect > class.effect || of.effect == Effect::Keyed && of != class
         };
--- a/crates/testkit/src/graphql/storm.rs
+++ b/crates/testkit/src/graphql/storm.rs
@@ -97,7 +97,7 @@
     for number in 1..=storm.nodes {
         let node = Node::<S>::with(&all, ENDPOINT);
         *place.lock().unwrap() = Some(node.address());
-        let ended = Arc::new(AtomicBool::new(false));
+        let ended = AtomicBool::new(false);
         let due = storm.operations * number / storm.nodes;
         thread::scope(|scope| {
             let (discovery, ended) = (&node.discovery, &ended);
