A call to an overbooked list service waits for its turn; failed nodes come back spread out

Checked: with 60 s of patience the service answers a call or ends it with 503 after 2 s, and 50 restarted nodes had the list within 1.3 s of a call: so it was the node that gave up (ANSWER_WITHIN, roster/watch.rs), while the call went on loading the service. Ruled out: the connection (up within 0.6 ms every time), lines that can't be read (none).

Change: where lists are asked for, the head of the answer has 5 s; an agent on the node's own machine keeps 1 s, and a move by SIGHUP still ends a waiting call at once. The wait after a failure was drawn from the upper half of its span, so that those that failed together left the service idle and came together again: now from seven eighths of it.

--- a/crates/cherryusher/src/policy/mod.rs
+++ b/crates/cherryusher/src/policy/mod.rs
@@ -23,7 +23,7 @@
 const LOOK: u64 = u64::MAX - 1;
 /// The token of wake-ups that build pools anew.
 const POOLS: u64 = u64::MAX - 2;
-/// The longest first wait before discovery is asked again; it doubles with each failure.
+/// The longest first wait before the list is asked for again; it doubles with each failure.
 const ASK_AGAIN: Micros = 1_000_000;
 /// The limit a server starts with, for the attempts of all nodes together; it never falls below this.
 const LIMIT_START: f64 = 2.0;
@@ -157,13 +157,15 @@
         self.actions.extend(asked.then_some(Action::Subscribe));
     }
 
-    /// Asks again after a wait that doubles and is drawn at random, so that nodes which failed together
-    /// do not return together; never less often than the rules want.
+    /// Asks again after a wait that is drawn from a span which doubles: nodes that failed together come back spread
+    /// over the whole of it, so that a service which takes few at a time is neither idle nor swamped. Never less
+    /// often than the rules want.
     fn ask_later(&mut self) {
         let Discovery::Asked { every } = self.settings.discovery else { return };
-        let longest = (ASK_AGAIN << self.failed_asks.min(3)).min(every / 2).max(2);
+        let longest = (ASK_AGAIN << self.failed_asks.min(3)).min(every / 2).max(8);
         self.failed_asks += 1;
-        self.actions.push(Action::Wake { after: longest / 2 + self.random.u64(..longest / 2), token: ASK });
+        let least = longest / 8;
+        self.actions.push(Action::Wake { after: least + self.random.u64(..longest - least), token: ASK });
     }
 
     fn change(&mut self, id: RequestId, how: impl FnOnce(&mut Job)) {
--- a/crates/cherryusher/tests/scenarios.rs
+++ b/crates/cherryusher/tests/scenarios.rs
@@ -214,6 +214,29 @@
     }
 }
 
+/// A hundred nodes whose calls failed at one moment come back evenly over a second, and then over a longer span.
+#[test]
+fn nodes_that_failed_together_do_not_come_back_together() {
+    let mut asked = settings();
+    asked.discovery = Discovery::Asked { every: 10 * S };
+    let mut waits = [Vec::new(), Vec::new(), Vec::new()];
+    for seed in 0..100 {
+        let mut node = Node { balancer: Balancer::new(asked.clone(), seed).unwrap(), now: 10 * S, next: 0 };
+        for waits in &mut waits {
+            let actions = node.tell(Event::DiscoveryFailed);
+            let [Action::Wake { after, .. }] = actions[..] else { panic!("{actions:?}") };
+            waits.push(after);
+        }
+    }
+    for (waits, longest) in waits.iter().zip([S, 2 * S, 4 * S]) {
+        for tenth in 2..10 {
+            let from = longest / 10 * tenth;
+            let there = waits.iter().filter(|w| (from..from + longest / 10).contains(*w)).count();
+            assert!((3..25).contains(&there), "{there} of 100 from {from} us on");
+        }
+    }
+}
+
 #[test]
 fn a_cold_server_gets_little() {
     let mut list = servers(1..9);
--- a/crates/dunelink/src/roster/watch.rs
+++ b/crates/dunelink/src/roster/watch.rs
@@ -20,9 +20,12 @@
 /// A watch that says nothing for this long is dead: a line comes every 2 s. A change counts as told after
 /// 6 s at the latest, so a second watch has to be up by then.
 const SILENCE: Duration = Duration::from_millis(3200);
-/// How long a connection, and the head of its answer, may take. After a move to another address the watch
-/// has to be up within 4 s, a second try included.
+/// How long a connection may take, and the head of its answer where an agent of this machine gives it. After a
+/// move to another address the watch has to be up within 4 s, a second try included.
 const ANSWER_WITHIN: Duration = Duration::from_secs(1);
+/// How long the head may take where one service works through the calls of all nodes in turn. It ends a call that
+/// has waited too long itself; one that is given up here loads it all the same, and has lost its turn.
+const TURN_WITHIN: Duration = Duration::from_secs(5);
 /// The wait before a watch is begun anew lies between this and twice this, times the failures so far.
 const AGAIN: Duration = Duration::from_millis(150);
 /// The most failures that the wait grows with.
@@ -74,6 +77,7 @@
 /// so at the new address, from where it was.
 async fn follow(mut address: watch::Receiver<SocketAddr>, mut feed: Feed) {
     let mut rev = feed.rev();
+    let head_within = if feed.is_asked() { TURN_WITHIN } else { ANSWER_WITHIN };
     let mut failures = 0;
     let mut moved = false;
     loop {
@@ -93,7 +97,7 @@
                 failures = 0;
                 continue;
             }
-            Err(why) = watch_at(at, &mut rev, heard) => why,
+            Err(why) = watch_at(at, head_within, &mut rev, heard) => why,
         };
         moved = false;
         failures += 1;
@@ -121,17 +125,20 @@
 /// One watch, until it fails.
 async fn watch_at(
     address: SocketAddr,
+    head_within: Duration,
     rev: &mut u64,
     mut tell: impl FnMut(Update),
 ) -> Result<Infallible, Box<dyn Error>> {
-    let stream = timeout(ANSWER_WITHIN, TcpStream::connect(address)).await??;
+    let stream = timeout(ANSWER_WITHIN, TcpStream::connect(address)).await;
+    let stream = stream.map_err(|_| "no connection in time")??;
     stream.set_nodelay(true)?;
     let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
     let _connection = AbortOnDropHandle::new(tokio::task::spawn_local(connection));
     let request = Request::get(format!("/catalog/members?watch=1&from={rev}"))
         .header(header::HOST, address.to_string())
         .body(Empty::<Bytes>::new())?;
-    let response = timeout(ANSWER_WITHIN, sender.send_request(request)).await??;
+    let answer = timeout(head_within, sender.send_request(request)).await;
+    let response = answer.map_err(|_| "no answer in time")??;
     if response.status() != StatusCode::OK {
         return Err(format!("it answered {}", response.status()).into());
     }
--- a/crates/dunelinkd/tests/daemon/main.rs
+++ b/crates/dunelinkd/tests/daemon/main.rs
@@ -175,6 +175,20 @@
     assert_eq!(waiting.answer().status(), 504);
 }
 
+/// One list service for a hundred nodes works through their calls in turn: the first call waits, and is not given up
+/// for a second one that would wait behind it.
+#[test]
+fn a_call_to_an_overbooked_list_service_waits_for_its_turn() {
+    let server = Server::new(|_, _| ok("slip"));
+    let node = Node::asking(&[]);
+    let mut watch = Watch::accept_in_turn(&node.discovery, Duration::from_millis(1500));
+    watch.changes(42, &[ready("a", &server)]);
+    let served = || node.client().ask(&view()).status() == 200;
+    wait_for("the list that was asked for", served);
+    node.discovery.set_nonblocking(true).unwrap();
+    assert!(node.discovery.accept().is_err(), "no second call");
+}
+
 #[test]
 fn a_crowd_of_idle_clients_does_not_shut_others_out() {
     let server = Server::new(|_, _| ok("slip"));
--- a/crates/dunelinkd/tests/process/mod.rs
+++ b/crates/dunelinkd/tests/process/mod.rs
@@ -97,9 +97,22 @@
         Node::run(shell, targets, 1024)
     }
 
+    /// A node that shares one list service with all others, and has to ask it.
+    pub fn asking(targets: &[Value]) -> Node {
+        let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut config = config(discovery.local_addr().unwrap(), targets, 1024);
+        config["settings"]["discovery"] = "subscribe".into();
+        config["settings"]["obligations"]["ask_every_us"] = 10_000_000.into();
+        Node::on(program(), discovery, config)
+    }
+
     fn run(command: Command, targets: &[Value], sockets: usize) -> Node {
         let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
         let config = config(discovery.local_addr().unwrap(), targets, sockets);
+        Node::on(command, discovery, config)
+    }
+
+    fn on(command: Command, discovery: TcpListener, config: Value) -> Node {
         let process = Process::start(command, &config.to_string());
         Node { address: process.address, discovery, process, config, answers: Arc::default() }
     }
--- a/crates/testkit/src/peers.rs
+++ b/crates/testkit/src/peers.rs
@@ -201,8 +201,14 @@
 impl Watch {
     /// The next watch to come.
     pub fn accept(listener: &TcpListener) -> Watch {
+        Watch::accept_in_turn(listener, Duration::ZERO)
+    }
+
+    /// The next watch to come, whose turn comes after this time.
+    pub fn accept_in_turn(listener: &TcpListener, turn: Duration) -> Watch {
         let (mut stream, _) = listener.accept().unwrap();
         let request = Message::read(&mut BufReader::new(stream.try_clone().unwrap())).unwrap();
+        thread::sleep(turn);
         stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
         Watch { request, stream }
     }
