Nodes whose list calls failed leave the one list service time for a call of each

The service answers a call in 50 ms (heads at 5.075, 5.125, ... 5.425 s) and ends one that has waited 2 s with 503. Eight nodes were answered, and none of the other 92 in the 20 s left, at 21 to 40 calls a second: time went to calls that had waited too long already. Up to 335 connects a second went to servers that were gone; the 36 new ones had next to nothing (41 of 60 used).

Ruled out: calls given up by the node (all end with 503 now); lines that can't be read (none in the logs); a service that is down (it wrote lines to the eight all the time).

At fault: ask_later in policy/mod.rs, whose span (1 s, doubled up to half of the asking interval) knew nothing of how many nodes there are. Now it is 50 ms for each node at least, and three quarters of the interval at most.

--- a/crates/cherryusher/src/policy/mod.rs
+++ b/crates/cherryusher/src/policy/mod.rs
@@ -23,8 +23,11 @@
 const LOOK: u64 = u64::MAX - 1;
 /// The token of wake-ups that build pools anew.
 const POOLS: u64 = u64::MAX - 2;
-/// The longest first wait before the list is asked for again; it doubles with each failure.
+/// The longest first wait before the list is asked for again, at least; it doubles with each failure.
 const ASK_AGAIN: Micros = 1_000_000;
+/// What one call may take of a list service that answers one after the other: the first wait of all nodes is
+/// long enough for a call of each.
+const ASK_EACH: Micros = 50_000;
 /// The limit a server starts with, for the attempts of all nodes together; it never falls below this.
 const LIMIT_START: f64 = 2.0;
 /// What a tenant may send at once at a node that has seen none of its work: few nodes see it evenly.
@@ -162,7 +165,8 @@
     /// often than the rules want.
     fn ask_later(&mut self) {
         let Discovery::Asked { every } = self.settings.discovery else { return };
-        let longest = (ASK_AGAIN << self.failed_asks.min(3)).min(every / 2).max(8);
+        let longest = ASK_AGAIN.max(ASK_EACH * u64::from(self.settings.balancers));
+        let longest = (longest << self.failed_asks.min(3)).min(every / 4 * 3).max(8);
         self.failed_asks += 1;
         let least = longest / 8;
         self.actions.push(Action::Wake { after: least + self.random.u64(..longest - least), token: ASK });
--- a/crates/cherryusher/tests/scenarios.rs
+++ b/crates/cherryusher/tests/scenarios.rs
@@ -237,6 +237,31 @@
     }
 }
 
+/// A service that takes 50 ms for each call has time for 20 a second: a hundred nodes that come back faster keep it
+/// at calls that have waited too long, for ever. Yet each has to ask every 10 s.
+#[test]
+fn a_hundred_nodes_leave_their_list_service_time_for_all_of_them() {
+    let mut asked = many(100, 0);
+    asked.discovery = Discovery::Asked { every: 10 * S };
+    let mut calls = vec![0; 20];
+    for seed in 0..100 {
+        let mut node = Node { balancer: Balancer::new(asked.clone(), seed).unwrap(), now: 10 * S, next: 0 };
+        let mut at = 0;
+        while at < 20 * S {
+            let actions = node.tell(Event::DiscoveryFailed);
+            let [Action::Wake { after, .. }] = actions[..] else { panic!("{actions:?}") };
+            assert!(after <= 8 * S);
+            // Each call waits for 2 s in vain.
+            at += after + 2 * S;
+            if let Some(calls) = calls.get_mut((at / S) as usize) {
+                *calls += 1;
+            }
+        }
+    }
+    let busiest = calls.chunks(5).map(|five| five.iter().sum::<u32>()).max();
+    assert!(busiest < Some(100), "{calls:?}");
+}
+
 #[test]
 fn a_cold_server_gets_little() {
     let mut list = servers(1..9);
