What a node of many learns from few answers: paces, rooms that vary, servers that refuse connections

Change, all by how blind a node is, so that a few nodes do as before: an answer counts for up to seven; in-share work may use 0.6 roots of its part of the room; shedding begins at a quarter of the slack; one that refuses a connection or a request is left alone for a time that doubles, however many they are, unless all of them do.

--- a/crates/cherryusher/src/policy/admission.rs
+++ b/crates/cherryusher/src/policy/admission.rs
@@ -6,6 +6,8 @@
 const SPARE: f64 = 0.8;
 /// A held request gives up its place after this part of its time: by half of it clients expect to hear so.
 const PLACE: f64 = 0.45;
+/// How far a node of many may go beyond its part of a pool's room, in roots of that part.
+const VARIES: f64 = 0.6;
 
 impl Balancer {
     pub(super) fn arrived(&mut self, request: Request) {
@@ -41,9 +43,9 @@
         }
         let wait = self.waits.now(self.now);
         let slack = self.settings.classes[ask.class].aim as f64 - self.times[ask.class].base;
-        // Shedding begins at two fifths of the aim's slack, but the few attempts seen vary by more than a
-        // request's whole time with no load at all.
-        let (from, span) = ((0.4 * slack).max(self.waits.typical * 1.5), 0.8 * slack);
+        // Shedding begins at a quarter of the aim's slack, but the few attempts seen vary by nearly a request's
+        // whole time with no load at all.
+        let (from, span) = ((0.24 * slack).max(self.waits.typical * 0.9), 0.48 * slack);
         1.0 - blind * ((wait - from) / span.max(1.0)).clamp(0.0, 1.0)
     }
 
@@ -97,10 +99,13 @@
         held.max_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1))).map_or(0, |best| best.2)
     }
 
-    /// Whether this part of the pool's room is not yet filled; one attempt always has room.
+    /// Whether this part of the pool's room is not yet filled; one attempt always has room. What arrives at one of
+    /// many nodes varies by the root of its mean, and that evens out over all of them (square-root staffing, Halfin
+    /// and Whitt, 1981): what is within the shares may use some of that.
     pub(super) fn has_room(&self, pool: usize, part: f64) -> bool {
         let pool = self.pool(pool);
         let room = pool.room.at(self.now) * self.limit / f64::from(self.settings.balancers);
-        pool.in_flight == 0 || f64::from(pool.in_flight) < part * room
+        let varies = if part == 1.0 { VARIES * self.blindness() * room.sqrt() } else { 0.0 };
+        pool.in_flight == 0 || f64::from(pool.in_flight) < part * room + varies
     }
 }
--- a/crates/cherryusher/src/policy/feedback.rs
+++ b/crates/cherryusher/src/policy/feedback.rs
@@ -4,10 +4,17 @@
 
 /// How long a server is avoided for each of its recent failures.
 const RETREAT: f64 = 100_000.0;
+/// The longest wait after a first refusal until a server is tried again. It doubles with each further one.
+const SHUT: Micros = 100_000;
+/// How often that wait doubles.
+const SHUT_DOUBLES: u32 = 3;
 /// Nor does the limit fall below this multiple of what served in-share work needs on idle servers.
 const LIMIT_LEAST: f64 = 3.5;
 /// The usual time may rise to this multiple of the shortest it was, before limits shrink.
 const SLOWED: f64 = 1.1;
+/// As how many more an answer counts for a server's pace where a node meets it seldom: at one or two answers a
+/// second, small steps would notice a slow server only after it is jammed.
+const SELDOM: f64 = 6.0;
 
 impl Balancer {
     /// Learns from an outcome how much the server takes and how long the class usually needs.
@@ -25,11 +32,13 @@
             let shortest = self.times.iter().map(|t| t.base).fold(f64::MAX, f64::min);
             self.waits.add(self.now, waited, base, shortest / base);
         }
+        let counts_for = 1.0 + SELDOM * self.blindness();
         if end.outcome == Outcome::Served {
             let (times, took) = (&mut self.times[class], end.took as f64);
             let server = &mut self.servers[i];
-            let slower = if took > times.usual * server.pace { 1.0 + STEP } else { 1.0 - STEP };
-            server.pace = (server.pace * slower).clamp(PACES.0, PACES.1);
+            let slower: f64 = if took > times.usual * server.pace { 1.0 + STEP } else { 1.0 - STEP };
+            server.pace = (server.pace * slower.powf(counts_for)).clamp(PACES.0, PACES.1);
+            server.refusals = 0;
             times.answered(took);
             let late = end.took > self.settings.classes[class].aim;
             // Late answers may come from pauses; while the usual time is up, more work only jams servers.
@@ -44,8 +53,18 @@
                 / self.everyone().members.len().max(1) as f64;
             self.limit = (self.limit * factor).max(LIMIT_LEAST * needed).max(LIMIT_START);
         } else if !matches!(end.outcome, Outcome::Cancelled | Outcome::NotSent) {
-            // One that fails again and again is left alone for longer each time, then tried anew.
             let now = self.now;
+            // What drains or is gone before the list says so, or has no place for more connections, is known by
+            // that at once, and may well be most of a pool. Nodes come back to it spread out.
+            if matches!(end.outcome, Outcome::ConnectFailed | Outcome::TurnedAway) {
+                let server = &mut self.servers[i];
+                // Of many nodes each would find it out anew, and one that stays away does no harm.
+                let longest = (SHUT as f64 * counts_for * counts_for) as Micros;
+                let longest = longest << server.refusals.min(SHUT_DOUBLES);
+                server.refusals += 1;
+                server.shut_until = now + longest / 2 + self.random.u64(..longest / 2);
+            }
+            // One that fails again and again is left alone for longer each time, then tried anew.
             self.servers[i].failures.add(now, 1.0);
             self.in_pools(i, |pool| pool.failures.add(now, 1.0));
             let excess = self.excess(i);
--- a/crates/cherryusher/src/policy/pick.rs
+++ b/crates/cherryusher/src/policy/pick.rs
@@ -30,7 +30,10 @@
     pub(crate) fn draw(&self, id: RequestId, pool: usize, chance: u64, scan_most: usize) -> Drawn {
         let (job, pool) = (&self.jobs[&id], self.pool(pool));
         let heed = pool.avoided * 2 <= pool.members.len();
-        let fits = |i: usize| self.fits(job, i, heed);
+        let open = |i: usize| self.servers[i].shut_until <= self.now;
+        // Where all refuse, it may be the node's own way to them that is cut.
+        let none_open = !pool.members.iter().any(|i| open(*i));
+        let fits = |i: usize| (none_open || open(i)) && self.fits(job, i, heed);
         // Where crossing zones has a price, work stays in the own zone while the node sees room there.
         let stays = self.settings.cross_zone_price > 0.0 && self.blindness() == 0.0;
         let home = |i: usize| !stays || self.servers[i].entry.zone == self.settings.zone;
--- a/crates/cherryusher/src/policy/pools.rs
+++ b/crates/cherryusher/src/policy/pools.rs
@@ -6,7 +6,7 @@
 use super::*;
 
 /// How many nodes a server of mean size is the first choice of.
-const SHARED_BY: f64 = 6.0;
+const SHARED_BY: f64 = 4.0;
 /// The golden ratio's fraction: its multiples fill the ring evenly however many there are.
 const SPREAD: f64 = 0.618_033_988_749_895;
 /// The least time between two builds of the pools, for each server: a build takes about a fifth of that.
@@ -298,6 +298,11 @@
 
 #[cfg(test)]
 impl Balancer {
+    /// The largest pace of a server.
+    pub(crate) fn slowest(&self) -> f64 {
+        self.servers.iter().map(|s| s.pace).fold(0.0, f64::max)
+    }
+
     /// Whether the sums kept are those added up from nothing.
     pub(crate) fn check_sums(&self, round: usize) {
         for (p, pool) in self.pools.iter().enumerate() {
--- a/crates/cherryusher/src/state.rs
+++ b/crates/cherryusher/src/state.rs
@@ -53,6 +53,9 @@
     pub(crate) pace: f64,
     pub(crate) failures: Fading,
     pub(crate) avoid_until: Micros,
+    /// How many connects or tries in a row it has refused, and until when it is left alone for that.
+    pub(crate) refusals: u32,
+    pub(crate) shut_until: Micros,
     pub(crate) last_sent: Micros,
     /// Whether the last whole list had it.
     pub(crate) listed: bool,
--- a/crates/cherryusher/src/tests.rs
+++ b/crates/cherryusher/src/tests.rs
@@ -231,3 +231,25 @@
     room.replace(30, part(1.0, 0.5, 10), Standing::default());
     assert_eq!(room.at(50), 2.0);
 }
+
+/// A node of many meets a server once or twice a second: one that has become slow has to lose its work within a few
+/// answers, or it is jammed by then.
+#[test]
+fn where_a_server_is_met_seldom_a_few_answers_tell_its_pace() {
+    for (balancers, slow) in [(100, true), (2, false)] {
+        let mut node = Node::new(Settings { balancers, ..settings(3, 0.0) }, fleet(9));
+        for _ in 0..5 {
+            node.next += 1;
+            let request = node.next;
+            let arrived =
+                Request { id: request, class: 0, remaining: S, expected_work: None, key: None, tenant: None };
+            node.tell(Event::Arrived(arrived));
+            node.now += S;
+            let ended =
+                Ended { request, attempt: 0, outcome: Outcome::Served, took: 900_000, finished: true };
+            node.tell(Event::AttemptEnded(ended));
+        }
+        let slowest = node.balancer.slowest();
+        assert_eq!(slowest > 1.3, slow, "{slowest} at {balancers} nodes");
+    }
+}
--- a/crates/cherryusher/tests/scenarios.rs
+++ b/crates/cherryusher/tests/scenarios.rs
@@ -727,6 +727,59 @@
     assert!(let_in[1] > 390, "{} of 400 within the share were let in", let_in[1]);
 }
 
+/// What a node of many is offered varies: two at once in its own pool are within its part of the room on average, and
+/// are not queued one behind the other. The third finds a place where a pool lends one.
+#[test]
+fn a_node_of_many_has_room_for_what_varies() {
+    let mut node = Node::new(many(100, 0), servers(1..61));
+    // Work that needs more than the limit at the start, so that the room grows towards half an attempt.
+    counts(&mut node, 300);
+    let at_once = |node: &mut Node| {
+        let ids: Vec<_> = (0..4).map(|_| node.arrive(UNSAFE, Some(0))).collect();
+        let sent: Vec<_> = ids.iter().filter(|(id, actions)| !sends(actions, *id).is_empty()).collect();
+        sent.len()
+    };
+    assert_eq!(at_once(&mut node), 3);
+}
+
+/// After a lost zone or a release that the list does not tell of yet, most servers refuse connections to all nodes:
+/// each is met once in a while, no request runs out of attempts at them, and one that is back is used again.
+#[test]
+fn servers_that_refuse_connections_are_left_alone_even_if_they_are_most_of_a_pool() {
+    let mut nodes: Vec<Node> = (0..100).map(|rank| Node::new(many(100, rank), servers(1..61))).collect();
+    let gone = |id: ServerId| id % 5 < 3;
+    let mut play = |seconds: u64, back: bool| {
+        let (mut refused_connects, mut unserved, mut used) = (0, 0, BTreeSet::new());
+        for step in 0..seconds * 7 {
+            for (rank, node) in (0_u64..).zip(&mut nodes) {
+                let tenant = ((step + rank) % 4) as u32;
+                let (id, mut actions) = node.arrive(SAFE, Some(tenant));
+                let mut served = false;
+                for attempt in 0..4 {
+                    let Some(to) = sends(&actions, id).first().copied() else { break };
+                    served = back || !gone(to);
+                    let (outcome, took) = match served {
+                        true => (Outcome::Served, 20 * MS),
+                        false => (Outcome::ConnectFailed, MS),
+                    };
+                    actions = node.end(id, attempt, outcome, took);
+                    refused_connects += u32::from(!served);
+                    used.extend(served.then_some(to));
+                }
+                unserved += u32::from(!served);
+                node.now += 140 * MS;
+            }
+        }
+        (refused_connects, unserved, used.len())
+    };
+    let early = play(3, false);
+    let late = play(5, false);
+    assert!(late.0 < 900, "{early:?}, then {late:?} of 3500: connects refused, not served");
+    assert!(late.1 < 40, "{early:?}, then {late:?} of 3500: connects refused, not served");
+    let back = play(20, true);
+    assert!(back.2 > 50, "{} servers of 60 are used", back.2);
+}
+
 /// Waits are forgotten: a node that has shed all work would otherwise never learn that the jam is over.
 #[test]
 fn shedding_ends_by_itself() {
