--- a/crates/cherryusher/src/policy/pick.rs
+++ b/crates/cherryusher/src/policy/pick.rs
@@ -45,7 +45,7 @@
         let mut first = None;
         for draws in 1..=DRAWS {
             let i = pool.members[pool.table.draw(random.f64())];
-            let slower = self.servers[i].pace_at(self.now) / PACES.0;
+            let slower = self.servers[i].pace_at(self.now) / PACES.0 / self.warmth(i);
             if first == Some(i) || random.f64() * slower >= 1.0 || !home(i) || !fits(i) {
                 continue;
             }
@@ -75,7 +75,7 @@
         // key draws in place of chance.
         let late = |i: usize| {
             let s = &self.servers[i];
-            -unit(hash(by, s.entry.id)).ln() * s.pace_at(self.now) / s.share
+            -unit(hash(by, s.entry.id)).ln() * s.pace_at(self.now) / (s.share * self.warmth(i))
         };
         let mut ranked: Vec<(f64, usize)> = fit.into_iter().map(|i| (late(i), i)).collect();
         let Some(last) = ranked.len().checked_sub(1) else { return (None, pool.members.len() as u64) };
@@ -84,11 +84,21 @@
         (Some((ranked[0].1, second)), pool.members.len() as u64)
     }
 
+    /// The part of all requests that a server is in reach of, from half of what a cold one bears to all.
+    fn reach(&self, i: usize) -> f64 {
+        self.ramp(&self.servers[i].entry) * (self.settings.fall_multiple / 2.0).max(1.0)
+    }
+
+    /// What its draws weigh beside its share, so that with its reach it gets the part that its capacity is now: where
+    /// two servers in three are starting, more than that would jam most of the fleet.
+    fn warmth(&self, i: usize) -> f64 {
+        self.ramp(&self.servers[i].entry) / self.reach(i).min(1.0)
+    }
+
     /// Whether a request may go to a server now. `heed` tells whether avoided servers are passed over.
     fn fits(&self, job: &Job, i: usize, heed: bool) -> bool {
         let s = &self.servers[i];
-        let bears = (self.settings.fall_multiple / 2.0).max(1.0);
-        let reach = self.ramp(&s.entry) * bears;
+        let reach = self.reach(i);
         s.pool.is_some()
             && (s.in_flight == 0 || f64::from(s.in_flight) < self.room(i).ceil())
             // A cold server is in reach of few of all nodes' requests, half of what it bears: one attempt
--- a/crates/cherryusher/tests/scenarios.rs
+++ b/crates/cherryusher/tests/scenarios.rs
@@ -742,6 +742,28 @@
     assert_eq!(at_once(&mut node), 3);
 }
 
+/// Two servers in three have just started with a fifth of their capacity: together they carry 40 parts of 140.
+#[test]
+fn starting_servers_get_the_part_of_the_work_that_they_can_do() {
+    let list: Vec<ServerEntry> = servers(1..61)
+        .into_iter()
+        .map(|s| ServerEntry { ready_at: if s.id % 3 == 0 { 0 } else { 10 * S }, ..s })
+        .collect();
+    let (mut cold, mut all) = (0, 0);
+    for rank in 0..100 {
+        let mut node = Node::new(Settings { fall_multiple: 3.0, ..many(100, rank) }, list.clone());
+        for n in 0..40 {
+            let (id, actions) = node.arrive(UNSAFE, Some(n % 4));
+            let to = sends(&actions, id)[0];
+            node.end(id, 0, Outcome::Served, 20 * MS);
+            cold += u32::from(to % 3 != 0);
+            all += 1;
+        }
+    }
+    let part = f64::from(cold) / f64::from(all);
+    assert!((0.22..0.35).contains(&part), "{part:.2} of the work went to starting servers");
+}
+
 /// After a lost zone or a release that the list does not tell of yet, most servers refuse connections to all nodes:
 /// each is met once in a while, no request runs out of attempts at them, and one that is back is used again.
 #[test]
