--- a/crates/cherryusher/src/policy/admission.rs
+++ b/crates/cherryusher/src/policy/admission.rs
@@ -34,8 +34,9 @@
     }
 
     /// The part of such requests that is let in. A node of many sees an overload only in how long its few
-    /// attempts wait; once that eats up what the aims leave, more work would make all of it late. That tells it
-    /// too little, and too late, of what work beyond the shares keeps from others: it lets none of that in.
+    /// attempts wait; once that eats up what the aims leave, more work would make all of it late. That
+    /// tells it too little, and too late, of what work beyond the shares keeps from others: it lets none of
+    /// that in.
     fn admitted(&self, ask: &Ask) -> f64 {
         let blind = self.blindness();
         if !ask.in_share {
@@ -43,8 +44,8 @@
         }
         let wait = self.waits.now(self.now);
         let slack = self.settings.classes[ask.class].aim as f64 - self.times[ask.class].base;
-        // Shedding begins at a quarter of the aim's slack, but the few attempts seen vary by nearly a request's
-        // whole time with no load at all.
+        // Shedding begins at a quarter of the aim's slack, but the few attempts seen vary by nearly a
+        // request's whole time with no load at all.
         let (from, span) = ((0.24 * slack).max(self.waits.typical * 0.9), 0.48 * slack);
         1.0 - blind * ((wait - from) / span.max(1.0)).clamp(0.0, 1.0)
     }
@@ -99,9 +100,9 @@
         held.max_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1))).map_or(0, |best| best.2)
     }
 
-    /// Whether this part of the pool's room is not yet filled; one attempt always has room. What arrives at one of
-    /// many nodes varies by the root of its mean, and that evens out over all of them (square-root staffing, Halfin
-    /// and Whitt, 1981): what is within the shares may use some of that.
+    /// Whether this part of the pool's room is not yet filled; one attempt always has room. What arrives at
+    /// one of many nodes varies by the root of its mean, and that evens out over all of them (square-root
+    /// staffing, Halfin and Whitt, 1981): what is within the shares may use some of that.
     pub(super) fn has_room(&self, pool: usize, part: f64) -> bool {
         let pool = self.pool(pool);
         let room = pool.room.at(self.now) * self.limit / f64::from(self.settings.balancers);
--- a/crates/cherryusher/src/policy/feedback.rs
+++ b/crates/cherryusher/src/policy/feedback.rs
@@ -12,8 +12,8 @@
 const LIMIT_LEAST: f64 = 3.5;
 /// The usual time may rise to this multiple of the shortest it was, before limits shrink.
 const SLOWED: f64 = 1.1;
-/// As how many more an answer counts for a server's pace where a node meets it seldom: at one or two answers a
-/// second, small steps would notice a slow server only after it is jammed.
+/// As how many more an answer counts for a server's pace where a node meets it seldom: at one or two
+/// answers a second, small steps would notice a slow server only after it is jammed.
 const SELDOM: f64 = 6.0;
 
 impl Balancer {
@@ -54,8 +54,8 @@
             self.limit = (self.limit * factor).max(LIMIT_LEAST * needed).max(LIMIT_START);
         } else if !matches!(end.outcome, Outcome::Cancelled | Outcome::NotSent) {
             let now = self.now;
-            // What drains or is gone before the list says so, or has no place for more connections, is known by
-            // that at once, and may well be most of a pool. Nodes come back to it spread out.
+            // What drains or is gone before the list says so, or has no place for more connections, is
+            // known by that at once, and may well be most of a pool. Nodes come back to it spread out.
             if matches!(end.outcome, Outcome::ConnectFailed | Outcome::TurnedAway) {
                 let server = &mut self.servers[i];
                 // Of many nodes each would find it out anew, and one that stays away does no harm.
--- a/crates/cherryusher/src/policy/mod.rs
+++ b/crates/cherryusher/src/policy/mod.rs
@@ -160,9 +160,9 @@
         self.actions.extend(asked.then_some(Action::Subscribe));
     }
 
-    /// Asks again after a wait that is drawn from a span which doubles: nodes that failed together come back spread
-    /// over the whole of it, so that a service which takes few at a time is neither idle nor swamped. Never less
-    /// often than the rules want.
+    /// Asks again after a wait that is drawn from a span which doubles: nodes that failed together come
+    /// back spread over the whole of it, so that a service which takes few at a time is neither idle nor
+    /// swamped. Never less often than the rules want.
     fn ask_later(&mut self) {
         let Discovery::Asked { every } = self.settings.discovery else { return };
         let longest = ASK_AGAIN.max(ASK_EACH * u64::from(self.settings.balancers));
--- a/crates/cherryusher/src/policy/pick.rs
+++ b/crates/cherryusher/src/policy/pick.rs
@@ -89,8 +89,8 @@
         self.ramp(&self.servers[i].entry) * (self.settings.fall_multiple / 2.0).max(1.0)
     }
 
-    /// What its draws weigh beside its share, so that with its reach it gets the part that its capacity is now: where
-    /// two servers in three are starting, more than that would jam most of the fleet.
+    /// What its draws weigh beside its share, so that with its reach it gets the part that its capacity is
+    /// now: where two servers in three are starting, more than that would jam most of the fleet.
     fn warmth(&self, i: usize) -> f64 {
         self.ramp(&self.servers[i].entry) / self.reach(i).min(1.0)
     }
--- a/crates/cherryusher/tests/scenarios.rs
+++ b/crates/cherryusher/tests/scenarios.rs
@@ -747,7 +747,7 @@
 fn starting_servers_get_the_part_of_the_work_that_they_can_do() {
     let list: Vec<ServerEntry> = servers(1..61)
         .into_iter()
-        .map(|s| ServerEntry { ready_at: if s.id % 3 == 0 { 0 } else { 10 * S }, ..s })
+        .map(|s| ServerEntry { ready_at: if s.id.is_multiple_of(3) { 0 } else { 10 * S }, ..s })
         .collect();
     let (mut cold, mut all) = (0, 0);
     for rank in 0..100 {
@@ -756,7 +756,7 @@
             let (id, actions) = node.arrive(UNSAFE, Some(n % 4));
             let to = sends(&actions, id)[0];
             node.end(id, 0, Outcome::Served, 20 * MS);
-            cold += u32::from(to % 3 != 0);
+            cold += u32::from(!to.is_multiple_of(3));
             all += 1;
         }
     }
