--- a/crates/cherryusher/src/policy/feedback.rs
+++ b/crates/cherryusher/src/policy/feedback.rs
@@ -4,7 +4,8 @@
 
 /// How long a server is avoided for each of its recent failures.
 const RETREAT: f64 = 100_000.0;
-/// The longest wait after a first refusal until a server is tried again. It doubles with each further one.
+/// The longest wait after a first refusal until a server is tried again, at few nodes. It doubles with each
+/// further one.
 const SHUT: Micros = 100_000;
 /// How often that wait doubles.
 const SHUT_DOUBLES: u32 = 3;
