A new version takes the platform's listening socket over; a door for operators

The door has its own address, thread and bound on callers; counts by class and attempts written are kept where they happen.

--- a/crates/cherryusher/src/lib.rs
+++ b/crates/cherryusher/src/lib.rs
@@ -62,6 +62,17 @@
         self.steps
     }
 
+    /// How many servers the list has, those that drain included.
+    pub fn servers_listed(&self) -> usize {
+        self.servers.iter().filter(|server| server.entry.state != ServerState::Gone).count()
+    }
+
+    /// How many servers that take requests are avoided at this time: left alone after failures or refusals.
+    pub fn servers_avoided(&self, now: Micros) -> usize {
+        let ready = self.servers.iter().filter(|server| server.entry.state == ServerState::Ready);
+        ready.filter(|server| server.avoid_until.max(server.shut_until) > now).count()
+    }
+
     /// How many requests wait in the queue for a server with room: a gauge for the node that embeds it.
     pub fn requests_held(&self) -> usize {
         self.jobs.values().filter(|job| job.held).count()
--- a/crates/cherryusher/src/policy/mod.rs
+++ b/crates/cherryusher/src/policy/mod.rs
@@ -51,7 +51,7 @@
     salt: u64,
     shares: Vec<f64>,
     /// Servers by slot, the slots by id, and those that are free again.
-    servers: Vec<Server>,
+    pub(crate) servers: Vec<Server>,
     slots: HashMap<ServerId, usize>,
     free: Vec<usize>,
     kind_sizes: BTreeMap<u8, f64>,
--- a/crates/dunelink/src/config/mod.rs
+++ b/crates/dunelink/src/config/mod.rs
@@ -56,6 +56,9 @@
     /// Where the daemon listens. The library has no listener and passes it over.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub listen: Option<SocketAddr>,
+    /// Where the daemon answers its operators. The library has no listener and passes it over.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub control: Option<SocketAddr>,
     /// For random numbers, hexadecimal; drawn from the clock and the name if absent.
     #[serde(skip_serializing_if = "Option::is_none", with = "text::hex")]
     pub seed: Option<u64>,
@@ -219,6 +222,7 @@
         Config {
             name: "dunelink".into(),
             listen: None,
+            control: None,
             seed: None,
             over_share_worth: 1.0,
             limits: Limits::default(),
--- a/crates/dunelink/src/config/platform.rs
+++ b/crates/dunelink/src/config/platform.rs
@@ -72,6 +72,7 @@
 struct File {
     name: String,
     listen: SocketAddr,
+    control: Option<SocketAddr>,
     discovery: SocketAddr,
     #[serde(default)]
     seed: String,
@@ -282,6 +283,7 @@
         Config {
             name: self.name,
             listen: Some(self.listen),
+            control: self.control,
             seed: u64::from_str_radix(&self.seed, 16).ok(),
             over_share_worth: s.over_share_worth.unwrap_or(1.0),
             // A request has a connection of its own, so that descriptors bound requests too.
--- a/crates/dunelink/src/engine.rs
+++ b/crates/dunelink/src/engine.rs
@@ -71,6 +71,7 @@
 
 /// An open request, or one that is answered with attempts still out.
 struct Open {
+    class: usize,
     outgoing: Arc<Outgoing>,
     /// Taken once the final answer is given or the client has left.
     answer: Option<oneshot::Sender<Answer>>,
@@ -171,9 +172,9 @@
         inbox.close();
         while let Ok(happening) = inbox.try_recv() {
             match happening {
-                Happening::Arrived(_, _, answer) => {
+                Happening::Arrived(request, _, answer) => {
                     self.tally.arrived();
-                    self.tally.answered(answer, Answer::Refused { retry_after: None });
+                    self.tally.answered(request.class, answer, Answer::Refused { retry_after: None });
                 }
                 Happening::Ended(id, _, Outcome::Served, Some(response)) => {
                     self.answer(id, Answer::Served(response));
@@ -189,7 +190,7 @@
         }
         for (_, open) in self.open.drain() {
             if let Some(answer) = open.answer {
-                self.tally.answered(answer, Answer::Failed { timed_out: true });
+                self.tally.answered(open.class, answer, Answer::Failed { timed_out: true });
             }
             open.attempts.iter().filter_map(|a| a.task.as_ref()).for_each(AbortHandle::abort);
         }
@@ -214,6 +215,8 @@
             held: self.balancer.requests_held(),
             in_flight: attempts().count(),
             connections: self.servers.connections(),
+            listed: self.balancer.servers_listed(),
+            avoided: self.balancer.servers_avoided(self.now),
             counts: self.tally.counts(),
         }
     }
@@ -221,9 +224,15 @@
     fn take(&mut self, happening: Happening) {
         self.read_clock();
         match happening {
-            Happening::Module(event) => self.queue.push_back(event),
+            Happening::Module(event) => {
+                if matches!(event, Event::ServerList(_) | Event::ServerChanges(_)) {
+                    self.tally.heard_list();
+                }
+                self.queue.push_back(event);
+            }
             Happening::Arrived(request, outgoing, answer) => {
                 let open = Open {
+                    class: request.class,
                     outgoing,
                     answer: Some(answer),
                     attempts: Vec::new(),
@@ -348,9 +357,10 @@
     }
 
     fn answer(&mut self, id: RequestId, answer: Answer) {
-        if let Some(waiting) = self.open.get_mut(&id).and_then(|open| open.answer.take()) {
+        let open = self.open.get_mut(&id);
+        if let Some((class, waiting)) = open.and_then(|open| Some((open.class, open.answer.take()?))) {
             // A client that is just leaving hears no answer; its `Left` then finds the request finished.
-            self.tally.answered(waiting, answer);
+            self.tally.answered(class, waiting, answer);
         }
         self.let_go(id);
     }
--- a/crates/dunelink/src/intake.rs
+++ b/crates/dunelink/src/intake.rs
@@ -290,6 +290,11 @@
 }
 
 impl Head {
+    /// The number of its class.
+    pub(crate) fn class(&self) -> usize {
+        self.class.index
+    }
+
     /// What the decision module is told.
     pub(crate) fn request(&self, id: RequestId) -> cherryusher::Request {
         let remaining = self.deadline.saturating_duration_since(Instant::now());
--- a/crates/dunelink/src/lib.rs
+++ b/crates/dunelink/src/lib.rs
@@ -70,5 +70,5 @@
 pub use error::{BodyError, BoxError, CallError, Closed, Invalid, StartError};
 pub use intake::ext;
 pub use node::{Builder, Handle, Node, Parts, Received, Shard, Source};
-pub use snapshot::{Counts, ServerView, Snapshot};
+pub use snapshot::{ClassCounts, Counts, ServerView, Snapshot};
 pub use types::{Answer, Server, ServerState, Update};
--- a/crates/dunelink/src/line.rs
+++ b/crates/dunelink/src/line.rs
@@ -5,6 +5,7 @@
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 
 use socket2::SockRef;
@@ -12,6 +13,8 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+use crate::snapshot::Tally;
+
 /// A place in the budget for connections to servers.
 pub(crate) struct Place(Rc<Cell<usize>>);
 
@@ -32,15 +35,25 @@
 pub(crate) struct Line {
     stream: RefCell<TcpStream>,
     written: Cell<u64>,
+    /// Where the attempt at hand ends among them, until it is counted.
+    ends_at: Cell<Option<u64>>,
+    tally: Arc<Tally>,
     came: Cell<bool>,
     notify: Notify,
     _place: Place,
 }
 
 impl Line {
-    pub(crate) fn new(stream: TcpStream, place: Place) -> Line {
-        let stream = RefCell::new(stream);
-        Line { stream, written: Cell::new(0), came: Cell::new(false), notify: Notify::new(), _place: place }
+    pub(crate) fn new(stream: TcpStream, place: Place, tally: Arc<Tally>) -> Line {
+        Line {
+            stream: RefCell::new(stream),
+            written: Cell::new(0),
+            ends_at: Cell::new(None),
+            tally,
+            came: Cell::new(false),
+            notify: Notify::new(),
+            _place: place,
+        }
     }
 
     /// How many bytes have been written to it.
@@ -48,6 +61,11 @@
         self.written.get()
     }
 
+    /// The attempt at hand counts once so many bytes have been written.
+    pub(crate) fn count_at(&self, ends_at: u64) {
+        self.ends_at.set(Some(ends_at));
+    }
+
     /// Waits until some part of an answer has come.
     pub(crate) async fn something_came(&self) {
         while !self.came.get() {
@@ -70,7 +88,12 @@
 
     fn count(&self, polled: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(bytes)) = &polled {
-            self.written.set(self.written.get() + *bytes as u64);
+            let written = self.written.get() + *bytes as u64;
+            self.written.set(written);
+            if self.ends_at.get().is_some_and(|end| written >= end) {
+                self.ends_at.set(None);
+                self.tally.attempted();
+            }
         }
         polled
     }
--- a/crates/dunelink/src/node/handle.rs
+++ b/crates/dunelink/src/node/handle.rs
@@ -1,5 +1,6 @@
 //! The way to a running node, from any thread.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
@@ -19,7 +20,7 @@
 use crate::error::{BodyError, BoxError, CallError, Closed, Invalid};
 use crate::http::Rendering;
 use crate::intake::{Head, Intake};
-use crate::snapshot::{Counts, Snapshot, Tally};
+use crate::snapshot::{ClassCounts, Counts, Snapshot, Tally};
 use crate::types::Answer;
 
 /// How long a body may take in any case.
@@ -50,6 +51,7 @@
 pub(super) struct Shared {
     pub(super) engines: Vec<Arc<Engine>>,
     pub(super) intake: Arc<Intake>,
+    pub(super) class_names: Vec<String>,
     pub(super) graphql: Option<Endpoint>,
     pub(super) body_most: usize,
     pub(super) places: Arc<Semaphore>,
@@ -216,6 +218,12 @@
         self.engines().iter().all(|engine| engine.any_ready.load(Ordering::Acquire))
     }
 
+    /// Whether the list's source has told anything since the start, to every shard. Before that the node goes by the
+    /// list that it was given, which may be old.
+    pub fn has_list(&self) -> bool {
+        self.engines().iter().all(|engine| engine.tally.has_list())
+    }
+
     /// Whether the node takes nothing more.
     pub fn is_closed(&self) -> bool {
         self.shared.closing.load(Ordering::Acquire)
@@ -226,6 +234,28 @@
         self.engines().iter().map(|engine| engine.tally.counts()).fold(Counts::default(), Counts::plus)
     }
 
+    /// How requests of each class ended since the start.
+    pub fn class_counts(&self) -> BTreeMap<&str, ClassCounts> {
+        let mut counts: BTreeMap<&str, ClassCounts> = BTreeMap::new();
+        for engine in self.engines() {
+            for (name, more) in self.shared.class_names.iter().zip(engine.tally.class_counts()) {
+                let sum = counts.entry(name).or_default();
+                *sum = sum.plus(more);
+            }
+        }
+        counts
+    }
+
+    /// Attempts that were written whole to servers, since the start.
+    pub fn attempts(&self) -> u64 {
+        self.engines().iter().map(|engine| engine.tally.attempts()).sum()
+    }
+
+    /// Requests that were taken and have no answer yet, as their callers count them.
+    pub fn outstanding(&self) -> usize {
+        self.engines().iter().map(|engine| engine.waiting.load(Ordering::Relaxed)).sum()
+    }
+
     /// How the node stands, all its shards together.
     ///
     /// # Errors
--- a/crates/dunelink/src/node/mod.rs
+++ b/crates/dunelink/src/node/mod.rs
@@ -91,7 +91,8 @@
     /// the future, which needs a `LocalSet`; whatever it began ends with it.
     fn begin(mut self) -> impl Future<Output = ()> + 'static {
         let ended = self.ended.drop_guard();
-        let (servers, wanted) = (Rc::new(Servers::new(&self.config, self.any_ready)), Rc::new(Notify::new()));
+        let (servers, wanted) =
+            (Rc::new(Servers::new(&self.config, self.any_ready, self.tally.clone())), Rc::new(Notify::new()));
         let mut feed =
             Feed::new(&self.config, self.seed, servers.clone(), self.mailbox.clone(), wanted.clone());
         feed.cached(&self.roster.known().unwrap_or(self.config.known));
--- a/crates/dunelink/src/node/received.rs
+++ b/crates/dunelink/src/node/received.rs
@@ -94,7 +94,7 @@
 impl One {
     /// Refuses it without asking the engine.
     pub(super) fn refuse(self, retry_after: Option<Duration>) -> Answer {
-        self.engine.tally.turned_away();
+        self.engine.tally.turned_away(self.head.class());
         Answer::Refused { retry_after }
     }
 
@@ -105,10 +105,11 @@
         }
         let One { engine, head, outgoing, number, claimed: _claimed, place: _place } = self;
         let (sender, answer) = oneshot::channel();
+        let class = head.class();
         let mut waiting = Waiting::new(number, &engine);
         if !engine.mailbox.send(Happening::Arrived(head.request(number), outgoing, sender)) {
             waiting.answered = true;
-            engine.tally.turned_away();
+            engine.tally.turned_away(class);
             return Answer::Refused { retry_after: None };
         }
         let answer = answer.await;
--- a/crates/dunelink/src/node/shards.rs
+++ b/crates/dunelink/src/node/shards.rs
@@ -140,7 +140,7 @@
         let (mailbox, inbox) = Mailbox::new(seed);
         let engine = Engine {
             mailbox: mailbox.clone(),
-            tally: Arc::new(Tally::default()),
+            tally: Arc::new(Tally::new(config.classes.len())),
             any_ready: Arc::new(AtomicBool::default()),
             waiting: AtomicUsize::new(0),
             ended: CancellationToken::new(),
@@ -165,6 +165,7 @@
     let ended = engines.iter().map(|engine| engine.ended.clone()).collect();
     let shared = Shared {
         engines,
+        class_names: config.classes.iter().map(|class| class.name.clone()).collect(),
         intake,
         graphql,
         body_most: config.limits.body,
--- a/crates/dunelink/src/servers.rs
+++ b/crates/dunelink/src/servers.rs
@@ -29,6 +29,7 @@
 use crate::idle::Order;
 use crate::line::{Line, Place, ServerSocket};
 use crate::roster::Ready;
+use crate::snapshot::Tally;
 use crate::types::{Outgoing, Server};
 
 /// What a connection may buffer; it bounds headers too.
@@ -144,6 +145,7 @@
     most: usize,
     /// The most bytes in an answer's body.
     body_most: usize,
+    tally: Arc<Tally>,
     /// Which answers are the client's.
     answers: Answers,
     connect_timeout: Duration,
@@ -155,9 +157,10 @@
 }
 
 impl Servers {
-    pub(crate) fn new(config: &Config, any_ready: Arc<AtomicBool>) -> Servers {
+    pub(crate) fn new(config: &Config, any_ready: Arc<AtomicBool>, tally: Arc<Tally>) -> Servers {
         Servers {
             members: RefCell::default(),
+            tally,
             any_ready,
             order: RefCell::default(),
             open: Rc::default(),
@@ -313,7 +316,7 @@
             _ => return Err(Outcome::ConnectFailed),
         };
         stream.set_nodelay(true).map_err(|_| Outcome::ConnectFailed)?;
-        let line = Rc::new(Line::new(stream, place));
+        let line = Rc::new(Line::new(stream, place, self.tally.clone()));
         let socket = TokioIo::new(ServerSocket(line.clone()));
         let builder = http1::Builder::new().max_buf_size(BUFFER_MOST).handshake(socket).await;
         let (sender, connection) = builder.map_err(|_| Outcome::ConnectFailed)?;
@@ -366,6 +369,7 @@
             begun.set(true);
             let _unanswered = Unanswered { servers: self, server, sent: Instant::now() };
             line.forget_what_came();
+            line.count_at(before + whole);
             let mut stuck = pin!(stuck(&line, &hints));
             let answered = tokio::select! {
                 biased;
--- a/crates/dunelink/src/snapshot.rs
+++ b/crates/dunelink/src/snapshot.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use tokio::sync::oneshot;
 
@@ -53,6 +53,37 @@
     }
 }
 
+/// How requests of one class ended since the start.
+///
+/// ```
+/// # use dunelink::{Config, Node, config::{Class, Effect}};
+/// # use std::time::Duration;
+/// let classes = vec![Class::new("view", Effect::Safe, Duration::from_secs(1))];
+/// let node = Node::builder(Config { classes, ..Config::default() }).start()?;
+/// assert_eq!(node.handle().class_counts()["view"], dunelink::ClassCounts::default());
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ClassCounts {
+    /// Answered by a server.
+    pub served: u64,
+    /// Turned away, where trying again is harmless.
+    pub refused: u64,
+    /// Failed, with no promise.
+    pub failed: u64,
+}
+
+impl ClassCounts {
+    /// Both together.
+    pub(crate) fn plus(self, other: ClassCounts) -> ClassCounts {
+        ClassCounts {
+            served: self.served + other.served,
+            refused: self.refused + other.refused,
+            failed: self.failed + other.failed,
+        }
+    }
+}
+
 /// How a node stands.
 ///
 /// ```
@@ -80,6 +111,10 @@
     pub in_flight: usize,
     /// Connections to servers, idle ones included.
     pub connections: usize,
+    /// Servers in the list, those that drain included.
+    pub listed: usize,
+    /// Servers that take requests and that the node avoids now; of several shards, the most that one avoids.
+    pub avoided: usize,
     /// How requests ended.
     pub counts: Counts,
 }
@@ -101,6 +136,8 @@
         self.held += other.held;
         self.in_flight += other.in_flight;
         self.connections += other.connections;
+        // Each shard has the whole list.
+        (self.listed, self.avoided) = (self.listed.max(other.listed), self.avoided.max(other.avoided));
         self.counts = self.counts.plus(other.counts);
     }
 }
@@ -132,21 +169,76 @@
 }
 
 /// Counts as the engine and its callers keep them.
-#[derive(Default)]
 pub(crate) struct Tally {
+    /// By class: served, refused, failed.
+    classes: Box<[[AtomicU64; 3]]>,
+    attempts: AtomicU64,
     taken: AtomicU64,
     served: AtomicU64,
     refused: AtomicU64,
     failed: AtomicU64,
     left: AtomicU64,
     invalid: AtomicU64,
+    /// Whether the list's source has told anything since the start.
+    listed: AtomicBool,
 }
 
 fn one_more(count: &AtomicU64) {
     count.fetch_add(1, Ordering::Relaxed);
 }
 
+const SERVED: usize = 0;
+const REFUSED: usize = 1;
+const FAILED: usize = 2;
+
 impl Tally {
+    pub(crate) fn new(classes: usize) -> Tally {
+        Tally {
+            classes: (0..classes).map(|_| Default::default()).collect(),
+            attempts: AtomicU64::default(),
+            taken: AtomicU64::default(),
+            served: AtomicU64::default(),
+            refused: AtomicU64::default(),
+            failed: AtomicU64::default(),
+            left: AtomicU64::default(),
+            invalid: AtomicU64::default(),
+            listed: AtomicBool::default(),
+        }
+    }
+
+    /// The list's source has told something.
+    pub(crate) fn heard_list(&self) {
+        self.listed.store(true, Ordering::Release);
+    }
+
+    pub(crate) fn has_list(&self) -> bool {
+        self.listed.load(Ordering::Acquire)
+    }
+
+    /// An attempt was written whole to a server.
+    pub(crate) fn attempted(&self) {
+        one_more(&self.attempts);
+    }
+
+    pub(crate) fn attempts(&self) -> u64 {
+        self.attempts.load(Ordering::Relaxed)
+    }
+
+    fn of_class(&self, class: usize, what: usize) {
+        if let Some(counts) = self.classes.get(class) {
+            one_more(&counts[what]);
+        }
+    }
+
+    pub(crate) fn class_counts(&self) -> impl Iterator<Item = ClassCounts> {
+        let of = |count: &AtomicU64| count.load(Ordering::Relaxed);
+        self.classes.iter().map(move |counts| ClassCounts {
+            served: of(&counts[SERVED]),
+            refused: of(&counts[REFUSED]),
+            failed: of(&counts[FAILED]),
+        })
+    }
+
     pub(crate) fn arrived(&self) {
         one_more(&self.taken);
     }
@@ -160,23 +252,25 @@
     }
 
     /// A request that was refused without the engine.
-    pub(crate) fn turned_away(&self) {
+    pub(crate) fn turned_away(&self, class: usize) {
         one_more(&self.taken);
         one_more(&self.refused);
+        self.of_class(class, REFUSED);
     }
 
     /// Gives the final answer and counts it, or its client as left if nobody waits any more.
-    pub(crate) fn answered(&self, waiting: oneshot::Sender<Answer>, answer: Answer) {
-        let count = match &answer {
-            Answer::Served(_) => &self.served,
-            Answer::Refused { .. } => &self.refused,
-            Answer::Failed { .. } => &self.failed,
+    pub(crate) fn answered(&self, class: usize, waiting: oneshot::Sender<Answer>, answer: Answer) {
+        let (count, what) = match &answer {
+            Answer::Served(_) => (&self.served, SERVED),
+            Answer::Refused { .. } => (&self.refused, REFUSED),
+            Answer::Failed { .. } => (&self.failed, FAILED),
         };
         // Counted first: who has the answer must find it in the counts.
         match waiting.is_closed() {
             true => one_more(&self.left),
             false => {
                 one_more(count);
+                self.of_class(class, what);
                 let _ = waiting.send(answer);
             }
         }
--- a/crates/dunelinkd/src/clients.rs
+++ b/crates/dunelinkd/src/clients.rs
@@ -23,6 +23,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
+use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::dealer::Seat;
@@ -139,8 +140,19 @@
         Clients { seat: Some(seat), ..self }
     }
 
-    /// Takes connections in until `stop` is told, then what the kernel still has: that counts as taken.
-    pub(crate) async fn accept(self: Rc<Self>, listener: TcpListener, stop: Rc<Notify>) {
+    /// Takes connections in until `stop` is told, then what the kernel still has: that counts as taken. Where the
+    /// listening socket is `shared`, it takes them from when the node is ready, and what the kernel has in the end is
+    /// another process's.
+    pub(crate) async fn accept(
+        self: Rc<Self>,
+        listener: TcpListener,
+        mut ready: JoinHandle<()>,
+        stop: Rc<Notify>,
+        shared: bool,
+    ) {
+        if shared && !is_ready(&mut ready, &stop).await {
+            return;
+        }
         let mut stopping = false;
         loop {
             // Beyond the budget connections wait in the kernel: to accept and drop one would lose a request.
@@ -150,6 +162,7 @@
             }
             let accepted = tokio::select! {
                 biased;
+                () = stop.notified(), if shared => return,
                 accepted = listener.accept() => accepted,
                 () = sleep(LAST_LOOK), if stopping => return,
                 () = stop.notified(), if !stopping => {
@@ -337,6 +350,14 @@
     }
 }
 
+/// Waits until the node is ready; whether it was before it was told to stop.
+pub(crate) async fn is_ready(ready: &mut JoinHandle<()>, stop: &Notify) -> bool {
+    tokio::select! {
+        ready = ready => ready.is_ok(),
+        () = stop.notified() => false,
+    }
+}
+
 /// One in a count, for as long as it lasts.
 struct Counted<'a>(&'a Cell<usize>);
 
--- a/crates/dunelinkd/src/dealer.rs
+++ b/crates/dunelinkd/src/dealer.rs
@@ -12,9 +12,10 @@
 use dunelink::Handle;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
-use crate::clients::{LAST_LOOK, NO_SOCKETS, out_of_sockets};
+use crate::clients::{self, LAST_LOOK, NO_SOCKETS, out_of_sockets};
 
 /// A shard that has not taken a connection for this long stands still.
 const STILL: Duration = Duration::from_millis(50);
@@ -144,8 +145,18 @@
         &self.seats
     }
 
-    /// Deals until `stop` is told, then what the kernel still has: that counts as taken.
-    pub(crate) async fn deal(self, listener: TcpListener, stop: Arc<Notify>) {
+    /// Deals until `stop` is told, then what the kernel still has: that counts as taken. Where the listening socket is
+    /// `shared`, it deals from when the node is ready, and what the kernel has is another process's in the end.
+    pub(crate) async fn deal(
+        self,
+        listener: TcpListener,
+        mut ready: JoinHandle<()>,
+        stop: Arc<Notify>,
+        shared: bool,
+    ) {
+        if shared && !clients::is_ready(&mut ready, &stop).await {
+            return;
+        }
         let mut stopping = false;
         // Accepted, and not dealt.
         let mut hand: VecDeque<TcpStream> = VecDeque::new();
@@ -166,7 +177,11 @@
             let waits = self.seats.iter().any(|seat| seat.waits());
             let accepted = tokio::select! {
                 biased;
-                accepted = listener.accept() => accepted,
+                () = stop.notified(), if shared && !stopping => {
+                    stopping = true;
+                    continue;
+                }
+                accepted = listener.accept(), if !(shared && stopping) => accepted,
                 () = sleep(if waits { STILL } else { LAST_LOOK }), if stopping || waits => {
                     if stopping && !waits {
                         return;
@@ -209,7 +224,7 @@
         let dealer = Dealer::new([10, 100], node.handle().clone());
         let seats = dealer.seats().to_vec();
         let stop = Arc::new(Notify::new());
-        let dealing = tokio::spawn(dealer.deal(listener, stop.clone()));
+        let dealing = tokio::spawn(dealer.deal(listener, tokio::spawn(async {}), stop.clone(), false));
         let clients: Vec<TcpStream> = (0..30).map(|_| TcpStream::connect(address).unwrap()).collect();
         let mut taken = Vec::new();
         while taken.len() < clients.len() {
--- /dev/null
+++ b/crates/dunelinkd/src/door.rs
@@ -0,0 +1,159 @@
+//! The operators' door: whether this process can serve, and its figures. It has a thread of its own, so that it
+//! answers while the engine or the clients' side is busy, and an address of its own, so that no crowd of clients is in
+//! its way.
+
+use std::cell::Cell;
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::fmt::Write;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use anyhow::Context;
+use bytes::Bytes;
+use dunelink::http::plain;
+use dunelink::{Handle, Snapshot};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode, header};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::TcpStream;
+use tokio::task::LocalSet;
+use tokio::time::{sleep, timeout};
+use tokio_util::task::AbortOnDropHandle;
+
+/// Callers at once. Beyond that the one that has been silent for longest makes room.
+const CALLERS: usize = 16;
+/// What the door takes of the process's descriptors: callers, its listener, and its runtime's.
+pub(crate) const DESCRIPTORS: usize = CALLERS + 4;
+/// How long a call may take to come.
+const CALL_WITHIN: Duration = Duration::from_secs(2);
+/// How long a caller may take to read its answer, on top.
+const READ_WITHIN: Duration = Duration::from_secs(2);
+/// How long the engine is waited for; then what it last told counts.
+const LOOK_WITHIN: Duration = Duration::from_millis(300);
+/// What a call may buffer.
+const BUFFER_MOST: usize = 8 * 1024;
+/// How long accepting pauses when there are no descriptors left.
+const NO_SOCKETS: Duration = Duration::from_millis(10);
+
+/// A caller, cut off when dropped.
+struct Caller {
+    /// Whether its call has come.
+    heard: Rc<Cell<bool>>,
+    task: AbortOnDropHandle<()>,
+}
+
+/// What the door shows.
+pub(crate) struct Door {
+    node: Handle,
+    /// Whether this process takes requests: told by those who do.
+    serving: Arc<AtomicBool>,
+    /// How the engine last stood.
+    last: Mutex<Snapshot>,
+}
+
+impl Door {
+    pub(crate) fn new(node: Handle, serving: Arc<AtomicBool>) -> Door {
+        Door { node, serving, last: Mutex::default() }
+    }
+
+    /// Opens it on a thread of its own, which ends with the process.
+    pub(crate) fn open(self, address: SocketAddr) -> anyhow::Result<SocketAddr> {
+        let listener =
+            TcpListener::bind(address).with_context(|| format!("control: can't listen on {address}"))?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        std::thread::Builder::new().name("door".into()).spawn(move || {
+            LocalSet::new().block_on(&runtime, async move {
+                match tokio::net::TcpListener::from_std(listener) {
+                    Ok(listener) => Rc::new(self).answer(listener).await,
+                    Err(error) => eprintln!("dunelink: control: {error}"),
+                }
+            });
+        })?;
+        Ok(address)
+    }
+
+    async fn answer(self: Rc<Self>, listener: tokio::net::TcpListener) {
+        let mut callers: VecDeque<Caller> = VecDeque::new();
+        loop {
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(_) => {
+                    sleep(NO_SOCKETS).await;
+                    continue;
+                }
+            };
+            callers.retain(|caller| !caller.task.is_finished());
+            if callers.len() >= CALLERS {
+                // Who calls in earnest has been heard long before as many others have come.
+                let silent = callers.iter().position(|caller| !caller.heard.get()).unwrap_or(0);
+                callers.remove(silent);
+            }
+            let heard = Rc::new(Cell::new(false));
+            let (door, told) = (self.clone(), heard.clone());
+            let task = tokio::task::spawn_local(async move {
+                let _ = timeout(CALL_WITHIN + READ_WITHIN, door.serve(stream, &told)).await;
+            });
+            callers.push_back(Caller { heard, task: AbortOnDropHandle::new(task) });
+        }
+    }
+
+    async fn serve(&self, stream: TcpStream, heard: &Cell<bool>) {
+        let service = service_fn(async |request| {
+            heard.set(true);
+            Ok::<_, Infallible>(self.respond(&request).await)
+        });
+        let mut builder = http1::Builder::new();
+        builder.timer(TokioTimer::new()).header_read_timeout(CALL_WITHIN).max_buf_size(BUFFER_MOST);
+        // Its errors are the caller's.
+        let _ = builder.keep_alive(false).serve_connection(TokioIo::new(stream), service).await;
+    }
+
+    async fn respond(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+        let known = matches!(request.uri().path(), "/admin/health" | "/admin/stats");
+        if !known {
+            return plain(StatusCode::NOT_FOUND, "no such call\n");
+        }
+        if request.method() != Method::GET && request.method() != Method::HEAD {
+            let mut response = plain(StatusCode::METHOD_NOT_ALLOWED, "GET only\n");
+            response.headers_mut().insert(header::ALLOW, header::HeaderValue::from_static("GET, HEAD"));
+            return response;
+        }
+        match request.uri().path() {
+            "/admin/health" if self.serving.load(Ordering::Acquire) => plain(StatusCode::OK, "serving\n"),
+            "/admin/health" => plain(StatusCode::SERVICE_UNAVAILABLE, "not serving\n"),
+            _ => plain(StatusCode::OK, self.figures().await),
+        }
+    }
+
+    /// Counts are read as they are; what only the engine knows is asked of it, but not waited for without end.
+    async fn figures(&self) -> String {
+        let told = timeout(LOOK_WITHIN, self.node.snapshot()).await;
+        let stands = {
+            let mut last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
+            if let Ok(Ok(now)) = told {
+                *last = now;
+            }
+            (last.listed, last.avoided)
+        };
+        let mut text = String::new();
+        // Writing to a string can't fail.
+        for (class, counts) in self.node.class_counts() {
+            let _ = writeln!(text, "results.{class}.succeeded={}", counts.served);
+            let _ = writeln!(text, "results.{class}.declined={}", counts.refused);
+            let _ = writeln!(text, "results.{class}.aborted={}", counts.failed);
+        }
+        let _ = writeln!(text, "forwards={}", self.node.attempts());
+        let _ = writeln!(text, "outstanding={}", self.node.outstanding());
+        let _ = writeln!(text, "discovered={}\nejected={}", stands.0, stands.1);
+        text
+    }
+}
--- a/crates/dunelinkd/src/main.rs
+++ b/crates/dunelinkd/src/main.rs
@@ -3,7 +3,9 @@
 mod clients;
 mod dealer;
 mod demo;
+mod door;
 mod graphql;
+mod listen;
 mod serve;
 mod shards;
 mod socket;
--- a/crates/dunelinkd/src/serve.rs
+++ b/crates/dunelinkd/src/serve.rs
@@ -1,20 +1,24 @@
 //! Serving: the listener in front of the library's node, signals, and an orderly end.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use anyhow::{Context, anyhow};
 use dunelink::config::{Absent, RosterConfig};
 use dunelink::roster::{Watch, WatchMover};
 use dunelink::{Config, Counts, Handle, Node, Parts};
-use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::Notify;
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::clients::Clients;
+use crate::door::{self, Door};
+use crate::listen::{Listening, listen};
 use crate::shards::Shards;
 
 /// For how long after SIGTERM connections are taken in: new ones come for up to 0.4 s.
@@ -24,6 +28,11 @@
 /// What comes on top of the longest deadline, and what the last answers may take.
 pub(crate) const LAST_ANSWERS: Duration = Duration::from_millis(100);
 
+/// For how long a process that follows another waits to hear from discovery before it serves.
+const HEAR_WITHIN: Duration = Duration::from_secs(2);
+/// How often it looks.
+const READY_LOOK: Duration = Duration::from_millis(10);
+
 /// The file that the configuration is in.
 pub(crate) enum Source {
     /// The platform's JSON.
@@ -69,10 +78,14 @@
     // From the first moment: unhandled, both signals end the process.
     let (hang_up, mut terminate) = (signal(SignalKind::hangup())?, signal(SignalKind::terminate())?);
     let mut config = source.read()?;
-    let listen =
+    let address =
         config.listen.with_context(|| format!("{}: listen: expected an address", source.path().display()))?;
-    let listener = TcpListener::bind(listen).await.with_context(|| format!("can't listen on {listen}"))?;
+    let Listening { listener, shared } = listen(address).await?;
     eprintln!("dunelink: {} listens on {}", config.name, listener.local_addr()?);
+    let control = control(&config)?;
+    if control.is_some() {
+        config.limits.sockets = config.limits.sockets.saturating_sub(door::DESCRIPTORS);
+    }
     // What comes over its own connections is held to RFC 9112, 3.2.
     config.intake.host = Absent::Refuse;
     let mut builder = Node::builder(config.clone());
@@ -83,15 +96,24 @@
         mover = Some(moves);
     }
     let Parts { node, mut shards, source: list, .. } = builder.split()?;
+    let serving = Arc::new(AtomicBool::new(false));
+    if let Some(control) = control {
+        let door = Door::new(node.handle().clone(), serving.clone()).open(control)?;
+        eprintln!("dunelink: {} answers its operators on {door}", config.name);
+    }
+    // What is not accepted is another process's to take, as long as there is one.
+    let still_accept = if shared { Duration::ZERO } else { STILL_ACCEPT };
+    let ready = spawn_local(ready(node.handle().clone(), shared, serving.clone()));
     spawn_local(reread(source, hang_up, mover, node.handle().clone()));
     let wait = (config.longest() + LAST_ANSWERS).min(STAY_MOST.saturating_sub(STILL_ACCEPT));
     if let Some(list) = list {
         spawn_local(list.run());
-        let mut shards = Shards::start(shards, node.handle(), listener)?;
+        let mut shards = Shards::start(shards, node.handle(), listener, ready, shared)?;
         terminate.recv().await;
+        serving.store(false, Ordering::Release);
         eprintln!("dunelink: {} is leaving", config.name);
         shards.leave();
-        sleep(STILL_ACCEPT).await;
+        sleep(still_accept).await;
         shards.stop().await;
         shards.close(wait).await;
         // A shard that stands still can't be waited for; its requests are lost with the process.
@@ -107,12 +129,13 @@
     let watched = clients.clone();
     spawn_local(async move { watched.sweep().await });
     let stop = Rc::new(Notify::new());
-    let accepting = spawn_local(clients.clone().accept(listener, stop.clone()));
+    let accepting = spawn_local(clients.clone().accept(listener, ready, stop.clone(), shared));
 
     terminate.recv().await;
+    serving.store(false, Ordering::Release);
     eprintln!("dunelink: {} is leaving", config.name);
     clients.leave();
-    sleep(STILL_ACCEPT).await;
+    sleep(still_accept).await;
     stop.notify_one();
     // Where all connections are busy, the kernel's would be waited for too long.
     let _ = timeout(LAST_ANSWERS, accepting).await;
@@ -126,6 +149,26 @@
     Ok(())
 }
 
+/// Where operators ask: by the configuration, or by the environment.
+fn control(config: &Config) -> anyhow::Result<Option<SocketAddr>> {
+    let named = match (config.control, std::env::var("GW_CONTROL")) {
+        (Some(address), _) => return Ok(Some(address)),
+        (None, Ok(named)) if !named.is_empty() => named,
+        _ => return Ok(None),
+    };
+    named.parse().map(Some).with_context(|| format!("GW_CONTROL: expected an address, not {named:?}"))
+}
+
+/// Waits until this process can serve, and says so from then on. One that follows another leaves clients to it until
+/// it has heard from discovery: the list that it starts with may be old.
+async fn ready(node: Handle, follows: bool, serving: Arc<AtomicBool>) {
+    let began = Instant::now();
+    while !node.is_ready() || follows && !node.has_list() && began.elapsed() < HEAR_WITHIN {
+        sleep(READY_LOOK).await;
+    }
+    serving.store(true, Ordering::Release);
+}
+
 /// The last line of the log.
 fn farewell(config: &Config, counts: Counts) {
     eprintln!(
--- a/crates/dunelinkd/src/shards.rs
+++ b/crates/dunelinkd/src/shards.rs
@@ -8,7 +8,7 @@
 use dunelink::{Handle, Shard};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, oneshot, watch};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
 use tokio::time::timeout;
 
 use crate::clients::Clients;
@@ -31,7 +31,7 @@
 pub(crate) struct Shards {
     stage: watch::Sender<Stage>,
     stop: Arc<Notify>,
-    dealing: tokio::task::JoinHandle<()>,
+    dealing: JoinHandle<()>,
     /// Told by each shard: its connections have ended; it is over.
     closed: Vec<oneshot::Receiver<()>>,
     over: Vec<oneshot::Receiver<()>>,
@@ -39,7 +39,13 @@
 
 impl Shards {
     /// Starts a thread for each, and deals out what the listener accepts.
-    pub(crate) fn start(shards: Vec<Shard>, node: &Handle, listener: TcpListener) -> anyhow::Result<Shards> {
+    pub(crate) fn start(
+        shards: Vec<Shard>,
+        node: &Handle,
+        listener: TcpListener,
+        ready: JoinHandle<()>,
+        shared: bool,
+    ) -> anyhow::Result<Shards> {
         let most = shards.iter().map(|shard| Clients::most(shard.config()));
         let dealer = Dealer::new(most, node.clone());
         let (stage, stages) = watch::channel(Stage::Serving);
@@ -60,7 +66,7 @@
             over.push(is_over);
         }
         let stop = Arc::new(Notify::new());
-        let dealing = spawn_local(dealer.deal(listener, stop.clone()));
+        let dealing = spawn_local(dealer.deal(listener, ready, stop.clone(), shared));
         Ok(Shards { stage, stop, dealing, closed, over })
     }
 
--- a/crates/dunelinkd/tests/process/mod.rs
+++ b/crates/dunelinkd/tests/process/mod.rs
@@ -14,6 +14,8 @@
 /// A daemon that listens.
 pub struct Process {
     pub address: SocketAddr,
+    /// Where it answers its operators, if its configuration says so.
+    pub door: Option<SocketAddr>,
     path: String,
     child: Child,
     /// Reads the log on, lest the node waits for it; tells its last line.
@@ -26,11 +28,15 @@
         let path = write(config);
         let mut child = command.env("GW_CONFIG", &path).spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
-        let mut line = String::new();
-        log.read_line(&mut line).unwrap();
-        let address = line.trim().rsplit(' ').next().unwrap().parse().expect(&line);
+        let mut told = || {
+            let mut line = String::new();
+            log.read_line(&mut line).unwrap();
+            line.trim().rsplit(' ').next().unwrap().parse().expect(&line)
+        };
+        let address = told();
+        let door = config.contains("\"control\"").then(told);
         let log = std::thread::spawn(move || log.lines().map_while(Result::ok).last().unwrap_or_default());
-        Process { address, path, child, log: Some(log) }
+        Process { address, door, path, child, log: Some(log) }
     }
 
     pub fn terminate(&self) {
@@ -106,13 +112,13 @@
         Node::on(program(), discovery, config)
     }
 
-    fn run(command: Command, targets: &[Value], sockets: usize) -> Node {
+    pub fn run(command: Command, targets: &[Value], sockets: usize) -> Node {
         let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
         let config = config(discovery.local_addr().unwrap(), targets, sockets);
         Node::on(command, discovery, config)
     }
 
-    fn on(command: Command, discovery: TcpListener, config: Value) -> Node {
+    pub fn on(command: Command, discovery: TcpListener, config: Value) -> Node {
         let process = Process::start(command, &config.to_string());
         Node { address: process.address, discovery, process, config, answers: Arc::default() }
     }
