--- a/crates/dunelink/examples/client.rs
+++ b/crates/dunelink/examples/client.rs
@@ -23,7 +23,8 @@
 fn say(what: &str, answer: &Answer) {
     match answer {
         Answer::Served(response) => {
-            println!("{what}: served by {}", String::from_utf8_lossy(response.body()));
+            let body = response.body().whole().map(|body| String::from_utf8_lossy(body));
+            println!("{what}: served by {}", body.unwrap_or("a long answer".into()));
         }
         Answer::Refused { retry_after: Some(after) } => println!("{what}: refused; again after {after:?}"),
         Answer::Refused { retry_after: None } => println!("{what}: refused; trying again is harmless"),
--- a/crates/dunelink/src/config/mod.rs
+++ b/crates/dunelink/src/config/mod.rs
@@ -102,8 +102,11 @@
     pub server_connections: Option<usize>,
     /// Requests open at once. What comes beyond is refused at once, or waits in `poll_ready`.
     pub requests: usize,
-    /// Bytes in a body, in either direction.
+    /// Bytes of a body that are held, in either direction.
     pub body: usize,
+    /// Bytes in a body, in either direction: a longer one than is held is passed on as it comes. What is over this is
+    /// turned down.
+    pub stream: u64,
 }
 
 /// What a request has to bring along.
@@ -240,7 +243,13 @@
 
 impl Default for Limits {
     fn default() -> Limits {
-        Limits { sockets: 1024, server_connections: None, requests: 10_000, body: 64 * 1024 }
+        Limits {
+            sockets: 1024,
+            server_connections: None,
+            requests: 10_000,
+            body: 64 * 1024,
+            stream: 64 << 20,
+        }
     }
 }
 
--- a/crates/dunelink/src/engine.rs
+++ b/crates/dunelink/src/engine.rs
@@ -8,7 +8,6 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use bytes::Bytes;
 use cherryusher::{Action, AttemptNo, Balancer, Ended, Event, Micros, Outcome, Request, RequestId, ServerId};
 use hyper::Response;
 use tokio::sync::{Notify, mpsc, oneshot};
@@ -17,7 +16,9 @@
 use tokio_util::time::DelayQueue;
 use tokio_util::time::delay_queue::Key;
 
-use crate::servers::{Attempted, Servers};
+use crate::answer_body::AnswerBody;
+use crate::attempt::Attempted;
+use crate::servers::Servers;
 use crate::snapshot::{ServerView, Snapshot, Tally};
 use crate::types::{Answer, Outgoing};
 
@@ -33,7 +34,7 @@
     /// The client has left.
     Left(RequestId),
     /// An attempt is over.
-    Ended(RequestId, AttemptNo, Outcome, Option<Response<Bytes>>),
+    Ended(RequestId, AttemptNo, Outcome, Option<Response<AnswerBody>>),
     /// Someone wants to know how things stand.
     Look(oneshot::Sender<Snapshot>),
     /// The process is out of descriptors.
@@ -141,7 +142,8 @@
     /// Works until it is told to end. Everything taken has its answer then.
     pub(crate) async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Happening>) {
         loop {
-            if self.ends.is_some() && self.open.values().all(|open| open.answer.is_none()) {
+            let all_answered = || self.open.values().all(|open| open.answer.is_none());
+            if self.ends.is_some() && all_answered() && self.servers.passing() == 0 {
                 break;
             }
             let ends = self.ends;
@@ -160,6 +162,7 @@
                     self.woken(due.into_inner());
                 }
                 () = late, if ends.is_some() => break,
+                () = self.servers.passed(), if ends.is_some() => {}
             }
             self.work();
         }
--- a/crates/dunelink/src/http.rs
+++ b/crates/dunelink/src/http.rs
@@ -6,8 +6,8 @@
 use dunelink_graphql::{Code, Fate, Media, Rejection, error_body};
 use http::header::{self, HeaderValue};
 use http::{Response, StatusCode};
-use http_body_util::Full;
 
+use crate::answer_body::AnswerBody;
 use crate::error::{CallError, Invalid};
 use crate::types::Answer;
 
@@ -50,9 +50,9 @@
 /// let response = respond(Ok(refused));
 /// assert_eq!((response.status().as_u16(), &response.headers()["retry-after"]), (503, &"1.500".parse().unwrap()));
 /// ```
-pub fn respond(result: Result<Answer, CallError>) -> Response<Full<Bytes>> {
+pub fn respond(result: Result<Answer, CallError>) -> Response<AnswerBody> {
     let (mut response, verdict) = match result {
-        Ok(Answer::Served(response)) => (response.map(Full::new), Verdict::Served),
+        Ok(Answer::Served(response)) => (response, Verdict::Served),
         Ok(Answer::Refused { retry_after }) => (refused(retry_after), Verdict::Refused),
         Ok(Answer::Failed { timed_out: true }) => {
             (plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time"), Verdict::Failed)
@@ -85,7 +85,7 @@
 
 impl Rendering {
     /// An answer, or the reason why there is none, as an HTTP response.
-    pub fn respond(self, result: Result<Answer, CallError>) -> Response<Full<Bytes>> {
+    pub fn respond(self, result: Result<Answer, CallError>) -> Response<AnswerBody> {
         let Rendering::GraphQl(media) = self else { return respond(result) };
         let body = match &result {
             Ok(Answer::Served(_)) | Err(CallError::GraphQl { .. }) => None,
@@ -96,7 +96,7 @@
         };
         let mut response = respond(result);
         if let Some(body) = body {
-            *response.body_mut() = Full::new(body);
+            *response.body_mut() = AnswerBody::from(body);
             response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(media.name()));
         }
         response
@@ -109,13 +109,13 @@
 /// let response = dunelink::http::plain(http::StatusCode::NOT_FOUND, "no such page");
 /// assert_eq!(response.status(), 404);
 /// ```
-pub fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(text.into()));
+pub fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::from(text));
     *response.status_mut() = status;
     response
 }
 
-fn not_taken(error: &CallError) -> Response<Full<Bytes>> {
+fn not_taken(error: &CallError) -> Response<AnswerBody> {
     if let CallError::GraphQl { rejection, media } = error {
         return rejected(rejection, *media);
     }
@@ -135,15 +135,15 @@
     response
 }
 
-fn rejected(rejection: &Rejection, media: Media) -> Response<Full<Bytes>> {
-    let mut response = graphql(rejection.status(media), media, Full::new(rejection.body()));
+fn rejected(rejection: &Rejection, media: Media) -> Response<AnswerBody> {
+    let mut response = graphql(rejection.status(media), media, AnswerBody::from(rejection.body()));
     if rejection.code == Code::MethodNotAllowed {
         response.headers_mut().insert(header::ALLOW, HeaderValue::from_static("GET, POST"));
     }
     response
 }
 
-fn refused(retry_after: Option<Duration>) -> Response<Full<Bytes>> {
+fn refused(retry_after: Option<Duration>) -> Response<AnswerBody> {
     let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
     let value = retry_after.and_then(|d| HeaderValue::from_str(&format!("{:.3}", d.as_secs_f64())).ok());
     value.into_iter().for_each(|v| {
--- a/crates/dunelink/src/lib.rs
+++ b/crates/dunelink/src/lib.rs
@@ -24,7 +24,7 @@
 //!
 //! let request = http::Request::get("/view/7f3a").body(String::new())?;
 //! match node.handle().call(request).await? {
-//!     Answer::Served(response) => println!("{} bytes", response.body().len()),
+//!     Answer::Served(response) => println!("{} bytes", response.into_body().bytes(1 << 20).await?.len()),
 //!     Answer::Refused { retry_after } => println!("come back after {retry_after:?}"),
 //!     Answer::Failed { timed_out } => println!("no promise; out of time: {timed_out}"),
 //! }
@@ -47,6 +47,8 @@
 //! kept whatever the host's executor does. A call itself needs no runtime, except while a body is still coming
 //! in: its time limit uses the timers of the tokio runtime that polls the call.
 
+mod answer_body;
+mod attempt;
 pub mod config;
 mod engine;
 mod error;
@@ -64,6 +66,7 @@
 pub mod tower;
 mod types;
 
+pub use answer_body::AnswerBody;
 pub use config::Config;
 /// What a GraphQL request is, and what the node says of it.
 pub use dunelink_graphql as graphql;
--- a/crates/dunelink/src/line.rs
+++ b/crates/dunelink/src/line.rs
@@ -35,6 +35,7 @@
 pub(crate) struct Line {
     stream: RefCell<TcpStream>,
     written: Cell<u64>,
+    read: Cell<u64>,
     /// Where the attempt at hand ends among them, until it is counted.
     ends_at: Cell<Option<u64>>,
     tally: Arc<Tally>,
@@ -48,6 +49,7 @@
         Line {
             stream: RefCell::new(stream),
             written: Cell::new(0),
+            read: Cell::new(0),
             ends_at: Cell::new(None),
             tally,
             came: Cell::new(false),
@@ -61,6 +63,11 @@
         self.written.get()
     }
 
+    /// How many bytes have been read from it.
+    pub(crate) fn read(&self) -> u64 {
+        self.read.get()
+    }
+
     /// The attempt at hand counts once so many bytes have been written.
     pub(crate) fn count_at(&self, ends_at: u64) {
         self.ends_at.set(Some(ends_at));
@@ -106,7 +113,9 @@
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let polled = Pin::new(&mut *self.0.stream.borrow_mut()).poll_read(cx, buf);
-        if buf.filled().len() > before {
+        let came = buf.filled().len() - before;
+        if came > 0 {
+            self.0.read.set(self.0.read.get() + came as u64);
             self.0.came.set(true);
             self.0.notify.notify_one();
         }
--- a/crates/dunelink/src/node/batch.rs
+++ b/crates/dunelink/src/node/batch.rs
@@ -9,6 +9,7 @@
 use http::StatusCode;
 
 use super::received::One;
+use crate::answer_body::AnswerBody;
 use crate::http::graphql;
 use crate::intake::Claimed;
 use crate::types::Answer;
@@ -17,6 +18,8 @@
 pub(super) struct Batch {
     pub(super) parts: Vec<Part>,
     pub(super) media: Media,
+    /// The most bytes of a part's answer.
+    pub(super) body_most: usize,
     /// The id of the batch itself; its parts' begin with it.
     pub(super) _claimed: Claimed,
 }
@@ -38,12 +41,13 @@
 }
 
 impl Outcome {
-    fn of(answer: Answer) -> (Outcome, End) {
+    /// Answers are joined, so that each has to be held.
+    async fn of(answer: Answer, most: usize) -> (Outcome, End) {
         match answer {
-            Answer::Served(response) if is_json(response.body()) => {
-                (Outcome::Answered(response.into_body()), End::Served)
-            }
-            Answer::Served(_) => (Outcome::Said(Fate::Unreadable), End::Served),
+            Answer::Served(response) => match response.into_body().bytes(most).await {
+                Ok(body) if is_json(&body) => (Outcome::Answered(body), End::Served),
+                _ => (Outcome::Said(Fate::Unreadable), End::Served),
+            },
             Answer::Refused { retry_after } => (Outcome::Said(Fate::Refused(retry_after)), End::Refused),
             Answer::Failed { timed_out } => (Outcome::Said(Fate::Failed { timed_out }), End::Failed),
         }
@@ -67,7 +71,7 @@
     }
 
     pub(super) async fn answer(self) -> Answer {
-        let Batch { parts, media, _claimed } = self;
+        let Batch { parts, media, body_most, _claimed } = self;
         let mut order = Order::new(parts.iter().map(|part| part.reads));
         let mut waiting: Vec<Option<Result<One, Rejection>>> =
             parts.into_iter().map(|part| Some(part.one)).collect();
@@ -90,7 +94,7 @@
                 }
             }
             if let Some((at, answer)) = out.next().await {
-                let (outcome, end) = Outcome::of(answer);
+                let (outcome, end) = Outcome::of(answer, body_most).await;
                 outcomes[at] = Some(outcome);
                 order.ended(at, end);
             }
@@ -124,5 +128,5 @@
         false => StatusCode::BAD_REQUEST,
     };
     let bodies: Vec<Bytes> = outcomes.iter().map(Outcome::body).collect();
-    Answer::Served(graphql(status, media, join(&bodies)))
+    Answer::Served(graphql(status, media, AnswerBody::from(join(&bodies))))
 }
--- a/crates/dunelink/src/node/graphql.rs
+++ b/crates/dunelink/src/node/graphql.rs
@@ -177,6 +177,6 @@
             let one = self.one(self.head_of(&ruling, basics), parts, body, place)?;
             ones.push(Part { reads: ruling.class.effect == Effect::Safe, one: Ok(one) });
         }
-        Ok(Batch { parts: ones, media, _claimed: claimed })
+        Ok(Batch { parts: ones, media, body_most: self.shared.body_most, _claimed: claimed })
     }
 }
--- a/crates/dunelink/src/node/handle.rs
+++ b/crates/dunelink/src/node/handle.rs
@@ -251,9 +251,11 @@
         self.engines().iter().map(|engine| engine.tally.attempts()).sum()
     }
 
-    /// Requests that were taken and have no answer yet, as their callers count them.
+    /// Requests that were taken and have no answer yet, as their callers count them, and answers that are being
+    /// passed on.
     pub fn outstanding(&self) -> usize {
-        self.engines().iter().map(|engine| engine.waiting.load(Ordering::Relaxed)).sum()
+        let open = |engine: &Arc<Engine>| engine.waiting.load(Ordering::Relaxed) + engine.tally.transfers();
+        self.engines().iter().map(open).sum()
     }
 
     /// How the node stands, all its shards together.
--- a/crates/dunelink/src/servers.rs
+++ b/crates/dunelink/src/servers.rs
@@ -4,27 +4,22 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
 use cherryusher::{Micros, Outcome, ServerEntry, ServerId, ServerState};
-use dunelink_edge::answer::{self, Meaning};
-use dunelink_edge::fields::DEADLINE;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Body;
+use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::ext::on_informational;
-use hyper::header::HeaderValue;
-use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::sync::{Notify, oneshot};
+use tokio::time::{Instant, sleep, timeout};
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::answer_body::Tap;
 use crate::config::{Answers, Config};
 use crate::idle::Order;
 use crate::line::{Line, Place, ServerSocket};
@@ -39,66 +34,30 @@
 /// How long an idle connection rests before it is used again: what a server sends behind an answer comes right
 /// behind it, and must have come before the next request goes out.
 const REST: Duration = Duration::from_millis(5);
-/// An answer that has begun to come is whole after this, or will never be.
-const WHOLE_WITHIN: Duration = Duration::from_millis(300);
 /// For how long kept connections are not trusted with what must not run twice, after one broke.
 const WARY: Duration = Duration::from_secs(10);
-/// The most hints (1xx) ahead of an answer.
-const HINTS_MOST: usize = 16;
 /// A server that answers nothing for this long may have vanished.
 const SILENT: Duration = Duration::from_secs(1);
+/// A server that gives nothing more of a long answer for this long, while its reader waits, is cut off.
+const GIVES_WITHIN: Duration = Duration::from_secs(10);
+/// How long a connection may take to show that nothing comes behind its answer.
+const READY_WITHIN: Duration = Duration::from_millis(300);
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_millis(250);
 
-impl Outgoing {
-    fn request(&self) -> Option<Request<Full<Bytes>>> {
-        let left = self.deadline.saturating_duration_since(Instant::now()).as_secs_f64();
-        let mut request = Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.target.clone().into();
-        *request.headers_mut() = self.headers.clone();
-        request.headers_mut().insert(DEADLINE, HeaderValue::from_str(&format!("{left:.3}")).ok()?);
-        Some(request)
-    }
-}
-
-/// How many bytes a request is on the socket, as hyper writes it when every header is given.
-fn length(request: &Request<Full<Bytes>>, body: usize) -> u64 {
-    let first =
-        request.method().as_str().len() + request.uri().path_and_query().map_or(1, |p| p.as_str().len());
-    let headers: usize =
-        request.headers().iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
-    (first + " HTTP/1.1\r\n".len() + 1 + headers + 2 + body) as u64
-}
-
 /// A connection to a server; dropping it closes it.
-struct Connection {
-    sender: SendRequest<Full<Bytes>>,
-    line: Rc<Line>,
-    endpoint: SocketAddr,
+pub(crate) struct Connection {
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    pub(crate) line: Rc<Line>,
+    pub(crate) endpoint: SocketAddr,
     /// When its server had started as it was opened.
-    started: Micros,
+    pub(crate) started: Micros,
     idle_since: Instant,
     /// Its number among those that became idle.
     number: u64,
     _task: AbortOnDropHandle<()>,
 }
 
-/// An attempt on its connection. A vanished machine is silent on all the connections that it had, and each
-/// idle one would cost another attempt, perhaps an unsafe one, its whole time; a new one fails at once, and
-/// surely never ran.
-struct Unanswered<'a> {
-    servers: &'a Servers,
-    server: ServerId,
-    sent: Instant,
-}
-
-impl Drop for Unanswered<'_> {
-    fn drop(&mut self) {
-        self.servers.doubt(self.server, self.sent);
-    }
-}
-
 struct Member {
     uid: Arc<str>,
     endpoint: SocketAddr,
@@ -117,21 +76,8 @@
 
 /// A connection that an attempt has left over, for [`Servers::keep`].
 pub(crate) struct Spare {
-    server: ServerId,
-    connection: Connection,
-}
-
-/// How an attempt ended.
-pub(crate) struct Attempted {
-    pub(crate) outcome: Outcome,
-    pub(crate) response: Option<Response<Bytes>>,
-    pub(crate) spare: Option<Spare>,
-}
-
-impl Attempted {
-    pub(crate) fn of(outcome: Outcome) -> Attempted {
-        Attempted { outcome, response: None, spare: None }
-    }
+    pub(crate) server: ServerId,
+    pub(crate) connection: Connection,
 }
 
 /// All servers that discovery has named, and the connections to them.
@@ -144,16 +90,21 @@
     open: Rc<Cell<usize>>,
     most: usize,
     /// The most bytes in an answer's body.
-    body_most: usize,
+    pub(crate) body_most: usize,
+    /// The most bytes of one that is passed on as it comes.
+    pub(crate) stream_most: u64,
     tally: Arc<Tally>,
     /// Which answers are the client's.
-    answers: Answers,
+    pub(crate) answers: Answers,
     connect_timeout: Duration,
     idle_most: Duration,
     /// What a reader on another thread knows to take requests, where there is one: it hears of drains first.
     ready: OnceCell<Arc<Ready>>,
     /// Until when kept connections are known to break at their next request.
     wary_until: Cell<Option<Instant>>,
+    /// Answers that are being passed on, and who waits until none are.
+    passing: Cell<usize>,
+    passed: Notify,
 }
 
 impl Servers {
@@ -166,6 +117,9 @@
             open: Rc::default(),
             most: config.limits.to_servers(),
             body_most: config.limits.body,
+            stream_most: config.limits.stream,
+            passing: Cell::new(0),
+            passed: Notify::new(),
             answers: config.attempts.answers,
             connect_timeout: config.fleet.connect_timeout,
             idle_most: config.fleet.keepalive.mul_f64(IDLE_PART),
@@ -176,10 +130,52 @@
 
     /// Whether this request should have a new connection: one that breaks under a request leaves open
     /// whether it ran, and this one could then neither go again nor be refused.
-    fn wary(&self, outgoing: &Outgoing) -> bool {
+    pub(crate) fn wary(&self, outgoing: &Outgoing) -> bool {
         outgoing.once && self.wary_until.get().is_some_and(|until| until > Instant::now())
     }
 
+    /// A kept connection broke under a request.
+    pub(crate) fn be_wary(&self) {
+        self.wary_until.set(Some(Instant::now() + WARY));
+    }
+
+    /// How many answers are being passed on.
+    pub(crate) fn passing(&self) -> usize {
+        self.passing.get()
+    }
+
+    /// Waits until one of them has come to its end.
+    pub(crate) async fn passed(&self) {
+        self.passed.notified().await;
+    }
+
+    /// Sees an answer off that is passed on as it comes: `ended` is told at its end, and then its connection can be
+    /// used again. A server that gives nothing for too long while the reader waits is cut off.
+    pub(crate) async fn see_off(&self, spare: Spare, tap: Arc<Tap>, ended: oneshot::Receiver<()>) {
+        self.passing.set(self.passing.get() + 1);
+        let line = spare.connection.line.clone();
+        let silent = async {
+            loop {
+                let read = line.read();
+                sleep(GIVES_WITHIN).await;
+                if tap.waits() && line.read() == read {
+                    return;
+                }
+            }
+        };
+        let whole = tokio::select! {
+            ended = ended => ended.is_ok(),
+            () = silent => false,
+        };
+        if whole {
+            self.keep(spare).await;
+        } else {
+            drop(spare);
+        }
+        self.passing.set(self.passing.get() - 1);
+        self.passed.notify_one();
+    }
+
     /// How many connections to servers are open.
     pub(crate) fn connections(&self) -> usize {
         self.open.get()
@@ -219,7 +215,7 @@
     }
 
     /// Where to reach the server and when it started, if it takes requests.
-    fn whereabouts(&self, server: ServerId) -> Option<(SocketAddr, Micros)> {
+    pub(crate) fn whereabouts(&self, server: ServerId) -> Option<(SocketAddr, Micros)> {
         let there = self.members.borrow().get(&server).map(|m| (m.endpoint, m.started))?;
         self.ready.get().is_none_or(|ready| ready.has(server, there.0)).then_some(there)
     }
@@ -231,7 +227,7 @@
     }
 
     /// The freshest idle connection that has rested and is quiet; older ones are retired in time.
-    fn take_idle(&self, server: ServerId) -> Option<Connection> {
+    pub(crate) fn take_idle(&self, server: ServerId) -> Option<Connection> {
         let mut members = self.members.borrow_mut();
         let idle = &mut members.get_mut(&server)?.idle;
         let now = Instant::now();
@@ -250,7 +246,7 @@
     /// Keeps a connection for the next attempt, if the server still takes any.
     pub(crate) async fn keep(&self, Spare { server, mut connection }: Spare) {
         // hyper says it is ready once it has found nothing behind the answer that it has read.
-        if !matches!(timeout(WHOLE_WITHIN, connection.sender.ready()).await, Ok(Ok(()))) {
+        if !matches!(timeout(READY_WITHIN, connection.sender.ready()).await, Ok(Ok(()))) {
             return;
         }
         connection.idle_since = Instant::now();
@@ -267,14 +263,14 @@
     }
 
     /// Notes that a server has answered.
-    fn heard(&self, server: ServerId) {
+    pub(crate) fn heard(&self, server: ServerId) {
         if let Some(member) = self.members.borrow_mut().get_mut(&server) {
             member.heard = Instant::now();
         }
     }
 
     /// Closes a server's idle connections if it has answered nothing since `sent`, some time ago.
-    fn doubt(&self, server: ServerId, sent: Instant) {
+    pub(crate) fn doubt(&self, server: ServerId, sent: Instant) {
         if let Some(member) = self.members.borrow_mut().get_mut(&server)
             && sent.elapsed() >= SILENT
             && member.heard < sent
@@ -302,7 +298,10 @@
         }
     }
 
-    async fn connect(&self, (endpoint, started): (SocketAddr, Micros)) -> Result<Connection, Outcome> {
+    pub(crate) async fn connect(
+        &self,
+        (endpoint, started): (SocketAddr, Micros),
+    ) -> Result<Connection, Outcome> {
         if self.open.get() >= self.most && !self.evict() {
             return Err(Outcome::NotSent);
         }
@@ -327,128 +326,6 @@
         let _task = AbortOnDropHandle::new(task);
         Ok(Connection { sender, line, endpoint, started, idle_since: Instant::now(), number: 0, _task })
     }
-
-    /// One attempt, to its end.
-    pub(crate) async fn attempt(&self, outgoing: &Outgoing, server: ServerId) -> Attempted {
-        let begun = Cell::new(false);
-        match timeout_at(outgoing.deadline, self.send(outgoing, server, &begun)).await {
-            Ok(ended) => ended,
-            Err(_) if begun.get() => Attempted::of(Outcome::TimedOut),
-            Err(_) => Attempted::of(Outcome::NotSent),
-        }
-    }
-
-    /// Sends the request on an idle connection or a new one; `begun` is set once it may be on the socket.
-    async fn send(&self, outgoing: &Outgoing, server: ServerId, begun: &Cell<bool>) -> Attempted {
-        loop {
-            let kept = if self.wary(outgoing) { None } else { self.take_idle(server) };
-            let (mut connection, fresh) = match kept {
-                Some(connection) => (connection, false),
-                None => {
-                    let Some(there) = self.whereabouts(server) else {
-                        return Attempted::of(Outcome::NotSent);
-                    };
-                    match self.connect(there).await {
-                        Ok(connection) => (connection, true),
-                        Err(outcome) => return Attempted::of(outcome),
-                    }
-                }
-            };
-            // A drain may have been heard of while the connection came up.
-            if self.whereabouts(server) != Some((connection.endpoint, connection.started)) {
-                return Attempted::of(Outcome::NotSent);
-            }
-            let Some(mut request) = outgoing.request() else { return Attempted::of(Outcome::NotSent) };
-            let hints = Arc::new(AtomicUsize::new(0));
-            let heard_hint = hints.clone();
-            on_informational(&mut request, move |_| {
-                heard_hint.fetch_add(1, Ordering::Relaxed);
-            });
-            let line = connection.line.clone();
-            let (before, whole) = (line.written(), length(&request, outgoing.body.len()));
-            begun.set(true);
-            let _unanswered = Unanswered { servers: self, server, sent: Instant::now() };
-            line.forget_what_came();
-            line.count_at(before + whole);
-            let mut stuck = pin!(stuck(&line, &hints));
-            let answered = tokio::select! {
-                biased;
-                answered = connection.sender.send_request(request) => answered,
-                // What has come is no answer, nor will be one.
-                () = stuck.as_mut() => return Attempted::of(Outcome::Reset),
-            };
-            let written = line.written() - before;
-            let response = match answered {
-                Ok(response) => {
-                    self.heard(server);
-                    response
-                }
-                // Nothing of it has left: an idle connection that was closing. A new one is no second copy.
-                Err(_) if written == 0 && !fresh => {
-                    begun.set(false);
-                    continue;
-                }
-                // A server begins a request when its last byte has come.
-                Err(_) if written < whole => return Attempted::of(Outcome::ConnectFailed),
-                Err(error) => {
-                    // Nothing came: not a spoilt answer, but the end of a connection that had looked well.
-                    if !fresh && !error.is_parse() {
-                        self.wary_until.set(Some(Instant::now() + WARY));
-                    }
-                    return Attempted::of(Outcome::Reset);
-                }
-            };
-            return tokio::select! {
-                biased;
-                finished = self.finish(server, connection, response) => finished,
-                () = stuck.as_mut() => Attempted::of(Outcome::Reset),
-            };
-        }
-    }
-
-    /// Reads an answer whole, and keeps the connection if it can be used again.
-    async fn finish(
-        &self,
-        server: ServerId,
-        connection: Connection,
-        response: Response<hyper::body::Incoming>,
-    ) -> Attempted {
-        let (mut parts, body) = response.into_parts();
-        // Of an answer that ends with its connection, a part looks whole.
-        let ends = answer::has_no_body(parts.status) || answer::states_its_end(&parts.headers, parts.version);
-        if !ends || body.size_hint().lower() > self.body_most as u64 {
-            return Attempted::of(Outcome::Reset);
-        }
-        let Ok(body) = Limited::new(body, self.body_most).collect().await else {
-            return Attempted::of(Outcome::Reset);
-        };
-        let body = body.to_bytes();
-        let (outcome, response) = match Meaning::of(&parts) {
-            Meaning::Done | Meaning::ClientError if self.answers == Answers::Ok => (Outcome::Error, None),
-            Meaning::Served | Meaning::Done | Meaning::ClientError => {
-                answer::onward(&mut parts);
-                (Outcome::Served, Some(Response::from_parts(parts, body)))
-            }
-            Meaning::Declined => (Outcome::TurnedAway, None),
-            Meaning::Error => (Outcome::Error, None),
-        };
-        Attempted { outcome, response, spare: Some(Spare { server, connection }) }
-    }
-}
-
-/// Ends when an answer has begun to come and is not whole after some time. Hints (1xx) may come long before
-/// the answer, but not without end.
-async fn stuck(line: &Line, hints: &AtomicUsize) {
-    let mut before = 0;
-    loop {
-        line.something_came().await;
-        sleep(WHOLE_WITHIN).await;
-        let now = hints.load(Ordering::Relaxed);
-        if now == before || now > HINTS_MOST {
-            return;
-        }
-        before = now;
-    }
 }
 
 /// Whether the node or its machine has no descriptor left.
--- a/crates/dunelink/src/snapshot.rs
+++ b/crates/dunelink/src/snapshot.rs
@@ -168,11 +168,45 @@
     pub idle: usize,
 }
 
+/// An answer that is being passed on. Dropped before its end, its client has left.
+pub(crate) struct Transfer {
+    tally: Arc<Tally>,
+    class: usize,
+    over: bool,
+}
+
+impl Transfer {
+    /// It came to its end.
+    pub(crate) fn served(mut self) {
+        self.over = true;
+        one_more(&self.tally.served);
+        self.tally.of_class(self.class, SERVED);
+    }
+
+    /// It broke off.
+    pub(crate) fn failed(mut self) {
+        self.over = true;
+        one_more(&self.tally.failed);
+        self.tally.of_class(self.class, FAILED);
+    }
+}
+
+impl Drop for Transfer {
+    fn drop(&mut self) {
+        if !self.over {
+            self.tally.left();
+        }
+        self.tally.transfers.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Counts as the engine and its callers keep them.
 pub(crate) struct Tally {
     /// By class: served, refused, failed.
     classes: Box<[[AtomicU64; 3]]>,
     attempts: AtomicU64,
+    /// Answers that are being passed on.
+    transfers: AtomicU64,
     taken: AtomicU64,
     served: AtomicU64,
     refused: AtomicU64,
@@ -196,6 +230,7 @@
         Tally {
             classes: (0..classes).map(|_| Default::default()).collect(),
             attempts: AtomicU64::default(),
+            transfers: AtomicU64::default(),
             taken: AtomicU64::default(),
             served: AtomicU64::default(),
             refused: AtomicU64::default(),
@@ -224,6 +259,10 @@
         self.attempts.load(Ordering::Relaxed)
     }
 
+    pub(crate) fn transfers(&self) -> usize {
+        self.transfers.load(Ordering::Relaxed) as usize
+    }
+
     fn of_class(&self, class: usize, what: usize) {
         if let Some(counts) = self.classes.get(class) {
             one_more(&counts[what]);
@@ -258,8 +297,25 @@
         self.of_class(class, REFUSED);
     }
 
-    /// Gives the final answer and counts it, or its client as left if nobody waits any more.
-    pub(crate) fn answered(&self, class: usize, waiting: oneshot::Sender<Answer>, answer: Answer) {
+    /// Gives the final answer and counts it, or its client as left if nobody waits any more. One that is passed on as
+    /// it comes counts once it has come to its end.
+    pub(crate) fn answered(
+        self: &Arc<Self>,
+        class: usize,
+        waiting: oneshot::Sender<Answer>,
+        mut answer: Answer,
+    ) {
+        if let Answer::Served(response) = &mut answer {
+            let transfer = || {
+                self.transfers.fetch_add(1, Ordering::Relaxed);
+                Transfer { tally: self.clone(), class, over: false }
+            };
+            if response.body_mut().count(transfer) {
+                // Where nobody waits, it is dropped, and counts as left.
+                let _ = waiting.send(answer);
+                return;
+            }
+        }
         let (count, what) = match &answer {
             Answer::Served(_) => (&self.served, SERVED),
             Answer::Refused { .. } => (&self.refused, REFUSED),
--- a/crates/dunelink/src/tower.rs
+++ b/crates/dunelink/src/tower.rs
@@ -12,21 +12,21 @@
 
 use ::http::request::Parts;
 use ::http::{Request, Response};
-use bytes::Bytes;
 use http_body::Body;
-use http_body_util::{Either, Full};
+use http_body_util::Either;
 use pin_project_lite::pin_project;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio_util::sync::PollSemaphore;
 use tower_layer::Layer;
 use tower_service::Service;
 
+use crate::answer_body::AnswerBody;
 use crate::error::{BoxError, CallError};
 use crate::http::Rendering;
 use crate::node::Handle;
 
 /// A call on its way to its response.
-pub type Answering = Pin<Box<dyn Future<Output = Result<Response<Full<Bytes>>, CallError>> + Send>>;
+pub type Answering = Pin<Box<dyn Future<Output = Result<Response<AnswerBody>, CallError>> + Send>>;
 
 /// The places for open requests, one of which may be in hand.
 struct Places {
@@ -116,7 +116,7 @@
     B::Data: Send,
     B::Error: Into<BoxError>,
 {
-    type Response = Response<Full<Bytes>>;
+    type Response = Response<AnswerBody>;
     type Error = CallError;
     type Future = Answering;
 
@@ -255,7 +255,7 @@
     B::Data: Send,
     B::Error: Into<BoxError>,
 {
-    type Response = Response<Either<Full<Bytes>, R>>;
+    type Response = Response<Either<AnswerBody, R>>;
     type Error = S::Error;
     type Future = FleetFuture<S::Future>;
 
@@ -296,7 +296,7 @@
 where
     F: Future<Output = Result<Response<R>, E>>,
 {
-    type Output = Result<Response<Either<Full<Bytes>, R>>, E>;
+    type Output = Result<Response<Either<AnswerBody, R>>, E>;
 
     fn poll(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Self::Output> {
         match self.project() {
--- a/crates/dunelink/src/types.rs
+++ b/crates/dunelink/src/types.rs
@@ -10,6 +10,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use crate::answer_body::AnswerBody;
+
 /// What a list says of a server.
 ///
 /// ```
@@ -139,11 +141,11 @@
 /// let answer = Answer::Refused { retry_after: None };
 /// assert!(answer.is_refused() && !answer.is_served());
 /// ```
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 #[must_use]
 pub enum Answer {
     /// The first whole 200 of a server, its headers without those of one hop.
-    Served(Response<Bytes>),
+    Served(Response<AnswerBody>),
     /// Turned away: nothing ran, or a repeat is harmless.
     Refused {
         /// For how long the client should stay away, if it should.
--- a/crates/dunelink/tests/host/main.rs
+++ b/crates/dunelink/tests/host/main.rs
@@ -102,7 +102,7 @@
     host.block_on(async {
         for i in 0..10 {
             let Answer::Served(response) = fleet.call(view(&i.to_string())).await.unwrap() else { panic!() };
-            assert_eq!(&response.body()[..], b"two");
+            assert_eq!(&response.body().whole().unwrap()[..], b"two");
         }
     });
     assert_eq!(one.count(), before);
@@ -187,7 +187,7 @@
         tasks.push(host.spawn(async move {
             for i in 0.. {
                 match fleet.call(view(&format!("{task}-{i}"))).await {
-                    Ok(Answer::Served(response)) => assert_eq!(&response.body()[..], b"one"),
+                    Ok(Answer::Served(response)) => assert_eq!(&response.body().whole().unwrap()[..], b"one"),
                     Ok(Answer::Refused { .. } | Answer::Failed { .. }) => {}
                     Err(CallError::Closed) => break,
                     Err(error) => panic!("{error}"),
@@ -212,7 +212,7 @@
         let peek = |i: u32| Request::get(format!("/peek/{i}")).body(String::new()).unwrap();
         for i in 0..20 {
             let Answer::Served(response) = second.handle().call(peek(i)).await.unwrap() else { panic!() };
-            assert_eq!(&response.body()[..], b"two");
+            assert_eq!(&response.body().whole().unwrap()[..], b"two");
         }
         let unknown = second.handle().call(view("1")).await.unwrap_err();
         assert_eq!(unknown.status(), StatusCode::NOT_FOUND);
--- a/crates/dunelink/tests/shards/main.rs
+++ b/crates/dunelink/tests/shards/main.rs
@@ -104,7 +104,7 @@
     drop(go_on);
     for call in calls {
         match runtime.block_on(call).unwrap() {
-            Answer::Served(response) => assert_eq!(response.body(), "b"),
+            Answer::Served(response) => assert_eq!(response.body().whole().unwrap(), "b"),
             other => panic!("{other:?}"),
         }
     }
--- a/crates/dunelinkd/src/clients.rs
+++ b/crates/dunelinkd/src/clients.rs
@@ -9,12 +9,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use dunelink::http::plain;
-use dunelink::{Answer, CallError, Config, Handle};
+use dunelink::{Answer, AnswerBody, CallError, Config, Handle};
 use dunelink_edge::Fault;
 use dunelink_edge::request::{self, Hosting};
-use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
@@ -27,6 +25,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::dealer::Seat;
+use crate::passing::Passing;
 use crate::socket::{ClientSocket, Seen};
 
 /// What a connection may buffer; it bounds headers too.
@@ -37,6 +36,8 @@
 /// For how long a new connection is left alone in a crowd until its first request comes: clients connect
 /// because they have one.
 const FIRST_WITHIN: Duration = Duration::from_millis(300);
+/// A client that takes nothing of its answer for this long is cut off.
+const TAKES_WITHIN: Duration = Duration::from_secs(10);
 /// How often connections are looked through for those that do not take their answers.
 const SWEEP: Duration = Duration::from_secs(1);
 /// For how long an older one has to be idle before it is closed.
@@ -70,6 +71,8 @@
     /// Whether it was told to end.
     closing: Cell<bool>,
     close: Notify,
+    /// Told when it is to be closed whatever is open on it.
+    cut: Notify,
     /// What has passed on its socket.
     seen: Rc<Seen>,
 }
@@ -194,6 +197,7 @@
             fresh: Cell::new(true),
             closing: Cell::new(false),
             close: Notify::new(),
+            cut: Notify::new(),
             seen,
         });
         self.connections.borrow_mut().insert(number, connection.clone());
@@ -235,7 +239,15 @@
             sleep(SWEEP).await;
             let stuck =
                 |c: &&Rc<Connection>| c.spare_since().is_some_and(|s| s.elapsed() > 2 * REQUEST_WITHIN);
-            self.connections.borrow().values().filter(stuck).for_each(|c| self.end(c));
+            // A long answer that its client does not take holds a server up as well.
+            let untaken = |c: &&Rc<Connection>| {
+                c.idle_since.get().is_none()
+                    && c.seen.waits_to_write()
+                    && c.seen.wrote().elapsed() > TAKES_WITHIN
+            };
+            let connections = self.connections.borrow();
+            connections.values().filter(stuck).for_each(|c| self.end(c));
+            connections.values().filter(untaken).for_each(|c| c.cut.notify_one());
         }
     }
 
@@ -252,8 +264,8 @@
         let service = service_fn(|request| {
             let (clients, connection, seen) = (self.clone(), connection.clone(), connection.seen.clone());
             async move {
-                let since = connection.idle_since.take().unwrap_or_else(Instant::now);
-                let busy = Counted::one_more(&clients.busy);
+                let since = connection.idle_since.get().unwrap_or_else(Instant::now);
+                let busy = Busy::one_more(&clients, &connection);
                 // Its first request is due within a time of the connection; others come when they come.
                 let began = if connection.fresh.get() { since } else { Instant::now() };
                 let answered = clients.respond(request, &seen, began + REQUEST_WITHIN).await;
@@ -269,9 +281,8 @@
                         ending(wrong)
                     }
                 };
-                connection.idle_since.set(Some(Instant::now()));
-                drop(busy);
-                Ok::<_, Infallible>(response)
+                // It is idle again once the answer has been taken to its end.
+                Ok::<_, Infallible>(response.map(|body| Passing::new(body, busy)))
             }
         });
         let mut builder = http1::Builder::new();
@@ -282,9 +293,14 @@
             biased;
             _ = serving.as_mut() => return,
             () = connection.close.notified() => serving.as_mut().graceful_shutdown(),
+            () = connection.cut.notified() => return,
+        }
+        // A client that does not read its answer must not hold the connection for ever; one that does is let.
+        while timeout(self.longest + CLOSE_WITHIN, serving.as_mut()).await.is_err() {
+            if connection.idle_since.get().is_some() || connection.seen.wrote().elapsed() > TAKES_WITHIN {
+                return;
+            }
         }
-        // A client that does not read its answer must not hold the connection for ever.
-        let _ = timeout(self.longest + CLOSE_WITHIN, serving).await;
     }
 
     /// From now on each answer ends its connection.
@@ -338,7 +354,7 @@
         Ok((rendering.respond(Ok(answer)), chunked))
     }
 
-    fn health(&self, method: &Method) -> Response<Full<Bytes>> {
+    fn health(&self, method: &Method) -> Response<AnswerBody> {
         if method != Method::GET && method != Method::HEAD {
             return plain(StatusCode::METHOD_NOT_ALLOWED, "GET only");
         }
@@ -358,19 +374,24 @@
     }
 }
 
-/// One in a count, for as long as it lasts.
-struct Counted<'a>(&'a Cell<usize>);
+/// A connection with a request open or an answer to take, for as long as it lasts.
+struct Busy {
+    clients: Rc<Clients>,
+    connection: Rc<Connection>,
+}
 
-impl Counted<'_> {
-    fn one_more(count: &Cell<usize>) -> Counted<'_> {
-        count.set(count.get() + 1);
-        Counted(count)
+impl Busy {
+    fn one_more(clients: &Rc<Clients>, connection: &Rc<Connection>) -> Busy {
+        clients.busy.set(clients.busy.get() + 1);
+        connection.idle_since.set(None);
+        Busy { clients: clients.clone(), connection: connection.clone() }
     }
 }
 
-impl Drop for Counted<'_> {
+impl Drop for Busy {
     fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        self.clients.busy.set(self.clients.busy.get() - 1);
+        self.connection.idle_since.set(Some(Instant::now()));
     }
 }
 
@@ -380,10 +401,10 @@
 
 /// An answer, and whether its connection has to end as the request came in chunks: where that one ended among
 /// the bytes is hyper's to know, so the next one's head could not be told apart.
-type Answered = (Response<Full<Bytes>>, bool);
+type Answered = (Response<AnswerBody>, bool);
 
 /// What a client is told of what it did wrong.
-type Wrong = Response<Full<Bytes>>;
+type Wrong = Response<AnswerBody>;
 
 /// Whether the node or its machine has no descriptor left.
 pub(crate) fn out_of_sockets(error: &io::Error) -> bool {
@@ -393,7 +414,7 @@
 }
 
 /// The last answer on its connection.
-fn ending(mut response: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
+fn ending(mut response: Response<AnswerBody>) -> Response<AnswerBody> {
     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     response
 }
--- a/crates/dunelinkd/src/door.rs
+++ b/crates/dunelinkd/src/door.rs
@@ -13,10 +13,8 @@
 use std::time::Duration;
 
 use anyhow::Context;
-use bytes::Bytes;
 use dunelink::http::plain;
-use dunelink::{Handle, Snapshot};
-use http_body_util::Full;
+use dunelink::{AnswerBody, Handle, Snapshot};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -117,7 +115,7 @@
         let _ = builder.keep_alive(false).serve_connection(TokioIo::new(stream), service).await;
     }
 
-    async fn respond(&self, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn respond(&self, request: &Request<Incoming>) -> Response<AnswerBody> {
         let known = matches!(request.uri().path(), "/admin/health" | "/admin/stats");
         if !known {
             return plain(StatusCode::NOT_FOUND, "no such call\n");
--- a/crates/dunelinkd/src/main.rs
+++ b/crates/dunelinkd/src/main.rs
@@ -6,6 +6,7 @@
 mod door;
 mod graphql;
 mod listen;
+mod passing;
 mod serve;
 mod shards;
 mod socket;
--- a/crates/dunelinkd/src/socket.rs
+++ b/crates/dunelinkd/src/socket.rs
@@ -11,7 +11,7 @@
 use dunelink_edge::wire::{self, Scanner};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::{Sleep, sleep};
+use tokio::time::{Instant, Sleep, sleep};
 
 /// For how long a client that still sends may read why it was turned down, before the connection is closed:
 /// to close on unread bytes resets the connection, and the answer may be lost with it.
@@ -23,6 +23,9 @@
 pub(crate) struct Seen {
     scanner: RefCell<Scanner>,
     lingers: Cell<bool>,
+    /// When something was last written, and whether more waits to be.
+    wrote: Cell<Instant>,
+    waits: Cell<bool>,
 }
 
 impl Seen {
@@ -36,6 +39,24 @@
         self.scanner.borrow_mut().next_head()
     }
 
+    /// When something was last written to it.
+    pub(crate) fn wrote(&self) -> Instant {
+        self.wrote.get()
+    }
+
+    /// Whether there is something to write that its client makes no room for.
+    pub(crate) fn waits_to_write(&self) -> bool {
+        self.waits.get()
+    }
+
+    fn note_write(&self, polled: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        self.waits.set(polled.is_pending());
+        if polled.is_ready() {
+            self.wrote.set(Instant::now());
+        }
+        polled
+    }
+
     /// The client may still be sending when it is answered, and the connection then ends.
     pub(crate) fn linger(&self) {
         self.lingers.set(true);
@@ -51,7 +72,12 @@
 
 impl ClientSocket {
     pub(crate) fn new(stream: TcpStream) -> (ClientSocket, Rc<Seen>) {
-        let seen = Rc::new(Seen { scanner: RefCell::default(), lingers: Cell::new(false) });
+        let seen = Rc::new(Seen {
+            scanner: RefCell::default(),
+            lingers: Cell::new(false),
+            wrote: Cell::new(Instant::now()),
+            waits: Cell::new(false),
+        });
         (ClientSocket { stream, seen: seen.clone(), lingering: None }, seen)
     }
 }
@@ -71,7 +97,8 @@
 
 impl AsyncWrite for ClientSocket {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.seen.note_write(polled)
     }
 
     fn poll_write_vectored(
@@ -79,7 +106,8 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let polled = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.seen.note_write(polled)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/edge/src/answer.rs
+++ b/crates/edge/src/answer.rs
@@ -78,6 +78,30 @@
     }
 }
 
+/// Whether an answer ends with its connection and says so: it has no framing, and its server closes (RFC 9112, 6.3 and
+/// 9.6). Its end is then one that was meant, if the connection was not reset.
+///
+/// ```
+/// use dunelink_edge::answer::ends_with_connection;
+/// use http::{HeaderMap, Version};
+///
+/// let mut headers = HeaderMap::new();
+/// assert!(!ends_with_connection(&headers, Version::HTTP_11) && ends_with_connection(&headers, Version::HTTP_10));
+/// headers.insert("connection", "close".parse().unwrap());
+/// assert!(ends_with_connection(&headers, Version::HTTP_11));
+/// headers.insert("transfer-encoding", "gzip".parse().unwrap());
+/// assert!(!ends_with_connection(&headers, Version::HTTP_11));
+/// ```
+pub fn ends_with_connection(headers: &HeaderMap, version: Version) -> bool {
+    let framed =
+        headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING);
+    let says = |word: &str| {
+        let values = headers.get_all(header::CONNECTION).iter().filter_map(|value| value.to_str().ok());
+        values.flat_map(|value| value.split(',')).any(|option| option.trim().eq_ignore_ascii_case(word))
+    };
+    !framed && (says("close") || version == Version::HTTP_10 && !says("keep-alive"))
+}
+
 /// Whether an answer of this status has no body, whatever its fields say (RFC 9112, 6.3).
 ///
 /// ```
--- a/crates/testkit/src/conformance.rs
+++ b/crates/testkit/src/conformance.rs
@@ -11,6 +11,7 @@
 
 use serde_json::Value;
 
+pub use crate::long::*;
 use crate::peers::*;
 pub use crate::reading::*;
 
@@ -81,6 +82,7 @@
         $crate::conformance!($subject;
             a_request_goes_on_unchanged_and_connections_are_used_again,
             what_must_not_run_twice_avoids_kept_connections_once_one_broke,
+            a_long_answer_is_passed_on_whole_whatever_its_form,
             idle_connections_to_a_server_that_fell_silent_are_not_trusted
         );
     };
@@ -115,7 +117,11 @@
             a_wrong_method_is_told_the_right_one,
             what_goes_on_is_the_request_without_its_hop,
             what_comes_back_is_the_answer_without_its_hop,
-            only_a_servers_clear_word_proves_that_nothing_ran
+            only_a_servers_clear_word_proves_that_nothing_ran,
+            a_long_answer_is_not_held_back_nor_cut_off,
+            a_short_answer_may_come_slowly,
+            a_long_answer_that_breaks_off_does_not_look_whole,
+            a_slow_reader_holds_its_server_back
         );
     };
     ($subject:ty; $($case:ident),*) => {
@@ -238,7 +244,7 @@
         Act::Say(answer(500, "", "")),
         // Only a server that says so has not run it.
         Act::Say(answer(503, "", "")),
-        Act::Say(answer(200, "", &"x".repeat(64 * 1024 + 1))),
+        Act::Say(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx".to_vec()),
     ];
     for act in acts {
         let server = Server::new(move |_, _| act.clone());
--- /dev/null
+++ b/crates/testkit/src/long.rs
@@ -0,0 +1,155 @@
+//! Bodies over what a node holds: passed on as they come, in either direction, by every front.
+
+use std::io::{BufRead, Write};
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use crate::conformance::{Node, Subject};
+use crate::peers::*;
+
+/// Some bytes that tell if one is missing or out of place.
+fn bytes(length: usize) -> Vec<u8> {
+    (0..length).map(|at| (at / 251 + at) as u8).collect()
+}
+
+/// In chunks of these sizes, over and over.
+fn chunked(body: &[u8], sizes: &[usize]) -> Vec<u8> {
+    let (mut wire, mut rest) = (Vec::new(), body);
+    for size in sizes.iter().cycle() {
+        let (chunk, more) = rest.split_at((*size).min(rest.len()));
+        if chunk.is_empty() {
+            break;
+        }
+        wire.extend(format!("{:x};n=1\r\n", chunk.len()).bytes());
+        wire.extend([chunk, b"\r\n"].concat());
+        rest = more;
+    }
+    wire.extend(b"0\r\nX-Trailer: 1\r\n\r\n");
+    wire
+}
+
+/// Reads a body to the end that its head states; nothing if it is not whole.
+pub fn read_body(head: &Message, from: &mut impl BufRead) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    if let Some(length) = head.header("content-length") {
+        body.resize(length.parse().ok()?, 0);
+        from.read_exact(&mut body).ok()?;
+        return Some(body);
+    }
+    assert_eq!(head.header("transfer-encoding"), Some("chunked"), "{}", head.first);
+    loop {
+        let mut line = String::new();
+        from.read_line(&mut line).ok().filter(|n| *n > 0)?;
+        let size = usize::from_str_radix(line.trim(), 16).ok()?;
+        let began = body.len();
+        body.resize(began + size + 2, 0);
+        from.read_exact(&mut body[began..]).ok()?;
+        body.truncate(began + size);
+        if size == 0 {
+            return Some(body);
+        }
+    }
+}
+
+/// Answers of several megabytes come whole, however they are framed, and their connections go on where they can.
+pub fn a_long_answer_is_passed_on_whole_whatever_its_form<S: Subject>() {
+    let body = bytes(4 << 20);
+    let head = |lines: &str| format!("HTTP/1.1 200 OK\r\n{lines}\r\n").into_bytes();
+    let counted = [head(&format!("Content-Length: {}\r\n", body.len())), body.clone()].concat();
+    let pieces = [head("Transfer-Encoding: chunked\r\n"), chunked(&body, &[1, 70_000, 3000])].concat();
+    let closed = [head("Connection: close\r\n"), body.clone()].concat();
+    let acts = [Act::Say(counted), Act::Say(pieces), Act::SayAndClose(closed)];
+    let server = Server::new(move |count, _| acts[count % 3].clone());
+    let node = Node::<S>::new(&[ready("a", &server)]);
+    let mut client = node.client();
+    for round in 0..6 {
+        client.send(&view());
+        let (head, got) = client.long_answer();
+        assert_eq!(head.status(), 200, "{round}");
+        assert!(got.expect("a whole body") == body, "{round}");
+        rested();
+    }
+    let connections = (0..6).map(|_| server.request().0).max().unwrap();
+    assert_eq!(connections, 1, "one for three, as the third closes it");
+}
+
+/// Its first bytes are passed on before its server has given the rest, and nothing cuts it off while there is more.
+pub fn a_long_answer_is_not_held_back_nor_cut_off<S: Subject>() {
+    let body = bytes(300_000);
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len()).into_bytes();
+    let (first, rest) = (body[..100_000].to_vec(), body[100_000..].to_vec());
+    let server = Server::new(move |_, _| {
+        Act::SayMore([&head[..], &first].concat(), Duration::from_millis(1500), rest.clone())
+    });
+    let node = Node::<S>::new(&[ready("a", &server)]);
+    let mut client = node.client();
+    let began = Instant::now();
+    // Its deadline is past long before its end.
+    client.send(&request("GET", "/view/1", "1.0", "", ""));
+    let mut got = vec![0; 90_000];
+    let head = client.head();
+    client.read(&mut got);
+    assert!(began.elapsed() < Duration::from_secs(1), "{:?}", began.elapsed());
+    assert_eq!(head.header("content-length"), Some("300000"));
+    got.resize(body.len(), 0);
+    client.read(&mut got[90_000..]);
+    client.count_served();
+    assert!(got == body);
+}
+
+/// A short answer that comes slowly, but comes, is served.
+pub fn a_short_answer_may_come_slowly<S: Subject>() {
+    let server = Server::new(|_, _| {
+        let whole = answer(200, "", "slip");
+        let (one, two) = whole.split_at(whole.len() - 2);
+        Act::SayMore(one.to_vec(), Duration::from_millis(400), two.to_vec())
+    });
+    let node = Node::<S>::new(&[ready("a", &server)]);
+    assert_eq!(node.client().ask(&order()).body, b"slip");
+}
+
+/// A long answer that breaks off does not look whole, and is not asked for again.
+pub fn a_long_answer_that_breaks_off_does_not_look_whole<S: Subject>() {
+    let head = |lines: &str| format!("HTTP/1.1 200 OK\r\n{lines}\r\n").into_bytes();
+    let counted = [head("Content-Length: 900000\r\n"), bytes(400_000)].concat();
+    let whole = chunked(&bytes(400_000), &[9000]);
+    let pieces = [head("Transfer-Encoding: chunked\r\n"), whole[..whole.len() - 40].to_vec()].concat();
+    for wire in [counted, pieces] {
+        let server = Server::new(move |_, _| Act::SayAndClose(wire.clone()));
+        let node = Node::<S>::with(&[ready("a", &server)], "");
+        let mut client = node.client();
+        client.send(&view());
+        let (head, body) = client.long_answer();
+        assert_eq!((head.status(), body), (200, None));
+        assert_eq!(server.count(), 1);
+    }
+}
+
+/// A client that reads slowly holds its server back, not the node's memory, and gets all.
+pub fn a_slow_reader_holds_its_server_back<S: Subject>() {
+    let (body, written) = (Arc::new(bytes(30 << 20)), Arc::new(AtomicUsize::new(0)));
+    let (whole, count) = (body.clone(), written.clone());
+    let write = Arc::new(move |stream: &mut TcpStream| {
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", whole.len());
+        let _ = stream.write_all(head.as_bytes());
+        for part in whole.chunks(1 << 16) {
+            let _ = stream.write_all(part);
+            count.fetch_add(part.len(), Ordering::SeqCst);
+        }
+    });
+    let server = Server::new(move |_, _| Act::Write(write.clone()));
+    let node = Node::<S>::new(&[ready("a", &server)]);
+    let mut client = node.client();
+    client.send(&view());
+    let head = client.head();
+    let mut stood = 0;
+    while written.load(Ordering::SeqCst) != stood {
+        stood = written.load(Ordering::SeqCst);
+        sleep(Duration::from_millis(300));
+    }
+    assert!(stood < body.len(), "all {stood} bytes were taken although nobody reads");
+    assert!(client.body(&head).expect("all of it") == *body);
+}
--- a/crates/testkit/src/peers.rs
+++ b/crates/testkit/src/peers.rs
@@ -10,6 +10,8 @@
 
 use serde_json::{Value, json};
 
+use crate::long::read_body;
+
 /// No event takes this long; only a failing test waits for it.
 pub const WITHIN: Duration = Duration::from_secs(20);
 
@@ -73,6 +75,8 @@
     SayAndClose(Vec<u8>),
     /// Writes some bytes, and after a while others.
     SayMore(Vec<u8>, Duration, Vec<u8>),
+    /// Writes as it likes, held up while nobody reads.
+    Write(Arc<dyn Fn(&mut TcpStream) + Send + Sync>),
     /// Says nothing.
     Wait,
 }
@@ -140,6 +144,7 @@
                                 thread::sleep(later);
                                 drop(stream.write_all(&more));
                             }
+                            Act::Write(write) => write(&mut stream),
                             Act::Wait => {}
                         }
                     }
@@ -301,6 +306,30 @@
         Message::read_head(&mut self.reader).expect("an answer")
     }
 
+    /// Waits for an answer of any length and framing: its head, and its body if that came whole.
+    pub fn long_answer(&mut self) -> (Message, Option<Vec<u8>>) {
+        let head = self.head();
+        let body = self.body(&head);
+        (head, body)
+    }
+
+    /// The body behind a head, to the end that it states; nothing if it is not whole.
+    pub fn body(&mut self, head: &Message) -> Option<Vec<u8>> {
+        let body = read_body(head, &mut self.reader);
+        self.answers.lock().unwrap().served += u64::from(body.is_some());
+        body
+    }
+
+    /// Counts an answer as served that was read in parts.
+    pub fn count_served(&self) {
+        self.answers.lock().unwrap().served += 1;
+    }
+
+    /// Waits for so many bytes.
+    pub fn read(&mut self, bytes: &mut [u8]) {
+        self.reader.read_exact(bytes).unwrap();
+    }
+
     /// Whether the node has closed the connection.
     pub fn ended(&mut self) -> bool {
         matches!(self.reader.read(&mut [0]), Ok(0))
