--- a/crates/cherryusher/src/api.rs
+++ b/crates/cherryusher/src/api.rs
@@ -244,6 +244,15 @@
     pub tenant: Option<u32>,
 }
 
+/// How long a request may take to come whole that is passed on as it comes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Upload {
+    /// How long its last byte is expected to take.
+    pub expected: Micros,
+    /// How long it may take at most.
+    pub most: Micros,
+}
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -300,6 +309,13 @@
     DiscoveryFailed,
     /// A request has arrived; one final answer is owed from now on.
     Arrived(Request),
+    /// A request has begun to arrive and is passed on as it comes. It has one attempt out at a time, and its client's
+    /// patience begins with its last byte: until [`Event::CameWhole`] the times are a guess.
+    ArrivedInPart(Request, Upload),
+    /// The last byte of such a request has come, and this is how long until its client gives up.
+    CameWhole(RequestId, Micros),
+    /// Some of the body of such a request is gone: it can't be sent once more.
+    BodySpent(RequestId),
     /// The client has left; no answer is owed any more.
     Left(RequestId),
     /// A streamed answer has begun; the attempt now belongs to the client.
--- a/crates/cherryusher/src/policy/admission.rs
+++ b/crates/cherryusher/src/policy/admission.rs
@@ -10,29 +10,62 @@
 const VARIES: f64 = 0.6;
 
 impl Balancer {
-    pub(super) fn arrived(&mut self, request: Request) {
+    pub(super) fn arrived(&mut self, request: Request, upload: Option<Upload>) {
         let Some(class) = self.settings.classes.get(request.class) else {
             return self.actions.push(Action::Refuse { request: request.id, retry_after: 0 });
         };
         let stretch = request.expected_work.map_or(0.0, |work| work as f64 * class.aim_stretch);
         let aim_at = self.now + class.aim.saturating_add(stretch as Micros).min(class.deadline);
+        let (in_part, upload) = (upload.is_some(), upload.unwrap_or_default());
+        let aim_at = aim_at + upload.expected;
         let bucket = request.tenant.and_then(|t| self.buckets.get_mut(t as usize));
         let in_share = bucket.is_none_or(|bucket| bucket.take(self.now));
         let ask = Ask { id: request.id, class: request.class, in_share, aim_at };
         let pool = self.pool_of(request.tenant);
-        let give_up_at = self.now + request.remaining.saturating_sub(2 * self.settings.step);
+        let give_up_at = self.now + upload.most + request.remaining.saturating_sub(2 * self.settings.step);
         let place_until = self.now + (request.remaining as f64 * PLACE) as Micros;
         self.held[pool].push(ask);
-        let job = Job { ask, pool, key: request.key, give_up_at, place_until, held: true, ..Job::default() };
-        self.jobs.insert(request.id, job);
+        let job = Job { ask, pool, give_up_at, place_until, held: true, ..Job::default() };
+        self.jobs.insert(request.id, Job { key: request.key, in_part, coming: in_part, ..job });
         // One that comes with no time left must not be sent: its answer would be late in any case.
         if give_up_at <= self.now || self.random.f64() >= self.admitted(&ask) {
             return self.give_up(request.id);
         }
+        // A body that nobody takes stops coming, and its server is not at work before the last byte.
+        if in_part
+            && in_share
+            && let Some(server) = self.pick(ask.id, pool)
+        {
+            self.held[pool].retain(|held| held.id != ask.id);
+            self.send(ask.id, server);
+        }
         self.dispatch();
         self.look_at(request.id);
     }
 
+    /// A request that is passed on as it comes has come whole: its client's patience begins.
+    pub(super) fn came_whole(&mut self, id: RequestId, remaining: Micros) {
+        let (now, step) = (self.now, self.settings.step);
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| job.coming) else { return };
+        job.coming = false;
+        job.give_up_at = now + remaining.saturating_sub(2 * step);
+        job.place_until = now + (remaining as f64 * PLACE) as Micros;
+        job.ask.aim_at = now + self.settings.classes[job.ask.class].aim;
+        let (ask, pool) = (job.ask, job.pool);
+        // Now its server begins with it.
+        let out = job.attempts.iter_mut().find(|a| a.fate == Fate::Out);
+        // One that is gone meanwhile may have been forgotten.
+        if let Some((i, attempt)) = out.and_then(|a| Some((*self.slots.get(&a.to.id)?, a))) {
+            (attempt.sent_at, attempt.in_hand) = (now, true);
+            self.in_hand(i);
+        }
+        self.held[pool].iter_mut().filter(|held| held.id == id).for_each(|held| *held = ask);
+        if remaining <= 2 * step {
+            return self.give_up(id);
+        }
+        self.wake(id);
+    }
+
     /// The part of such requests that is let in. A node of many sees an overload only in how long its few
     /// attempts wait; once that eats up what the aims leave, more work would make all of it late. That
     /// tells it too little, and too late, of what work beyond the shares keeps from others: it lets none of
--- a/crates/cherryusher/src/policy/attempts.rs
+++ b/crates/cherryusher/src/policy/attempts.rs
@@ -13,7 +13,8 @@
             Effect::Keyed { group: Group::Cell, .. } => a.to.cell == to.cell,
         };
         job.attempts.len() < usize::from(self.settings.max_attempts)
-            && (job.out() == 0 || self.settings.second_copies)
+            && (job.out() == 0 || self.settings.second_copies && !job.in_part)
+            && !job.spent
             && job.attempts.iter().all(|a| a.fate == Fate::NeverRan || again(a))
     }
 
@@ -28,19 +29,27 @@
         let server = &mut self.servers[i];
         // One that was not tried for long goes by its own pace again.
         let anew = server.pace != server.pace_at(self.now);
-        server.in_flight += 1;
         server.last_sent = self.now;
         let entry = server.entry;
         job.held = false;
-        job.attempts.push(Attempt { to: entry, sent_at: self.now, fate: Fate::Out });
+        let in_hand = !job.coming;
+        job.attempts.push(Attempt { to: entry, sent_at: self.now, fate: Fate::Out, in_hand });
         self.actions.push(Action::Send { request: id, server: entry.id });
-        self.in_pools(i, |pool| pool.in_flight += 1);
+        if in_hand {
+            self.in_hand(i);
+        }
         if anew || self.servers[i].due <= self.now {
             self.refresh(i);
         }
         self.wake(id);
     }
 
+    /// A server has one more in hand.
+    pub(super) fn in_hand(&mut self, i: usize) {
+        self.servers[i].in_flight += 1;
+        self.in_pools(i, |pool| pool.in_flight += 1);
+    }
+
     /// When an attempt is overdue: a copy would just come within the aim, even at twice the usual time.
     fn overdue_at(&self, job: &Job) -> Option<Micros> {
         let usual = self.times[job.ask.class].usual;
@@ -50,7 +59,7 @@
     }
 
     /// Asks to be woken when the request next needs a look.
-    fn wake(&mut self, id: RequestId) {
+    pub(super) fn wake(&mut self, id: RequestId) {
         let Some(job) = self.jobs.get(&id) else { return };
         let hopeless = (job.ask.aim_at as f64 - TIMELY * self.times[job.ask.class].usual) as Micros;
         let held = |at: Micros| job.held.then_some(at);
@@ -92,11 +101,11 @@
         let Some(ended) = job.attempts.get_mut(usize::from(end.attempt)).filter(out) else { return };
         ended.fate = if end.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
         job.done |= end.finished;
-        let (ask, to) = (job.ask, ended.to);
+        let (ask, to, in_hand) = (job.ask, ended.to, ended.in_hand);
         if end.outcome == Outcome::Served && job.out() > 0 {
             self.copies_win += STEP * (f64::from(u8::from(end.attempt > 0)) - self.copies_win);
         }
-        self.learn(ask, to.id, end);
+        self.learn(ask, to.id, in_hand, end);
         let job = &self.jobs[&id];
         if job.done {
             self.finish(id);
--- a/crates/cherryusher/src/policy/feedback.rs
+++ b/crates/cherryusher/src/policy/feedback.rs
@@ -19,11 +19,13 @@
 
 impl Balancer {
     /// Learns from an outcome how much the server takes and how long the class usually needs.
-    pub(super) fn learn(&mut self, ask: Ask, to: ServerId, end: Ended) {
+    pub(super) fn learn(&mut self, ask: Ask, to: ServerId, in_hand: bool, end: Ended) {
         let (class, Some(i)) = (ask.class, self.find(to)) else { return };
         let waiting = self.held.iter().flatten().any(|ask| ask.in_share);
-        self.servers[i].in_flight -= 1;
-        self.in_pools(i, |pool| pool.in_flight -= 1);
+        if in_hand {
+            self.servers[i].in_flight -= 1;
+            self.in_pools(i, |pool| pool.in_flight -= 1);
+        }
         // One given up has waited too; but a few very slow servers must not look like an overload of all.
         let base = self.times[class].base;
         let slack = (self.settings.classes[class].aim as f64 - base).max(0.0);
--- a/crates/cherryusher/src/policy/mod.rs
+++ b/crates/cherryusher/src/policy/mod.rs
@@ -133,7 +133,10 @@
                 self.ask();
             }
             Event::DiscoveryFailed => self.ask_later(),
-            Event::Arrived(request) => self.arrived(request),
+            Event::Arrived(request) => self.arrived(request, None),
+            Event::ArrivedInPart(request, upload) => self.arrived(request, Some(upload)),
+            Event::CameWhole(id, remaining) => self.came_whole(id, remaining),
+            Event::BodySpent(id) => self.change(id, |job| job.spent = true),
             Event::Left(id) => self.finish(id),
             Event::StreamBegan(id, attempt) => {
                 self.change(id, |job| job.done = true);
--- a/crates/cherryusher/src/policy/pick.rs
+++ b/crates/cherryusher/src/policy/pick.rs
@@ -100,7 +100,8 @@
         let s = &self.servers[i];
         let reach = self.reach(i);
         s.pool.is_some()
-            && (s.in_flight == 0 || f64::from(s.in_flight) < self.room(i).ceil())
+            // What is still coming is not in the server's hands for long yet.
+            && (job.coming || s.in_flight == 0 || f64::from(s.in_flight) < self.room(i).ceil())
             // A cold server is in reach of few of all nodes' requests, half of what it bears: one attempt
             // from each node, or all that its neighbours cannot take, would push it over.
             && (reach >= 1.0 || unit(hash(job.ask.id, s.entry.id)) <= reach)
--- a/crates/cherryusher/src/state.rs
+++ b/crates/cherryusher/src/state.rs
@@ -175,6 +175,8 @@
     pub(crate) to: ServerEntry,
     pub(crate) sent_at: Micros,
     pub(crate) fate: Fate,
+    /// Whether its server has it in hand: not before a request that is passed on has come whole.
+    pub(crate) in_hand: bool,
 }
 
 /// What the order of held requests goes by.
@@ -196,6 +198,10 @@
     pub(crate) place_until: Micros,
     pub(crate) attempts: Vec<Attempt>,
     pub(crate) held: bool,
+    /// Whether its body is passed on as it comes, whether it is still coming, and whether some of it is gone.
+    pub(crate) in_part: bool,
+    pub(crate) coming: bool,
+    pub(crate) spent: bool,
     pub(crate) done: bool,
     pub(crate) wake_at: Micros,
 }
--- a/crates/cherryusher/tests/scenarios.rs
+++ b/crates/cherryusher/tests/scenarios.rs
@@ -85,6 +85,67 @@
     assert!(failed(&actions, id), "its servers have forgotten it");
 }
 
+impl Node {
+    /// A request that is passed on as it comes, for up to 20 s.
+    fn arrive_in_part(&mut self, class: usize, tenant: Option<u32>) -> (RequestId, Vec<Action>) {
+        self.next += 1;
+        let id = self.next;
+        let request = Request { id, class, remaining: S, expected_work: None, key: None, tenant };
+        let upload = Upload { expected: 5 * S, most: 20 * S };
+        (id, self.tell(Event::ArrivedInPart(request, upload)))
+    }
+}
+
+#[test]
+fn a_request_that_is_passed_on_is_sent_once_unless_nothing_of_it_is_gone() {
+    let mut node = Node::new(settings(), servers(1..11));
+    let (id, _) = node.arrive_in_part(BY_ALL, Some(0));
+    assert_eq!(sends(&node.end(id, 0, Outcome::ConnectFailed, MS), id).len(), 1, "all of it is there");
+    node.tell(Event::BodySpent(id));
+    let actions = node.end(id, 1, Outcome::ConnectFailed, MS);
+    assert!(refused(&actions, id) && sends(&actions, id).is_empty(), "it has not run");
+    let (id, _) = node.arrive_in_part(UNSAFE, Some(0));
+    node.tell(Event::CameWhole(id, S));
+    node.tell(Event::BodySpent(id));
+    assert!(failed(&node.end(id, 0, Outcome::Reset, MS), id), "it may have");
+}
+
+#[test]
+fn a_request_that_is_passed_on_has_its_time_from_its_last_byte() {
+    let mut node = Node::new(settings(), servers(1..11));
+    let (id, first) = node.arrive_in_part(UNSAFE, Some(0));
+    assert_eq!(sends(&first, id).len(), 1);
+    // No copy, and no end, long after it would have been late.
+    for _ in 0..10 {
+        let actions = node.wake(id, S);
+        assert!(matches!(actions[..], [] | [Action::Wake { .. }]), "{actions:?}");
+    }
+    node.tell(Event::CameWhole(id, S));
+    let actions = node.wake(id, 900 * MS);
+    assert!(matches!(actions[..], [] | [Action::Wake { .. }]), "{actions:?}");
+    let actions = node.wake(id, 95 * MS);
+    assert!(failed(&actions, id), "{actions:?}");
+}
+
+/// Uploads of 64 kB a second took up all room for seconds, and what was whole waited behind them.
+#[test]
+fn what_is_still_coming_takes_no_room_at_servers() {
+    let mut node = Node::new(settings(), servers(1..11));
+    for n in 0..400 {
+        let (id, actions) = node.arrive_in_part(UNSAFE, (n % 5 < 4).then_some(n % 5));
+        assert_eq!(sends(&actions, id).len(), 1, "its server is not at work yet");
+    }
+    let (id, actions) = node.arrive(SAFE, Some(0));
+    assert_eq!(sends(&actions, id).len(), 1);
+    node.end(id, 0, Outcome::Served, 10 * MS);
+    // Once they are whole, they do.
+    for id in 1..=400 {
+        node.tell(Event::CameWhole(id, S));
+    }
+    let (id, actions) = node.arrive(SAFE, Some(0));
+    assert_eq!(sends(&actions, id), []);
+}
+
 #[test]
 fn every_request_is_answered_before_the_client_gives_up() {
     let mut node = Node::new(settings(), servers(1..11));
--- a/crates/dunelink/src/attempt.rs
+++ b/crates/dunelink/src/attempt.rs
@@ -11,17 +11,18 @@
 use cherryusher::{Outcome, ServerId};
 use dunelink_edge::answer::{self, Meaning};
 use dunelink_edge::fields::DEADLINE;
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::ext::on_informational;
 use hyper::header::HeaderValue;
 use hyper::{Request, Response};
 use tokio::sync::oneshot;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep};
 
 use crate::answer_body::{AnswerBody, Tap};
 use crate::config::Answers;
 use crate::line::Line;
+use crate::payload::OutgoingBody;
 use crate::servers::{Servers, Spare};
 use crate::types::Outgoing;
 
@@ -31,9 +32,10 @@
 const HINTS_MOST: usize = 16;
 
 impl Outgoing {
-    fn request(&self) -> Option<Request<Full<Bytes>>> {
-        let left = self.deadline.saturating_duration_since(Instant::now()).as_secs_f64();
-        let mut request = Request::new(Full::new(self.body.clone()));
+    fn request(&self) -> Option<Request<OutgoingBody>> {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let left = self.body.patience().unwrap_or(left).as_secs_f64();
+        let mut request = Request::new(self.body.body()?);
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.target.clone().into();
         *request.headers_mut() = self.headers.clone();
@@ -43,12 +45,12 @@
 }
 
 /// How many bytes a request is on the socket, as hyper writes it when every header is given.
-fn length(request: &Request<Full<Bytes>>, body: usize) -> u64 {
+fn length(request: &Request<OutgoingBody>, body: u64) -> u64 {
     let first =
         request.method().as_str().len() + request.uri().path_and_query().map_or(1, |p| p.as_str().len());
     let headers: usize =
         request.headers().iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
-    (first + " HTTP/1.1\r\n".len() + 1 + headers + 2 + body) as u64
+    (first + " HTTP/1.1\r\n".len() + 1 + headers + 2) as u64 + body
 }
 
 /// An attempt on its connection. A vanished machine is silent on all the connections that it had, and each
@@ -117,10 +119,13 @@
     /// One attempt, to its end.
     pub(crate) async fn attempt(self: &Rc<Self>, outgoing: &Outgoing, server: ServerId) -> Attempted {
         let begun = Cell::new(false);
-        match timeout_at(outgoing.deadline, self.send(outgoing, server, &begun)).await {
-            Ok(ended) => ended,
-            Err(_) if begun.get() => Attempted::of(Outcome::TimedOut),
-            Err(_) => Attempted::of(Outcome::NotSent),
+        tokio::select! {
+            biased;
+            ended = self.send(outgoing, server, &begun) => ended,
+            () = outgoing.body.over(outgoing.deadline) => match begun.get() {
+                true => Attempted::of(Outcome::TimedOut),
+                false => Attempted::of(Outcome::NotSent),
+            },
         }
     }
 
@@ -151,11 +156,12 @@
                 heard_hint.fetch_add(1, Ordering::Relaxed);
             });
             let line = connection.line.clone();
-            let (before, whole) = (line.written(), length(&request, outgoing.body.len()));
+            let before = line.written();
+            let stated = outgoing.body.length().map(|body| length(&request, body));
             begun.set(true);
             let _unanswered = Unanswered { servers: self, server, sent: Instant::now() };
             line.forget_what_came();
-            line.count_at(before + whole);
+            line.count_at(stated.map(|whole| before + whole));
             let mut stuck = pin!(stuck(&line, &hints));
             let answered = tokio::select! {
                 biased;
@@ -164,6 +170,11 @@
                 () = stuck.as_mut() => return Attempted::of(Outcome::Reset),
             };
             let written = line.written() - before;
+            // Where no length is stated, its end is written with or after its last piece.
+            let whole = stated.map_or(outgoing.body.has_ended(), |whole| written >= whole);
+            if whole && stated.is_none() {
+                self.tally.attempted();
+            }
             let response = match answered {
                 Ok(response) => {
                     self.heard(server);
@@ -175,7 +186,7 @@
                     continue;
                 }
                 // A server begins a request when its last byte has come.
-                Err(_) if written < whole => return Attempted::of(Outcome::ConnectFailed),
+                Err(_) if !whole => return Attempted::of(Outcome::ConnectFailed),
                 Err(error) => {
                     // Nothing came: not a spoilt answer, but the end of a connection that had looked well.
                     if !fresh && !error.is_parse() {
--- a/crates/dunelink/src/engine.rs
+++ b/crates/dunelink/src/engine.rs
@@ -8,7 +8,9 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use cherryusher::{Action, AttemptNo, Balancer, Ended, Event, Micros, Outcome, Request, RequestId, ServerId};
+use cherryusher::{
+    Action, AttemptNo, Balancer, Ended, Event, Micros, Outcome, Request, RequestId, ServerId, Upload,
+};
 use hyper::Response;
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::task::AbortHandle;
@@ -31,6 +33,10 @@
     Module(Event),
     /// A request was taken.
     Arrived(Request, Arc<Outgoing>, oneshot::Sender<Answer>),
+    /// A request has begun to arrive that is passed on as it comes.
+    ArrivedInPart(Request, Upload, Arc<Outgoing>, oneshot::Sender<Answer>),
+    /// Its last byte has come, and its client waits for so long.
+    CameWhole(RequestId, Micros),
     /// The client has left.
     Left(RequestId),
     /// An attempt is over.
@@ -175,7 +181,7 @@
         inbox.close();
         while let Ok(happening) = inbox.try_recv() {
             match happening {
-                Happening::Arrived(request, _, answer) => {
+                Happening::Arrived(request, _, answer) | Happening::ArrivedInPart(request, _, _, answer) => {
                     self.tally.arrived();
                     self.tally.answered(request.class, answer, Answer::Refused { retry_after: None });
                 }
@@ -234,18 +240,14 @@
                 self.queue.push_back(event);
             }
             Happening::Arrived(request, outgoing, answer) => {
-                let open = Open {
-                    class: request.class,
-                    outgoing,
-                    answer: Some(answer),
-                    attempts: Vec::new(),
-                    timed_out: false,
-                    timer: None,
-                };
-                self.tally.arrived();
-                self.open.insert(request.id, open);
+                self.open(&request, outgoing, answer);
                 self.queue.push_back(Event::Arrived(request));
             }
+            Happening::ArrivedInPart(request, upload, outgoing, answer) => {
+                self.open(&request, outgoing, answer);
+                self.queue.push_back(Event::ArrivedInPart(request, upload));
+            }
+            Happening::CameWhole(id, remaining) => self.queue.push_back(Event::CameWhole(id, remaining)),
             Happening::Left(id) => {
                 if self.open.get_mut(&id).and_then(|open| open.answer.take()).is_some() {
                     self.tally.left();
@@ -264,6 +266,19 @@
         }
     }
 
+    fn open(&mut self, request: &Request, outgoing: Arc<Outgoing>, answer: oneshot::Sender<Answer>) {
+        let open = Open {
+            class: request.class,
+            outgoing,
+            answer: Some(answer),
+            attempts: Vec::new(),
+            timed_out: false,
+            timer: None,
+        };
+        self.tally.arrived();
+        self.open.insert(request.id, open);
+    }
+
     /// Tells the module of an attempt's end, once: what a cancelled task still reports is passed over.
     fn attempt_ended(&mut self, request: RequestId, attempt: AttemptNo, outcome: Outcome) {
         let now = self.now;
@@ -274,7 +289,16 @@
             task.abort();
         }
         open.timed_out |= outcome == Outcome::TimedOut;
-        let took = now.saturating_sub(ended.sent_at);
+        // The server begins with the last byte.
+        let whole = open
+            .outgoing
+            .body
+            .whole_since()
+            .map(|at| self.started_us + (at - self.started).as_micros() as Micros);
+        let took = now.saturating_sub(whole.map_or(ended.sent_at, |whole| whole.max(ended.sent_at)));
+        if open.outgoing.body.is_spent() {
+            self.queue.push_back(Event::BodySpent(request));
+        }
         let finished = open.answer.is_none();
         self.queue.push_back(Event::AttemptEnded(Ended { request, attempt, outcome, took, finished }));
     }
--- a/crates/dunelink/src/intake.rs
+++ b/crates/dunelink/src/intake.rs
@@ -4,7 +4,6 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
 use cherryusher::RequestId;
 use dunelink_edge::fields::{COST, DEADLINE, ID, KEY, OWNER, only};
 use dunelink_edge::request::{self, Hosting};
@@ -17,6 +16,7 @@
 
 use crate::config::{Absent, Config, Effect, Intake as Rules, LONGEST};
 use crate::error::Invalid;
+use crate::payload::Payload;
 use crate::types::Outgoing;
 
 /// The most bytes of headers, as they stand on the wire: what a server's connection buffers.
@@ -127,6 +127,7 @@
     class: ClassRule,
     pub(crate) id: Option<Box<str>>,
     pub(crate) deadline: Instant,
+    patience: Duration,
     tenant: Option<u32>,
     expected_work: Option<u64>,
     key: Option<u64>,
@@ -276,12 +277,14 @@
     }
 
     fn of(self, class: ClassRule) -> Head {
+        // No client waits longer than its class allows; this also bounds all that is done for it.
         let patience = self.patience.unwrap_or(class.deadline);
+        let patience = patience.min(class.deadline.saturating_sub(TRANSIT));
         Head {
             class,
             id: self.id,
-            // No client waits longer than its class allows; this also bounds all that is done for it.
-            deadline: self.came + patience.min(class.deadline.saturating_sub(TRANSIT)),
+            deadline: self.came + patience,
+            patience,
             tenant: self.tenant,
             expected_work: self.expected_work,
             key: None,
@@ -290,6 +293,16 @@
 }
 
 impl Head {
+    /// How long its client waits, from its last byte on.
+    pub(crate) fn patience(&self) -> Duration {
+        self.patience
+    }
+
+    /// Its client's patience begins.
+    pub(crate) fn begin(&mut self, now: Instant) {
+        self.deadline = now + self.patience;
+    }
+
     /// The number of its class.
     pub(crate) fn class(&self) -> usize {
         self.class.index
@@ -312,18 +325,19 @@
     pub(crate) fn outgoing(
         &self,
         mut parts: Parts,
-        body: Bytes,
+        body: Payload,
         claimed: &Claimed,
     ) -> Result<Outgoing, Invalid> {
-        if parts.method == Method::GET && !body.is_empty() {
+        if parts.method == Method::GET && body.length() != Some(0) {
             return Err(bad("a GET has no body"));
         }
         let target = parts.uri.path_and_query().cloned().unwrap_or(PathAndQuery::from_static("/"));
         request::onward(&mut parts, HOST);
         let mut headers = parts.headers;
         headers.remove(DEADLINE);
-        if parts.method == Method::POST {
-            headers.insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
+        // Without a length it goes on in chunks.
+        if let Some(length) = body.length().filter(|_| parts.method == Method::POST) {
+            headers.insert(header::CONTENT_LENGTH, HeaderValue::from(length));
         }
         if !headers.contains_key(&ID) || self.id.as_deref() != only(&headers, &ID) {
             let id = HeaderValue::from_str(&claimed.id).map_err(|_| bad("Req-Id is unreadable"))?;
--- a/crates/dunelink/src/line.rs
+++ b/crates/dunelink/src/line.rs
@@ -68,9 +68,9 @@
         self.read.get()
     }
 
-    /// The attempt at hand counts once so many bytes have been written.
-    pub(crate) fn count_at(&self, ends_at: u64) {
-        self.ends_at.set(Some(ends_at));
+    /// The attempt at hand counts once so many bytes have been written, if that is known.
+    pub(crate) fn count_at(&self, ends_at: Option<u64>) {
+        self.ends_at.set(ends_at);
     }
 
     /// Waits until some part of an answer has come.
--- a/crates/dunelink/src/node/graphql.rs
+++ b/crates/dunelink/src/node/graphql.rs
@@ -19,6 +19,7 @@
 use crate::error::{BoxError, CallError, Invalid};
 use crate::http::Rendering;
 use crate::intake::{Basics, Head, ID_MOST, ext};
+use crate::payload::Payload;
 
 /// The endpoint, if a node has one.
 pub(super) struct Endpoint {
@@ -96,14 +97,14 @@
         place: Option<OwnedSemaphorePermit>,
     ) -> Result<Received, CallError>
     where
-        B: Body,
+        B: Body + Send + 'static,
         B::Error: Into<BoxError>,
     {
         self.shared.intake.target(&parts)?;
         let basics = self.shared.intake.basics(&parts, came)?;
         let media = Media::accepted(&parts.headers).map_err(rejected(Media::Response))?;
         let latest = basics.by(endpoint.longest);
-        let body = self.read_body(body, came, latest, within).await?;
+        let body = self.read_whole(body, came, latest, within).await?;
         let reader = endpoint.reader();
         let verdict = reader.read(graphql::Request {
             method: &parts.method,
@@ -115,7 +116,8 @@
         let rendering = Rendering::GraphQl(media);
         match verdict.map_err(rejected(media))? {
             Verdict::Single(ruling) => {
-                let one = self.one(self.head_of(&ruling, basics), parts, body.clone(), place)?;
+                let one =
+                    self.one(self.head_of(&ruling, basics), parts, Payload::Whole(body.clone()), place)?;
                 Ok(Received { body, deadline: one.head.deadline, rendering, work: Work::One(one) })
             }
             Verdict::Batch(rulings) => {
@@ -174,7 +176,7 @@
                 ));
             }
             let place = place.take().or_else(|| self.places().try_acquire_owned().ok());
-            let one = self.one(self.head_of(&ruling, basics), parts, body, place)?;
+            let one = self.one(self.head_of(&ruling, basics), parts, Payload::Whole(body), place)?;
             ones.push(Part { reads: ruling.class.effect == Effect::Safe, one: Ok(one) });
         }
         Ok(Batch { parts: ones, media, body_most: self.shared.body_most, _claimed: claimed })
--- a/crates/dunelink/src/node/handle.rs
+++ b/crates/dunelink/src/node/handle.rs
@@ -13,13 +13,14 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use super::body::read_body;
+use super::body::{Incoming, Patience, read_body};
 use super::graphql::Endpoint;
 use super::received::{One, Received, Work};
 use crate::engine::{Happening, Mailbox};
 use crate::error::{BodyError, BoxError, CallError, Closed, Invalid};
 use crate::http::Rendering;
 use crate::intake::{Head, Intake};
+use crate::payload::{Coming, Payload};
 use crate::snapshot::{ClassCounts, Counts, Snapshot, Tally};
 use crate::types::Answer;
 
@@ -54,6 +55,7 @@
     pub(super) class_names: Vec<String>,
     pub(super) graphql: Option<Endpoint>,
     pub(super) body_most: usize,
+    pub(super) stream_most: u64,
     pub(super) places: Arc<Semaphore>,
     /// Whether it takes nothing more.
     pub(super) closing: AtomicBool,
@@ -102,17 +104,18 @@
     /// before that, the client counts as left: attempts that are out are cancelled and nothing is sent again.
     ///
     /// The class comes from [`ext::Class`](crate::ext::Class) or the first part of the path, the tenant, id and
-    /// deadline from [`ext`](crate::ext) or their headers. The body is read whole, up to `limits.body` bytes.
+    /// deadline from [`ext`](crate::ext) or their headers. A body over `limits.body` bytes is passed on as it comes, up to
+    /// `limits.stream` bytes; its client's patience counts from its end.
     ///
     /// # Errors
     ///
-    /// The request is not one that the node can take, or the node was shut down. Nothing ran then.
+    /// The request is not one that the node can take, its body broke off, or the node was shut down. Nothing ran then.
     pub async fn call<B>(&self, request: Request<B>) -> Result<Answer, CallError>
     where
-        B: Body,
+        B: Body + Send + 'static,
         B::Error: Into<BoxError>,
     {
-        Ok(self.receive(request, None).await?.answer().await)
+        self.receive(request, None).await?.answer().await
     }
 
     /// Reads and checks a request, by `within` at the latest, without taking it yet. For fronts that have more
@@ -127,7 +130,7 @@
         within: Option<Instant>,
     ) -> Result<Received, CallError>
     where
-        B: Body,
+        B: Body + Send + 'static,
         B::Error: Into<BoxError>,
     {
         let place = self.places().try_acquire_owned().ok();
@@ -142,7 +145,7 @@
         place: Option<OwnedSemaphorePermit>,
     ) -> Result<Received, CallError>
     where
-        B: Body,
+        B: Body + Send + 'static,
         B::Error: Into<BoxError>,
     {
         let received = self.read(request, within, place).await;
@@ -159,7 +162,7 @@
         place: Option<OwnedSemaphorePermit>,
     ) -> Result<Received, CallError>
     where
-        B: Body,
+        B: Body + Send + 'static,
         B::Error: Into<BoxError>,
     {
         if self.is_closed() {
@@ -170,15 +173,32 @@
         if let Some(endpoint) = self.endpoint(&parts) {
             return self.read_graphql(endpoint, (parts, body), came, within, place).await;
         }
-        let head = self.shared.intake.head(&parts, came)?;
-        let body = self.read_body(body, came, head.deadline, within).await?;
-        let one = self.one(head, parts, body.clone(), place)?;
+        let mut head = self.shared.intake.head(&parts, came)?;
+        let least = within.map_or(head.patience(), |within| within.saturating_duration_since(came));
+        let patience = Patience::new(least.max(BODY_LEAST));
+        let most = self.shared.stream_most;
+        let (body, rest) = match read_body(body, self.shared.body_most, most, patience).await? {
+            Incoming::Whole(body) => (Payload::Whole(body), None),
+            Incoming::Coming(rest) => {
+                let (coming, inlet) = Coming::new(rest.length, rest.first.clone(), head.patience());
+                (Payload::Coming(coming), Some((rest, inlet)))
+            }
+        };
+        // The client waits from its last byte on.
+        head.begin(Instant::now());
+        let first = match (&body, &rest) {
+            (Payload::Whole(body), _) => body.clone(),
+            (_, Some((rest, _))) => rest.first.clone(),
+            _ => Bytes::new(),
+        };
+        let one = One { rest, ..self.one(head, parts, body, place)? };
         let (deadline, rendering) = (one.head.deadline, Rendering::Plain);
-        Ok(Received { body, deadline, rendering, work: Work::One(one) })
+        Ok(Received { body: first, deadline, rendering, work: Work::One(one) })
     }
 
-    /// Reads a body, until its request's deadline or `within`; it has a little time in any case.
-    pub(super) async fn read_body<B>(
+    /// Reads a body that has to be held whole, until its request's deadline or `within`; it has a little time in any
+    /// case.
+    pub(super) async fn read_whole<B>(
         &self,
         body: B,
         came: Instant,
@@ -186,11 +206,16 @@
         within: Option<Instant>,
     ) -> Result<Bytes, BodyError>
     where
-        B: Body,
+        B: Body + Send + 'static,
         B::Error: Into<BoxError>,
     {
         let by = within.map_or(deadline, |within| within.min(deadline)).max(came + BODY_LEAST);
-        read_body(body, self.shared.body_most, came, by).await
+        let patience = Patience::new(by.saturating_duration_since(came));
+        let held = self.shared.body_most;
+        match read_body(body, held, 0, patience).await? {
+            Incoming::Whole(body) => Ok(body),
+            Incoming::Coming(_) => Err(BodyError::TooLarge { limit: held }),
+        }
     }
 
     /// One request for the engine, under its id.
@@ -198,14 +223,14 @@
         &self,
         head: Head,
         parts: Parts,
-        body: Bytes,
+        body: Payload,
         place: Option<OwnedSemaphorePermit>,
     ) -> Result<One, Invalid> {
         let engine = self.engine();
         let number = engine.mailbox.number();
         let claimed = self.shared.intake.claim(head.id.as_deref(), number)?;
         let outgoing = Arc::new(head.outgoing(parts, body, &claimed)?);
-        Ok(One { engine: engine.clone(), head, outgoing, number, claimed, place })
+        Ok(One { engine: engine.clone(), head, outgoing, number, claimed, place, rest: None })
     }
 
     /// The places for open requests.
--- a/crates/dunelink/src/node/mod.rs
+++ b/crates/dunelink/src/node/mod.rs
@@ -21,7 +21,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 pub use handle::Handle;
-pub use received::Received;
+pub use received::{Finished, Received};
 pub use shards::{Parts, Shard, Source};
 
 use crate::config::{Config, ConfigError, RosterConfig};
--- a/crates/dunelink/src/node/received.rs
+++ b/crates/dunelink/src/node/received.rs
@@ -10,10 +10,13 @@
 use tokio::time::Instant;
 
 use super::batch::Batch;
+use super::body::Rest;
 use super::handle::Engine;
 use crate::engine::Happening;
+use crate::error::CallError;
 use crate::http::Rendering;
 use crate::intake::{Claimed, Head};
+use crate::payload::Inlet;
 use crate::types::{Answer, Outgoing};
 
 /// For how long what comes beyond `limits.requests` is told to stay away.
@@ -42,6 +45,15 @@
     pub(super) work: Work,
 }
 
+/// The final answer to a request.
+#[derive(Debug)]
+pub struct Finished {
+    /// The answer.
+    pub answer: Answer,
+    /// Whether some of the request's body was not read.
+    pub unread: bool,
+}
+
 /// One request for the engine, or several in one.
 pub(super) enum Work {
     One(One),
@@ -54,7 +66,12 @@
         self.deadline
     }
 
-    /// The request's body.
+    /// Whether its body is there as a whole.
+    pub fn is_whole(&self) -> bool {
+        !matches!(&self.work, Work::One(One { rest: Some(_), .. }))
+    }
+
+    /// The request's body; of one that is passed on, what has come.
     pub fn body(&self) -> &Bytes {
         &self.body
     }
@@ -73,10 +90,23 @@
     }
 
     /// Takes the request and waits for its one final answer, as [`Handle::call`](crate::Handle::call) does.
-    pub async fn answer(self) -> Answer {
+    ///
+    /// # Errors
+    ///
+    /// Its body broke off on the way, so that it was not taken. Nothing ran.
+    pub async fn answer(self) -> Result<Answer, CallError> {
+        Ok(self.finish().await?.answer)
+    }
+
+    /// The same, and whether some of the body was not read: the answer does not wait for that.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Received::answer`].
+    pub async fn finish(self) -> Result<Finished, CallError> {
         match self.work {
-            Work::One(one) => one.answer().await,
-            Work::Batch(batch) => batch.answer().await,
+            Work::One(one) => one.finish().await,
+            Work::Batch(batch) => Ok(Finished { answer: batch.answer().await, unread: false }),
         }
     }
 }
@@ -89,6 +119,8 @@
     pub(super) number: RequestId,
     pub(super) claimed: Claimed,
     pub(super) place: Option<OwnedSemaphorePermit>,
+    /// The body that is still coming, and where it goes.
+    pub(super) rest: Option<(Box<Rest>, Inlet)>,
 }
 
 impl One {
@@ -100,22 +132,57 @@
 
     /// Takes it and waits for its one final answer.
     pub(super) async fn answer(self) -> Answer {
+        match self.finish().await {
+            Ok(Finished { answer, .. }) => answer,
+            // Only a body that is passed on can break off.
+            Err(_) => Answer::Failed { timed_out: false },
+        }
+    }
+
+    /// The same for one whose body may still be coming.
+    pub(super) async fn finish(self) -> Result<Finished, CallError> {
+        let unread = self.rest.is_some();
         if self.place.is_none() {
-            return self.refuse(Some(CROWDED));
+            return Ok(Finished { answer: self.refuse(Some(CROWDED)), unread });
         }
-        let One { engine, head, outgoing, number, claimed: _claimed, place: _place } = self;
-        let (sender, answer) = oneshot::channel();
+        let One { engine, head, outgoing, number, claimed: _claimed, place: _place, rest } = self;
+        let (sender, mut answer) = oneshot::channel();
         let class = head.class();
+        let upload = rest.as_ref().map(|(rest, _)| rest.upload());
+        // Its end is told last of all: what breaks off is not a server's failure.
+        let mut rest = rest;
         let mut waiting = Waiting::new(number, &engine);
-        if !engine.mailbox.send(Happening::Arrived(head.request(number), outgoing, sender)) {
+        let happening = match upload {
+            None => Happening::Arrived(head.request(number), outgoing, sender),
+            Some(upload) => Happening::ArrivedInPart(head.request(number), upload, outgoing, sender),
+        };
+        if !engine.mailbox.send(happening) {
             waiting.answered = true;
             engine.tally.turned_away(class);
-            return Answer::Refused { retry_after: None };
+            return Ok(Finished { answer: Answer::Refused { retry_after: None }, unread });
         }
+        // The engine answers all that it has heard of; without an answer its thread has died.
+        let dead = |_| Answer::Failed { timed_out: false };
+        if let Some((rest, inlet)) = &mut rest {
+            let early = tokio::select! {
+                biased;
+                early = &mut answer => Some(early.unwrap_or_else(dead)),
+                passed = rest.pass_on(inlet, head.patience()) => {
+                    let left = passed?.saturating_duration_since(Instant::now());
+                    engine.mailbox.send(Happening::CameWhole(number, left.as_micros() as u64));
+                    None
+                }
+            };
+            if let Some(answer) = early {
+                waiting.answered = true;
+                return Ok(Finished { answer, unread });
+            }
+        }
+        // Its body has come to its end.
+        drop(rest);
         let answer = answer.await;
         waiting.answered = true;
-        // The engine answers all that it has heard of; without an answer its thread has died.
-        answer.unwrap_or(Answer::Failed { timed_out: false })
+        Ok(Finished { answer: answer.unwrap_or_else(dead), unread: false })
     }
 }
 
--- a/crates/dunelink/src/node/shards.rs
+++ b/crates/dunelink/src/node/shards.rs
@@ -169,6 +169,7 @@
         intake,
         graphql,
         body_most: config.limits.body,
+        stream_most: config.limits.stream,
         places: Arc::new(Semaphore::new(config.limits.requests)),
         closing: AtomicBool::new(false),
     };
--- a/crates/dunelink/src/servers.rs
+++ b/crates/dunelink/src/servers.rs
@@ -9,9 +9,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
 use cherryusher::{Micros, Outcome, ServerEntry, ServerId, ServerState};
-use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -23,6 +21,7 @@
 use crate::config::{Answers, Config};
 use crate::idle::Order;
 use crate::line::{Line, Place, ServerSocket};
+use crate::payload::OutgoingBody;
 use crate::roster::Ready;
 use crate::snapshot::Tally;
 use crate::types::{Outgoing, Server};
@@ -47,7 +46,7 @@
 
 /// A connection to a server; dropping it closes it.
 pub(crate) struct Connection {
-    pub(crate) sender: SendRequest<Full<Bytes>>,
+    pub(crate) sender: SendRequest<OutgoingBody>,
     pub(crate) line: Rc<Line>,
     pub(crate) endpoint: SocketAddr,
     /// When its server had started as it was opened.
@@ -93,7 +92,7 @@
     pub(crate) body_most: usize,
     /// The most bytes of one that is passed on as it comes.
     pub(crate) stream_most: u64,
-    tally: Arc<Tally>,
+    pub(crate) tally: Arc<Tally>,
     /// Which answers are the client's.
     pub(crate) answers: Answers,
     connect_timeout: Duration,
--- a/crates/dunelink/src/tower.rs
+++ b/crates/dunelink/src/tower.rs
@@ -64,7 +64,7 @@
         Box::pin(async move {
             let received = handle.receive_in(request, None, place).await?;
             let rendering = received.rendering();
-            Ok(rendering.respond(Ok(received.answer().await)))
+            Ok(rendering.respond(Ok(received.answer().await?)))
         })
     }
 }
--- a/crates/dunelink/src/types.rs
+++ b/crates/dunelink/src/types.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
 use cherryusher::ServerId;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, Response};
@@ -11,6 +10,7 @@
 use tokio::time::Instant;
 
 use crate::answer_body::AnswerBody;
+use crate::payload::Payload;
 
 /// What a list says of a server.
 ///
@@ -177,7 +177,7 @@
     pub(crate) target: PathAndQuery,
     /// All headers but the deadline.
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: Payload,
     /// When no answer is of use any more.
     pub(crate) deadline: Instant,
     /// Whether it must never run twice.
--- a/crates/dunelinkd/src/clients.rs
+++ b/crates/dunelinkd/src/clients.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use dunelink::http::plain;
-use dunelink::{Answer, AnswerBody, CallError, Config, Handle};
+use dunelink::{AnswerBody, CallError, Config, Finished, Handle};
 use dunelink_edge::Fault;
 use dunelink_edge::request::{self, Hosting};
 use hyper::body::{Body, Incoming};
@@ -347,11 +347,17 @@
             Err(error) => return Err(rendering.respond(Err(error))),
         };
         // Where all others are busy too, a refusal needs no server and makes room.
-        let answer: Answer = match self.busy.get() > self.served() {
-            true => received.refuse(CROWDED),
-            false => received.answer().await,
+        let whole = received.is_whole();
+        let finished = match self.busy.get() > self.served() {
+            true => Finished { answer: received.refuse(CROWDED), unread: !whole },
+            false => match received.finish().await {
+                Ok(finished) => finished,
+                Err(error) => return Err(rendering.respond(Err(error))),
+            },
         };
-        Ok((rendering.respond(Ok(answer)), chunked))
+        let response = rendering.respond(Ok(finished.answer));
+        // What is still coming of a request that was answered is no next one.
+        if finished.unread { Err(response) } else { Ok((response, chunked)) }
     }
 
     fn health(&self, method: &Method) -> Response<AnswerBody> {
--- a/crates/testkit/src/long.rs
+++ b/crates/testkit/src/long.rs
@@ -1,7 +1,7 @@
 //! Bodies over what a node holds: passed on as they come, in either direction, by every front.
 
-use std::io::{BufRead, Write};
-use std::net::TcpStream;
+use std::io::{BufRead, Read, Write};
+use std::net::{TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread::sleep;
@@ -153,3 +153,107 @@
     assert!(stood < body.len(), "all {stood} bytes were taken although nobody reads");
     assert!(client.body(&head).expect("all of it") == *body);
 }
+
+/// An unsafe request of this length, without its body.
+fn long_order(deadline: &str, framing: &str) -> Vec<u8> {
+    let text = String::from_utf8(request("POST", "/order/7f3a", deadline, "", "")).unwrap();
+    text.replace("Content-Length: 0\r\n", &format!("{framing}\r\n")).into_bytes()
+}
+
+/// Requests of several megabytes go on whole, whatever their form, and run once.
+pub fn a_long_request_is_passed_on_whole_whatever_its_form<S: Subject>() {
+    let server = Server::new(|_, request| ok(&request.body.len().to_string()));
+    let node = Node::<S>::new(&[ready("a", &server)]);
+    let body = bytes(3 << 20);
+    let counted = [long_order("9", &format!("Content-Length: {}", body.len())), body.clone()].concat();
+    let pieces = [long_order("9", "Transfer-Encoding: chunked"), chunked(&body, &[1, 200_000, 77])].concat();
+    for wire in [counted, pieces] {
+        let answer = node.client().ask(&wire);
+        assert_eq!((answer.status(), &answer.body[..]), (200, body.len().to_string().as_bytes()));
+        assert!(server.request().1.body == body);
+    }
+    assert_eq!(server.count(), 2);
+}
+
+/// Its client waits from its last byte on.
+pub fn a_long_requests_time_counts_from_its_last_byte<S: Subject>() {
+    let server = Server::new(|_, _| {
+        let (none, late) = (Vec::new(), answer(200, "", "paid"));
+        Act::SayMore(none, Duration::from_millis(400), late)
+    });
+    let node = Node::<S>::new(&[ready("a", &server)]);
+    let body = bytes(200_000);
+    let mut client = node.client();
+    client.send(&long_order("0.8", "Content-Length: 200000"));
+    client.send(&body[..100_000]);
+    sleep(Duration::from_millis(600));
+    client.send(&body[100_000..]);
+    assert_eq!(client.answer().body, b"paid");
+    // And no longer.
+    let silent = Server::new(|_, _| Act::Wait);
+    let node = Node::<S>::new(&[ready("a", &silent)]);
+    let mut client = node.client();
+    client.send(&[&long_order("0.8", "Content-Length: 200000")[..], &body].concat());
+    silent.request();
+    let began = Instant::now();
+    assert_eq!(client.answer().status(), 504);
+    assert!(began.elapsed() < Duration::from_millis(1000), "{:?}", began.elapsed());
+}
+
+/// One that its client breaks off does not look whole to its server, and nobody else is sent it.
+pub fn a_long_request_that_breaks_off_has_not_run<S: Subject>() {
+    let server = Server::new(|_, _| ok("paid"));
+    let node = Node::<S>::new(&[ready("a", &server)]);
+    let heads = [long_order("9", "Content-Length: 400000"), long_order("9", "Transfer-Encoding: chunked")];
+    for head in heads {
+        let mut client = node.client();
+        let chunk = chunked(&bytes(150_000), &[150_000]);
+        client.send(&[&head[..], &chunk[..chunk.len() - 30]].concat());
+        rested();
+        drop(client);
+        server.ended();
+    }
+    assert_eq!(node.client().ask(&view()).status(), 200);
+    assert_eq!(server.count(), 1, "the last one alone was whole");
+}
+
+/// A server that can't be reached is passed over; one that breaks off has taken a part that can't be sent again, and
+/// has not run it.
+pub fn a_long_request_goes_elsewhere_until_some_of_it_is_gone<S: Subject>() {
+    let server = Server::new(|_, _| ok("paid"));
+    let node = Node::<S>::new(&[ready("a", &server), target("b", nobody(), 1, "ready")]);
+    let body = bytes(2 << 20);
+    let wire = || [long_order("9", &format!("Content-Length: {}", body.len())), body.clone()].concat();
+    for _ in 0..8 {
+        assert_eq!(node.client().ask(&wire()).status(), 200);
+    }
+    let broken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let node = Node::<S>::new(&[target("a", broken.local_addr().unwrap(), 1, "ready"), ready("b", &server)]);
+    let (count, breaking) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+    let broke = breaking.clone();
+    std::thread::spawn(move || {
+        for stream in broken.incoming().flatten() {
+            broke.fetch_add(1, Ordering::SeqCst);
+            let mut some = vec![0; 500_000];
+            let _ = (&stream).read_exact(&mut some);
+        }
+    });
+    while breaking.load(Ordering::SeqCst) == 0 {
+        let status = node.client().ask(&wire()).status();
+        let met = breaking.load(Ordering::SeqCst) > 0;
+        assert_eq!(status, if met { 503 } else { 200 }, "what has not run is refused, not failed");
+        count.fetch_add(usize::from(!met), Ordering::SeqCst);
+    }
+    assert_eq!(server.count(), 8 + count.load(Ordering::SeqCst), "none of what broke went to another");
+}
+
+/// One that nobody can take is told so while it is still being sent.
+pub fn a_long_request_that_can_not_be_served_is_answered_at_once<S: Subject>() {
+    let node = Node::<S>::new(&[]);
+    let mut client = node.client();
+    client.send(&long_order("9", "Content-Length: 30000000"));
+    client.send(&bytes(200_000));
+    let began = Instant::now();
+    assert_eq!(client.answer().status(), 503);
+    assert!(began.elapsed() < Duration::from_secs(2));
+}
