--- a/crates/dunelink/tests/config.rs
+++ b/crates/dunelink/tests/config.rs
@@ -228,6 +228,7 @@
         ),
         (text(&|json| json["settings"]["rank"] = 9.into()), "settings.rank: expected a number below".into()),
         (text(&|json| json["listen"] = "here".into()), "listen: invalid".into()),
+        (text(&|json| json["control"] = "there".into()), "control: invalid".into()),
         (
             text(&|json| json["settings"]["allowed"]["cancelling"] = 2.into()),
             "settings.allowed.cancelling: invalid value: integer `2`, expected true, false, 1 or 0".into(),
