--- a/crates/dunelinkd/src/door.rs
+++ b/crates/dunelinkd/src/door.rs
@@ -15,7 +15,7 @@
 use anyhow::Context;
 use dunelink::http::plain;
 use dunelink::{AnswerBody, Handle, Snapshot};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, header};
@@ -125,6 +125,9 @@
             response.headers_mut().insert(header::ALLOW, header::HeaderValue::from_static("GET, HEAD"));
             return response;
         }
+        if !request.body().is_end_stream() {
+            return plain(StatusCode::BAD_REQUEST, "a call has no body\n");
+        }
         match request.uri().path() {
             "/admin/health" if self.serving.load(Ordering::Acquire) => plain(StatusCode::OK, "serving\n"),
             "/admin/health" => plain(StatusCode::SERVICE_UNAVAILABLE, "not serving\n"),
@@ -145,6 +148,8 @@
         let mut text = String::new();
         // Writing to a string can't fail.
         for (class, counts) in self.node.class_counts() {
+            // A class may have a name with the sign that ends a figure's.
+            let class = class.replace('%', "%25").replace('=', "%3D");
             let _ = writeln!(text, "results.{class}.succeeded={}", counts.served);
             let _ = writeln!(text, "results.{class}.declined={}", counts.refused);
             let _ = writeln!(text, "results.{class}.aborted={}", counts.failed);
--- a/crates/dunelinkd/src/listen.rs
+++ b/crates/dunelinkd/src/listen.rs
@@ -3,11 +3,12 @@
 
 use std::net::SocketAddr;
 
-use anyhow::{Context, bail};
+use anyhow::{Context, bail, ensure};
 use listenfd::ListenFd;
+use socket2::SockRef;
 use tokio::net::TcpListener;
 
-/// Set where the platform holds the socket. `run` turns it into what socket activation goes by.
+/// Set where the platform holds the socket: a descriptor's number. `run` turns it into what socket activation goes by.
 const PASSED: &str = "GW_LISTEN_FD";
 
 /// The listening socket.
@@ -19,14 +20,28 @@
 
 /// Takes the socket that was passed on, or binds one.
 pub(crate) async fn listen(address: SocketAddr) -> anyhow::Result<Listening> {
-    let passed = ListenFd::from_env().take_tcp_listener(0).context("the socket that was passed on")?;
-    if let Some(listener) = passed {
-        listener.set_nonblocking(true)?;
-        return Ok(Listening { listener: TcpListener::from_std(listener)?, shared: true });
+    let named = std::env::var_os(PASSED).filter(|named| !named.is_empty());
+    if let Some(named) = &named {
+        let number = named.to_str().and_then(|text| text.parse::<u32>().ok());
+        ensure!(number.is_some(), "{PASSED}: expected a descriptor's number, not {:?}", named.display());
     }
-    if let Some(named) = std::env::var_os(PASSED).filter(|named| !named.is_empty()) {
-        bail!("{PASSED} names {}, but LISTEN_FDS and LISTEN_PID pass no socket on", named.display());
+    let source = if named.is_some() { PASSED } else { "LISTEN_FDS" };
+    let passed = ListenFd::from_env().take_tcp_listener(0);
+    let passed = passed.with_context(|| format!("{source}: expected a listening TCP socket"))?;
+    match (passed, named) {
+        (Some(listener), _) => {
+            let listens = SockRef::from(&listener).is_listener().unwrap_or(false);
+            ensure!(listens, "{source}: expected a socket that listens");
+            listener.set_nonblocking(true)?;
+            Ok(Listening { listener: TcpListener::from_std(listener)?, shared: true })
+        }
+        (None, Some(named)) => {
+            bail!("{PASSED} names {}, but LISTEN_FDS and LISTEN_PID pass no socket on", named.display())
+        }
+        (None, None) => {
+            let listener = TcpListener::bind(address).await;
+            let listener = listener.with_context(|| format!("can't listen on {address}"))?;
+            Ok(Listening { listener, shared: false })
+        }
     }
-    let listener = TcpListener::bind(address).await.with_context(|| format!("can't listen on {address}"))?;
-    Ok(Listening { listener, shared: false })
 }
