--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -4,6 +4,7 @@
 //!     cargo build --release --workspace && target/release/dunelink-bench cost
 //!     target/release/dunelink-bench load --svg docs/load.svg
 
+mod bodies;
 mod children;
 mod cost;
 mod load;
@@ -30,6 +31,8 @@
     Load(load::Options),
     /// What a connection, a server and a tenant cost in memory.
     Memory(memory::Options),
+    /// The daemon's peak memory with 1, 10 and 100 long bodies that pass through slow peers.
+    Bodies(bodies::Options),
     /// A proxy to stand beside; it prints its address.
     #[command(hide = true)]
     Peer(load::Peer),
@@ -52,6 +55,7 @@
         Command::Cost(options) => cost::run(&options),
         Command::Load(options) => load::run(&options),
         Command::Memory(options) => memory::run(&options),
+        Command::Bodies(options) => bodies::run(&options),
         Command::Peer(peer) => load::peer(&peer),
         Command::Generate(options) => load::generate(&options),
         Command::Stand => load::stand(),
--- a/bench/src/memory.rs
+++ b/bench/src/memory.rs
@@ -29,7 +29,7 @@
 }
 
 /// Resident memory of a process, in bytes.
-fn resident(process: u32) -> anyhow::Result<f64> {
+pub(crate) fn resident(process: u32) -> anyhow::Result<f64> {
     let text = std::fs::read_to_string(format!("/proc/{process}/status"))?;
     let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:")).context("no VmRSS")?;
     Ok(line.trim().trim_end_matches("kB").trim().parse::<f64>()? * 1024.0)
--- a/crates/testkit/src/conformance.rs
+++ b/crates/testkit/src/conformance.rs
@@ -126,7 +126,8 @@
             a_long_requests_time_counts_from_its_last_byte,
             a_long_request_that_breaks_off_has_not_run,
             a_long_request_goes_elsewhere_until_some_of_it_is_gone,
-            a_long_request_that_can_not_be_served_is_answered_at_once
+            a_long_request_that_can_not_be_served_is_answered_at_once,
+            any_split_of_a_message_means_the_same
         );
     };
     ($subject:ty; $($case:ident),*) => {
--- a/crates/testkit/src/long.rs
+++ b/crates/testkit/src/long.rs
@@ -257,3 +257,43 @@
     assert_eq!(client.answer().status(), 503);
     assert!(began.elapsed() < Duration::from_secs(2));
 }
+
+/// However a message is cut into pieces, it means the same: requests and answers, counted and in chunks.
+pub fn any_split_of_a_message_means_the_same<S: Subject>() {
+    for seed in 0..12 {
+        let mut dice = fastrand::Rng::with_seed(seed);
+        let mut message = |head: &dyn Fn(&str) -> Vec<u8>| {
+            let body = bytes([0, 1, 300, 70_000, 200_000][dice.usize(..5)]);
+            let sizes: Vec<usize> = (0..9).map(|_| [1, 2, 90, 9_000, 66_000][dice.usize(..5)]).collect();
+            let wire = match dice.bool() {
+                true => [head(&format!("Content-Length: {}", body.len())), body.clone()].concat(),
+                false => [head("Transfer-Encoding: chunked"), chunked(&body, &sizes)].concat(),
+            };
+            let mut cuts: Vec<usize> = (0..dice.usize(1..30)).map(|_| dice.usize(..wire.len())).collect();
+            // Heads are cut more often than chance would have it.
+            cuts.extend((0..5).map(|_| dice.usize(..wire.len().min(200))));
+            cuts.extend([0, wire.len()]);
+            cuts.sort_unstable();
+            let pieces: Vec<Vec<u8>> = cuts.windows(2).map(|cut| wire[cut[0]..cut[1]].to_vec()).collect();
+            (body, pieces)
+        };
+        let (asked, request) = message(&|framing| long_order("9", framing));
+        let (answered, answer) =
+            message(&|framing| format!("HTTP/1.1 200 OK\r\n{framing}\r\n\r\n").into_bytes());
+        let say = |stream: &mut TcpStream, pieces: &[Vec<u8>]| {
+            for piece in pieces {
+                let _ = stream.write_all(piece);
+                sleep(Duration::from_micros(300));
+            }
+        };
+        let write = Arc::new(move |stream: &mut TcpStream| say(stream, &answer));
+        let server = Server::new(move |_, _| Act::Write(write.clone()));
+        let node = Node::<S>::new(&[ready("a", &server)]);
+        let mut client = node.client();
+        say(&mut client.stream, &request);
+        let (head, got) = client.long_answer();
+        assert_eq!((head.status(), got.as_ref() == Some(&answered)), (200, true), "seed {seed}");
+        assert!(server.request().1.body == asked, "seed {seed}");
+        assert_eq!(server.count(), 1);
+    }
+}
