--- a/crates/dunelink/src/config/check.rs
+++ b/crates/dunelink/src/config/check.rs
@@ -24,6 +24,7 @@
         want(l.requests <= 1 << 24, "limits.requests", "expected at most 16777216")?;
         want(l.to_servers() > 0, "limits.server_connections", "expected at least 1")?;
         want(l.body > 0 && l.body <= 1 << 30, "limits.body", "expected 1 to 1073741824 bytes")?;
+        want(l.transfers <= 1 << 20, "limits.transfers", "expected at most 1048576")?;
         want(l.stream <= 1 << 40, "limits.stream", "expected at most 1099511627776 bytes")?;
         want(positive(self.over_share_worth), "over_share_worth", "expected a number of 0 or more")?;
         want(self.attempts.most > 0, "attempts.most", "expected at least 1")?;
--- a/crates/dunelink/src/config/mod.rs
+++ b/crates/dunelink/src/config/mod.rs
@@ -107,6 +107,8 @@
     /// Bytes in a body, in either direction: a longer one than is held is passed on as it comes. What is over this is
     /// turned down.
     pub stream: u64,
+    /// Bodies that are passed on at once. Each takes up to 0.2 MB; a request for which there is no room is refused.
+    pub transfers: usize,
 }
 
 /// What a request has to bring along.
@@ -248,7 +250,8 @@
             server_connections: None,
             requests: 10_000,
             body: 64 * 1024,
-            stream: 64 << 20,
+            stream: 40 << 20,
+            transfers: 100,
         }
     }
 }
--- a/crates/dunelink/src/config/platform.rs
+++ b/crates/dunelink/src/config/platform.rs
@@ -86,6 +86,7 @@
 #[derive(Default, Deserialize)]
 struct FileLimits {
     sockets: Option<usize>,
+    memory_mb: Option<f64>,
 }
 
 /// The settings as the simulator gives them.
@@ -280,6 +281,9 @@
         let ask = s.obligations.ask_every_us.unwrap_or(10_000_000.0);
         let asked = matches!(s.discovery, Some(Discovery::Subscribe));
         let sockets = self.limits.sockets.unwrap_or(1024);
+        // Half of the memory, at 0.2 MB each; a number that makes no sense comes out as one that is bounded.
+        let memory = self.limits.memory_mb.map(|mb| (mb / 0.4) as usize);
+        let transfers = memory.map_or(Limits::default().transfers, |most| most.clamp(8, 10_000));
         Config {
             name: self.name,
             listen: Some(self.listen),
@@ -287,7 +291,7 @@
             seed: u64::from_str_radix(&self.seed, 16).ok(),
             over_share_worth: s.over_share_worth.unwrap_or(1.0),
             // A request has a connection of its own, so that descriptors bound requests too.
-            limits: Limits { sockets, requests: sockets.max(8), ..Limits::default() },
+            limits: Limits { sockets, requests: sockets.max(8), transfers, ..Limits::default() },
             intake: Intake { id: Absent::Refuse, deadline: Absent::Refuse, host: Absent::Refuse },
             attempts: Attempts {
                 most: s.allowed.max_attempts.unwrap_or(1),
--- a/crates/dunelink/src/node/handle.rs
+++ b/crates/dunelink/src/node/handle.rs
@@ -57,6 +57,8 @@
     pub(super) body_most: usize,
     pub(super) stream_most: u64,
     pub(super) places: Arc<Semaphore>,
+    /// Room for bodies that are passed on, in either direction.
+    pub(super) transfers: Arc<Semaphore>,
     /// Whether it takes nothing more.
     pub(super) closing: AtomicBool,
 }
@@ -184,6 +186,9 @@
                 (Payload::Coming(coming), Some((rest, inlet)))
             }
         };
+        // Who gets no room is refused at once, not half served.
+        let room = rest.as_ref().map(|_| self.shared.transfers.clone().try_acquire_owned());
+        let place = place.filter(|_| !matches!(room, Some(Err(_))));
         // The client waits from its last byte on.
         head.begin(Instant::now());
         let first = match (&body, &rest) {
@@ -191,7 +196,7 @@
             (_, Some((rest, _))) => rest.first.clone(),
             _ => Bytes::new(),
         };
-        let one = One { rest, ..self.one(head, parts, body, place)? };
+        let one = One { rest, room: room.and_then(Result::ok), ..self.one(head, parts, body, place)? };
         let (deadline, rendering) = (one.head.deadline, Rendering::Plain);
         Ok(Received { body: first, deadline, rendering, work: Work::One(one) })
     }
@@ -230,7 +235,7 @@
         let number = engine.mailbox.number();
         let claimed = self.shared.intake.claim(head.id.as_deref(), number)?;
         let outgoing = Arc::new(head.outgoing(parts, body, &claimed)?);
-        Ok(One { engine: engine.clone(), head, outgoing, number, claimed, place, rest: None })
+        Ok(One { engine: engine.clone(), head, outgoing, number, claimed, place, room: None, rest: None })
     }
 
     /// The places for open requests.
--- a/crates/dunelink/src/node/mod.rs
+++ b/crates/dunelink/src/node/mod.rs
@@ -15,7 +15,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use cherryusher::Balancer;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, Semaphore, mpsc};
 use tokio::task::LocalSet;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
@@ -82,6 +82,7 @@
     mailbox: Mailbox,
     inbox: mpsc::UnboundedReceiver<Happening>,
     tally: Arc<Tally>,
+    transfers: Arc<Semaphore>,
     any_ready: Arc<AtomicBool>,
     ended: CancellationToken,
 }
@@ -91,8 +92,8 @@
     /// the future, which needs a `LocalSet`; whatever it began ends with it.
     fn begin(mut self) -> impl Future<Output = ()> + 'static {
         let ended = self.ended.drop_guard();
-        let (servers, wanted) =
-            (Rc::new(Servers::new(&self.config, self.any_ready, self.tally.clone())), Rc::new(Notify::new()));
+        let servers = Servers::new(&self.config, self.any_ready, self.tally.clone(), self.transfers);
+        let (servers, wanted) = (Rc::new(servers), Rc::new(Notify::new()));
         let mut feed =
             Feed::new(&self.config, self.seed, servers.clone(), self.mailbox.clone(), wanted.clone());
         feed.cached(&self.roster.known().unwrap_or(self.config.known));
--- a/crates/dunelink/src/node/received.rs
+++ b/crates/dunelink/src/node/received.rs
@@ -119,6 +119,8 @@
     pub(super) number: RequestId,
     pub(super) claimed: Claimed,
     pub(super) place: Option<OwnedSemaphorePermit>,
+    /// Its room among the bodies that are passed on.
+    pub(super) room: Option<OwnedSemaphorePermit>,
     /// The body that is still coming, and where it goes.
     pub(super) rest: Option<(Box<Rest>, Inlet)>,
 }
@@ -145,7 +147,7 @@
         if self.place.is_none() {
             return Ok(Finished { answer: self.refuse(Some(CROWDED)), unread });
         }
-        let One { engine, head, outgoing, number, claimed: _claimed, place: _place, rest } = self;
+        let One { engine, head, outgoing, number, claimed: _claimed, place: _place, room, rest } = self;
         let (sender, mut answer) = oneshot::channel();
         let class = head.class();
         let upload = rest.as_ref().map(|(rest, _)| rest.upload());
@@ -179,7 +181,7 @@
             }
         }
         // Its body has come to its end.
-        drop(rest);
+        drop((rest, room));
         let answer = answer.await;
         waiting.answered = true;
         Ok(Finished { answer: answer.unwrap_or_else(dead), unread: false })
--- a/crates/dunelink/src/node/shards.rs
+++ b/crates/dunelink/src/node/shards.rs
@@ -131,6 +131,7 @@
         config.known = roster.known().unwrap_or(config.known);
         hub.begin(&config.known);
     }
+    let transfers = Arc::new(Semaphore::new(config.limits.transfers));
     let mut roster = Some(roster);
     let (mut engines, mut engineerings) = (Vec::new(), Vec::new());
     for number in 0..count {
@@ -153,6 +154,7 @@
             seed,
             balancer,
             roster,
+            transfers: transfers.clone(),
             mailbox,
             inbox,
             tally: engine.tally.clone(),
@@ -170,6 +172,7 @@
         graphql,
         body_most: config.limits.body,
         stream_most: config.limits.stream,
+        transfers: transfers.clone(),
         places: Arc::new(Semaphore::new(config.limits.requests)),
         closing: AtomicBool::new(false),
     };
--- a/crates/dunelink/src/servers.rs
+++ b/crates/dunelink/src/servers.rs
@@ -13,7 +13,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, Semaphore, oneshot};
 use tokio::time::{Instant, sleep, timeout};
 use tokio_util::task::AbortOnDropHandle;
 
@@ -93,6 +93,9 @@
     /// The most bytes of one that is passed on as it comes.
     pub(crate) stream_most: u64,
     pub(crate) tally: Arc<Tally>,
+    /// Room for bodies that are passed on. What must not run twice can't be refused any more, so that answers take
+    /// room from requests, and are bounded by their connections.
+    transfers: Arc<Semaphore>,
     /// Which answers are the client's.
     pub(crate) answers: Answers,
     connect_timeout: Duration,
@@ -107,10 +110,16 @@
 }
 
 impl Servers {
-    pub(crate) fn new(config: &Config, any_ready: Arc<AtomicBool>, tally: Arc<Tally>) -> Servers {
+    pub(crate) fn new(
+        config: &Config,
+        any_ready: Arc<AtomicBool>,
+        tally: Arc<Tally>,
+        transfers: Arc<Semaphore>,
+    ) -> Servers {
         Servers {
             members: RefCell::default(),
             tally,
+            transfers,
             any_ready,
             order: RefCell::default(),
             open: Rc::default(),
@@ -151,6 +160,7 @@
     /// Sees an answer off that is passed on as it comes: `ended` is told at its end, and then its connection can be
     /// used again. A server that gives nothing for too long while the reader waits is cut off.
     pub(crate) async fn see_off(&self, spare: Spare, tap: Arc<Tap>, ended: oneshot::Receiver<()>) {
+        let _room = self.transfers.try_acquire();
         self.passing.set(self.passing.get() + 1);
         let line = spare.connection.line.clone();
         let silent = async {
--- a/crates/dunelinkd/tests/operating/main.rs
+++ b/crates/dunelinkd/tests/operating/main.rs
@@ -343,3 +343,32 @@
         assert!(!output.status.success() && log.contains(expected) && log.lines().count() == 1, "{log}");
     }
 }
+
+/// While there is no room for more long bodies, the next is refused at once, and short ones are served.
+#[test]
+fn a_long_request_without_room_is_refused_at_once() {
+    let server = Server::new(|_, _| ok("paid"));
+    let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut config = with_door(&discovery, &[ready("a", &server)]);
+    // Room for eight, the least.
+    config["limits"]["memory_mb"] = 1.into();
+    let node = Node::on(program(), discovery, config);
+    let open = || {
+        let mut client = node.client();
+        let text = String::from_utf8(request("POST", "/order/1", "9", "", "")).unwrap();
+        client.send(text.replace("Content-Length: 0", "Content-Length: 200000").as_bytes());
+        client.send(&[7; 100_000]);
+        client
+    };
+    let mut slow: Vec<Client> = (0..8).map(|_| open()).collect();
+    wait_for("them", || figures(node.process.door.unwrap())["outstanding"] == 8);
+    assert_eq!(open().answer().status(), 503);
+    assert_eq!(node.client().ask(&order()).status(), 200);
+    for client in &mut slow {
+        client.send(&[7; 100_000]);
+        assert_eq!(client.answer().status(), 200);
+    }
+    let mut next = open();
+    next.send(&[7; 100_000]);
+    assert_eq!(next.answer().status(), 200);
+}
