An old version leaves its clients' connections half a second to be told that it goes

Seen in the test of two upgrades on four loaded cores: a kept connection was closed on an order that had not been read. serve.rs closed idle connections at once where the socket is shared, as it no longer waited for new ones. It now stops accepting at once and closes idle connections after the half second that others have. A client of the test sends again what a kept connection was closed on, as the protocol has it, and never what went on a new one. Ruled out: requests read and not answered (each order's id ran once).

--- a/crates/dunelink/src/node/body.rs
+++ b/crates/dunelink/src/node/body.rs
@@ -87,7 +87,7 @@
     let data = |mut data: B::Data| data.copy_to_bytes(data.remaining());
     let mut body = Box::pin(body.map_frame(move |frame| frame.map_data(data)).map_err(Into::into));
     let (mut first, mut whole) = (Bytes::new(), BytesMut::new());
-    while !streams {
+    while !streams && patience.came <= held as u64 {
         let next = patience.wait(body.frame()).await?;
         let Some(frame) = next else {
             return Ok(Incoming::Whole(if whole.is_empty() { first } else { whole.freeze() }));
@@ -102,9 +102,6 @@
             whole.extend_from_slice(&std::mem::take(&mut first));
             whole.extend_from_slice(&data);
         }
-        if patience.came > held as u64 {
-            break;
-        }
     }
     let first = if whole.is_empty() { first } else { whole.freeze() };
     Ok(Incoming::Coming(Box::new(Rest { first, length, body: UnsyncBoxBody::new(body), patience, most })))
--- a/crates/dunelinkd/src/serve.rs
+++ b/crates/dunelinkd/src/serve.rs
@@ -101,8 +101,6 @@
         let door = Door::new(node.handle().clone(), serving.clone()).open(control)?;
         eprintln!("dunelink: {} answers its operators on {door}", config.name);
     }
-    // What is not accepted is another process's to take, as long as there is one.
-    let still_accept = if shared { Duration::ZERO } else { STILL_ACCEPT };
     let ready = spawn_local(ready(node.handle().clone(), shared, serving.clone()));
     spawn_local(reread(source, hang_up, mover, node.handle().clone()));
     let wait = (config.longest() + LAST_ANSWERS).min(STAY_MOST.saturating_sub(STILL_ACCEPT));
@@ -113,8 +111,15 @@
         serving.store(false, Ordering::Release);
         eprintln!("dunelink: {} is leaving", config.name);
         shards.leave();
-        sleep(still_accept).await;
-        shards.stop().await;
+        // What is not accepted is another process's to take, where there is one. Connections that are there are left to
+        // their clients for as long either way: one that is closed may cross a request.
+        if shared {
+            shards.stop().await;
+            sleep(STILL_ACCEPT).await;
+        } else {
+            sleep(STILL_ACCEPT).await;
+            shards.stop().await;
+        }
         shards.close(wait).await;
         // A shard that stands still can't be waited for; its requests are lost with the process.
         let handle = node.handle().clone();
@@ -135,7 +140,10 @@
     serving.store(false, Ordering::Release);
     eprintln!("dunelink: {} is leaving", config.name);
     clients.leave();
-    sleep(still_accept).await;
+    if shared {
+        stop.notify_one();
+    }
+    sleep(STILL_ACCEPT).await;
     stop.notify_one();
     // Where all connections are busy, the kernel's would be waited for too long.
     let _ = timeout(LAST_ANSWERS, accepting).await;
