One accumulator for held bodies, totals from the classes, the libraries' own body types

From reading the whole change once more; behaviour stays, no test was changed. attempt.rs and node/body.rs each put pieces together by hand: Pieces serves both, and AnswerBody::bytes calls http_body_util's Limited. OutgoingBody is its Either of Full and Sending, not an enum of our own. Tally kept sums beside the counts by class that they follow from. The engine had two arrivals that differed by one field.

--- a/crates/dunelink/src/answer_body.rs
+++ b/crates/dunelink/src/answer_body.rs
@@ -6,9 +6,9 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use tokio::sync::oneshot;
 
@@ -88,20 +88,12 @@
     /// # Errors
     ///
     /// There are more, or it broke off.
-    pub async fn bytes(mut self, most: usize) -> Result<Bytes, BodyError> {
-        let too_large = Err(BodyError::TooLarge { limit: most });
-        if let Kind::Whole(bytes) = self.0 {
-            return if bytes.len() > most { too_large } else { Ok(bytes) };
+    pub async fn bytes(self, most: usize) -> Result<Bytes, BodyError> {
+        match Limited::new(self, most).collect().await {
+            Ok(whole) => Ok(whole.to_bytes()),
+            Err(error) if error.is::<LengthLimitError>() => Err(BodyError::TooLarge { limit: most }),
+            Err(error) => Err(BodyError::Broken(error)),
         }
-        let mut read = BytesMut::new();
-        while let Some(frame) = self.frame().await {
-            let Ok(data) = frame.map_err(BodyError::Broken)?.into_data() else { continue };
-            if read.len() + data.len() > most {
-                return too_large;
-            }
-            read.extend_from_slice(&data);
-        }
-        Ok(read.freeze())
     }
 
     /// From now on its end counts as the answer's.
--- a/crates/dunelink/src/attempt.rs
+++ b/crates/dunelink/src/attempt.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use cherryusher::{Outcome, ServerId};
 use dunelink_edge::answer::{self, Meaning};
 use dunelink_edge::fields::DEADLINE;
@@ -23,6 +23,7 @@
 use crate::config::Answers;
 use crate::line::Line;
 use crate::payload::OutgoingBody;
+use crate::pieces::Pieces;
 use crate::servers::{Servers, Spare};
 use crate::types::Outgoing;
 
@@ -94,25 +95,15 @@
     if body.size_hint().lower() > most as u64 {
         return Read::Long(Bytes::new());
     }
-    let (mut first, mut read) = (Bytes::new(), BytesMut::new());
-    loop {
-        let data = match body.frame().await {
-            None if read.is_empty() => return Read::Whole(first),
-            None => return Read::Whole(read.freeze()),
+    let mut pieces = Pieces::default();
+    while pieces.len() <= most {
+        match body.frame().await {
+            None => return Read::Whole(pieces.whole()),
             Some(Err(_)) => return Read::Broken,
-            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-        };
-        // A body of one piece is passed on as it is.
-        if first.is_empty() && read.is_empty() {
-            first = data;
-        } else {
-            read.extend_from_slice(&std::mem::take(&mut first));
-            read.extend_from_slice(&data);
-        }
-        if first.len() + read.len() > most {
-            return Read::Long(if read.is_empty() { first } else { read.freeze() });
+            Some(Ok(frame)) => pieces.push(frame.into_data().unwrap_or_default()),
         }
     }
+    Read::Long(pieces.whole())
 }
 
 impl Servers {
--- a/crates/dunelink/src/engine.rs
+++ b/crates/dunelink/src/engine.rs
@@ -31,11 +31,9 @@
 pub(crate) enum Happening {
     /// A list, or what befell its source: the module's concern alone.
     Module(Event),
-    /// A request was taken.
-    Arrived(Request, Arc<Outgoing>, oneshot::Sender<Answer>),
-    /// A request has begun to arrive that is passed on as it comes.
-    ArrivedInPart(Request, Upload, Arc<Outgoing>, oneshot::Sender<Answer>),
-    /// Its last byte has come, and its client waits for so long.
+    /// A request was taken, or has begun to arrive and is passed on as it comes.
+    Arrived(Request, Option<Upload>, Arc<Outgoing>, oneshot::Sender<Answer>),
+    /// The last byte of such a one has come, and its client waits for so long.
     CameWhole(RequestId, Micros),
     /// The client has left.
     Left(RequestId),
@@ -181,7 +179,7 @@
         inbox.close();
         while let Ok(happening) = inbox.try_recv() {
             match happening {
-                Happening::Arrived(request, _, answer) | Happening::ArrivedInPart(request, _, _, answer) => {
+                Happening::Arrived(request, _, _, answer) => {
                     self.tally.arrived();
                     self.tally.answered(request.class, answer, Answer::Refused { retry_after: None });
                 }
@@ -239,13 +237,21 @@
                 }
                 self.queue.push_back(event);
             }
-            Happening::Arrived(request, outgoing, answer) => {
-                self.open(&request, outgoing, answer);
-                self.queue.push_back(Event::Arrived(request));
-            }
-            Happening::ArrivedInPart(request, upload, outgoing, answer) => {
-                self.open(&request, outgoing, answer);
-                self.queue.push_back(Event::ArrivedInPart(request, upload));
+            Happening::Arrived(request, upload, outgoing, answer) => {
+                let open = Open {
+                    class: request.class,
+                    outgoing,
+                    answer: Some(answer),
+                    attempts: Vec::new(),
+                    timed_out: false,
+                    timer: None,
+                };
+                self.tally.arrived();
+                self.open.insert(request.id, open);
+                self.queue.push_back(match upload {
+                    None => Event::Arrived(request),
+                    Some(upload) => Event::ArrivedInPart(request, upload),
+                });
             }
             Happening::CameWhole(id, remaining) => self.queue.push_back(Event::CameWhole(id, remaining)),
             Happening::Left(id) => {
@@ -266,19 +272,6 @@
         }
     }
 
-    fn open(&mut self, request: &Request, outgoing: Arc<Outgoing>, answer: oneshot::Sender<Answer>) {
-        let open = Open {
-            class: request.class,
-            outgoing,
-            answer: Some(answer),
-            attempts: Vec::new(),
-            timed_out: false,
-            timer: None,
-        };
-        self.tally.arrived();
-        self.open.insert(request.id, open);
-    }
-
     /// Tells the module of an attempt's end, once: what a cancelled task still reports is passed over.
     fn attempt_ended(&mut self, request: RequestId, attempt: AttemptNo, outcome: Outcome) {
         let now = self.now;
--- a/crates/dunelink/src/lib.rs
+++ b/crates/dunelink/src/lib.rs
@@ -60,6 +60,7 @@
 mod listing;
 mod node;
 mod payload;
+mod pieces;
 pub mod roster;
 mod servers;
 mod snapshot;
--- a/crates/dunelink/src/node/body.rs
+++ b/crates/dunelink/src/node/body.rs
@@ -5,7 +5,7 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Buf, Bytes};
 use cherryusher::Upload;
 use http_body::Body;
 use http_body_util::BodyExt;
@@ -14,6 +14,7 @@
 
 use crate::error::{BodyError, BoxError};
 use crate::payload::Inlet;
+use crate::pieces::Pieces;
 
 /// The least pace of a body, in bytes a second, beyond what its sender is waited for in any case.
 const PACE: u64 = 32 * 1024;
@@ -86,25 +87,18 @@
     let streams = body.size_hint().lower() > held as u64;
     let data = |mut data: B::Data| data.copy_to_bytes(data.remaining());
     let mut body = Box::pin(body.map_frame(move |frame| frame.map_data(data)).map_err(Into::into));
-    let (mut first, mut whole) = (Bytes::new(), BytesMut::new());
-    while !streams && patience.came <= held as u64 {
-        let next = patience.wait(body.frame()).await?;
-        let Some(frame) = next else {
-            return Ok(Incoming::Whole(if whole.is_empty() { first } else { whole.freeze() }));
+    let mut pieces = Pieces::default();
+    while !streams && pieces.len() <= held {
+        let Some(frame) = patience.wait(body.frame()).await? else {
+            return Ok(Incoming::Whole(pieces.whole()));
         };
         let Ok(data) = frame.map_err(BodyError::Broken)?.into_data() else { continue };
         patience.came += data.len() as u64;
         check(patience.came, held, most)?;
-        // A body of one piece is passed on as it is.
-        if first.is_empty() && whole.is_empty() {
-            first = data;
-        } else {
-            whole.extend_from_slice(&std::mem::take(&mut first));
-            whole.extend_from_slice(&data);
-        }
+        pieces.push(data);
     }
-    let first = if whole.is_empty() { first } else { whole.freeze() };
-    Ok(Incoming::Coming(Box::new(Rest { first, length, body: UnsyncBoxBody::new(body), patience, most })))
+    let (first, body) = (pieces.whole(), UnsyncBoxBody::new(body));
+    Ok(Incoming::Coming(Box::new(Rest { first, length, body, patience, most })))
 }
 
 /// Whether so many bytes can be held or passed on.
--- a/crates/dunelink/src/node/handle.rs
+++ b/crates/dunelink/src/node/handle.rs
@@ -179,11 +179,12 @@
         let least = within.map_or(head.patience(), |within| within.saturating_duration_since(came));
         let patience = Patience::new(least.max(BODY_LEAST));
         let most = self.shared.stream_most;
-        let (body, rest) = match read_body(body, self.shared.body_most, most, patience).await? {
-            Incoming::Whole(body) => (Payload::Whole(body), None),
+        let (body, first, rest) = match read_body(body, self.shared.body_most, most, patience).await? {
+            Incoming::Whole(body) => (Payload::Whole(body.clone()), body, None),
             Incoming::Coming(rest) => {
-                let (coming, inlet) = Coming::new(rest.length, rest.first.clone(), head.patience());
-                (Payload::Coming(coming), Some((rest, inlet)))
+                let first = rest.first.clone();
+                let (coming, inlet) = Coming::new(rest.length, first.clone(), head.patience());
+                (Payload::Coming(coming), first, Some((rest, inlet)))
             }
         };
         // Who gets no room is refused at once, not half served.
@@ -191,11 +192,6 @@
         let place = place.filter(|_| !matches!(room, Some(Err(_))));
         // The client waits from its last byte on.
         head.begin(Instant::now());
-        let first = match (&body, &rest) {
-            (Payload::Whole(body), _) => body.clone(),
-            (_, Some((rest, _))) => rest.first.clone(),
-            _ => Bytes::new(),
-        };
         let one = One { rest, room: room.and_then(Result::ok), ..self.one(head, parts, body, place)? };
         let (deadline, rendering) = (one.head.deadline, Rendering::Plain);
         Ok(Received { body: first, deadline, rendering, work: Work::One(one) })
--- a/crates/dunelink/src/node/received.rs
+++ b/crates/dunelink/src/node/received.rs
@@ -147,18 +147,13 @@
         if self.place.is_none() {
             return Ok(Finished { answer: self.refuse(Some(CROWDED)), unread });
         }
-        let One { engine, head, outgoing, number, claimed: _claimed, place: _place, room, rest } = self;
+        let One { engine, head, outgoing, number, claimed: _claimed, place: _place, room, mut rest } = self;
         let (sender, mut answer) = oneshot::channel();
         let class = head.class();
         let upload = rest.as_ref().map(|(rest, _)| rest.upload());
-        // Its end is told last of all: what breaks off is not a server's failure.
-        let mut rest = rest;
+        // Dropped before the body's inlet: what breaks off is not a server's failure.
         let mut waiting = Waiting::new(number, &engine);
-        let happening = match upload {
-            None => Happening::Arrived(head.request(number), outgoing, sender),
-            Some(upload) => Happening::ArrivedInPart(head.request(number), upload, outgoing, sender),
-        };
-        if !engine.mailbox.send(happening) {
+        if !engine.mailbox.send(Happening::Arrived(head.request(number), upload, outgoing, sender)) {
             waiting.answered = true;
             engine.tally.turned_away(class);
             return Ok(Finished { answer: Answer::Refused { retry_after: None }, unread });
--- a/crates/dunelink/src/payload.rs
+++ b/crates/dunelink/src/payload.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
+use http_body_util::{Either, Full};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep_until};
 
@@ -110,27 +111,19 @@
     /// The body for an attempt; none if it is spent or out.
     pub(crate) fn body(&self) -> Option<OutgoingBody> {
         match self {
-            Payload::Whole(bytes) => Some(OutgoingBody::Whole(bytes.clone())),
+            Payload::Whole(bytes) => Some(OutgoingBody::Left(Full::new(bytes.clone()))),
             Payload::Coming(coming) => {
                 let rest = coming.rest().take()?;
                 let first = coming.first.clone();
-                Some(OutgoingBody::Coming(Sending {
-                    coming: coming.clone(),
-                    first,
-                    rest: Some(rest),
-                    begun: false,
-                    sent: 0,
-                }))
+                let coming = coming.clone();
+                Some(OutgoingBody::Right(Sending { coming, first, rest: Some(rest), begun: false, sent: 0 }))
             }
         }
     }
 }
 
 /// A body as an attempt sends it.
-pub(crate) enum OutgoingBody {
-    Whole(Bytes),
-    Coming(Sending),
-}
+pub(crate) type OutgoingBody = Either<Full<Bytes>, Sending>;
 
 /// One that is passed on. Dropped before any of what comes was taken, it can be had again.
 pub(crate) struct Sending {
@@ -149,8 +142,14 @@
     }
 }
 
-impl Sending {
-    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+impl Body for Sending {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
         if !self.first.is_empty() {
             self.sent = self.first.len() as u64;
             return Poll::Ready(Some(Ok(Frame::data(std::mem::take(&mut self.first)))));
@@ -175,33 +174,8 @@
             None => Poll::Ready(Some(Err("the client broke its request off".into()))),
         }
     }
-}
-
-impl Body for OutgoingBody {
-    type Data = Bytes;
-    type Error = BoxError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
-        match &mut *self {
-            OutgoingBody::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
-            OutgoingBody::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
-            OutgoingBody::Coming(sending) => sending.poll(cx),
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        matches!(self, OutgoingBody::Whole(bytes) if bytes.is_empty())
-    }
 
     fn size_hint(&self) -> SizeHint {
-        match self {
-            OutgoingBody::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
-            OutgoingBody::Coming(sending) => {
-                sending.coming.length.map_or_else(SizeHint::default, SizeHint::with_exact)
-            }
-        }
+        self.coming.length.map_or_else(SizeHint::default, SizeHint::with_exact)
     }
 }
--- a/crates/dunelink/src/snapshot.rs
+++ b/crates/dunelink/src/snapshot.rs
@@ -179,14 +179,12 @@
     /// It came to its end.
     pub(crate) fn served(mut self) {
         self.over = true;
-        one_more(&self.tally.served);
         self.tally.of_class(self.class, SERVED);
     }
 
     /// It broke off.
     pub(crate) fn failed(mut self) {
         self.over = true;
-        one_more(&self.tally.failed);
         self.tally.of_class(self.class, FAILED);
     }
 }
@@ -208,9 +206,6 @@
     /// Answers that are being passed on.
     transfers: AtomicU64,
     taken: AtomicU64,
-    served: AtomicU64,
-    refused: AtomicU64,
-    failed: AtomicU64,
     left: AtomicU64,
     invalid: AtomicU64,
     /// Whether the list's source has told anything since the start.
@@ -232,9 +227,6 @@
             attempts: AtomicU64::default(),
             transfers: AtomicU64::default(),
             taken: AtomicU64::default(),
-            served: AtomicU64::default(),
-            refused: AtomicU64::default(),
-            failed: AtomicU64::default(),
             left: AtomicU64::default(),
             invalid: AtomicU64::default(),
             listed: AtomicBool::default(),
@@ -293,7 +285,6 @@
     /// A request that was refused without the engine.
     pub(crate) fn turned_away(&self, class: usize) {
         one_more(&self.taken);
-        one_more(&self.refused);
         self.of_class(class, REFUSED);
     }
 
@@ -316,16 +307,15 @@
                 return;
             }
         }
-        let (count, what) = match &answer {
-            Answer::Served(_) => (&self.served, SERVED),
-            Answer::Refused { .. } => (&self.refused, REFUSED),
-            Answer::Failed { .. } => (&self.failed, FAILED),
+        let what = match &answer {
+            Answer::Served(_) => SERVED,
+            Answer::Refused { .. } => REFUSED,
+            Answer::Failed { .. } => FAILED,
         };
         // Counted first: who has the answer must find it in the counts.
         match waiting.is_closed() {
             true => one_more(&self.left),
             false => {
-                one_more(count);
                 self.of_class(class, what);
                 let _ = waiting.send(answer);
             }
@@ -333,11 +323,12 @@
     }
 
     pub(crate) fn counts(&self) -> Counts {
+        let answered = self.class_counts().fold(ClassCounts::default(), ClassCounts::plus);
         let of = |count: &AtomicU64| count.load(Ordering::Relaxed);
         Counts {
-            served: of(&self.served),
-            refused: of(&self.refused),
-            failed: of(&self.failed),
+            served: answered.served,
+            refused: answered.refused,
+            failed: answered.failed,
             left: of(&self.left),
             invalid: of(&self.invalid),
             taken: of(&self.taken),
--- a/crates/dunelinkd/src/door.rs
+++ b/crates/dunelinkd/src/door.rs
@@ -8,13 +8,13 @@
 use std::fmt::Write;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use anyhow::Context;
 use dunelink::http::plain;
-use dunelink::{AnswerBody, Handle, Snapshot};
+use dunelink::{AnswerBody, Handle};
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -25,6 +25,8 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::clients::NO_SOCKETS;
+
 /// Callers at once. Beyond that the one that has been silent for longest makes room.
 const CALLERS: usize = 16;
 /// What the door takes of the process's descriptors: callers, its listener, and its runtime's.
@@ -37,8 +39,6 @@
 const LOOK_WITHIN: Duration = Duration::from_millis(300);
 /// What a call may buffer.
 const BUFFER_MOST: usize = 8 * 1024;
-/// How long accepting pauses when there are no descriptors left.
-const NO_SOCKETS: Duration = Duration::from_millis(10);
 
 /// A caller, cut off when dropped.
 struct Caller {
@@ -52,13 +52,13 @@
     node: Handle,
     /// Whether this process takes requests: told by those who do.
     serving: Arc<AtomicBool>,
-    /// How the engine last stood.
-    last: Mutex<Snapshot>,
+    /// Servers listed and avoided, as the engine last told.
+    last: Cell<(usize, usize)>,
 }
 
 impl Door {
     pub(crate) fn new(node: Handle, serving: Arc<AtomicBool>) -> Door {
-        Door { node, serving, last: Mutex::default() }
+        Door { node, serving, last: Cell::default() }
     }
 
     /// Opens it on a thread of its own, which ends with the process.
@@ -137,14 +137,10 @@
 
     /// Counts are read as they are; what only the engine knows is asked of it, but not waited for without end.
     async fn figures(&self) -> String {
-        let told = timeout(LOOK_WITHIN, self.node.snapshot()).await;
-        let stands = {
-            let mut last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
-            if let Ok(Ok(now)) = told {
-                *last = now;
-            }
-            (last.listed, last.avoided)
-        };
+        if let Ok(Ok(now)) = timeout(LOOK_WITHIN, self.node.snapshot()).await {
+            self.last.set((now.listed, now.avoided));
+        }
+        let (listed, avoided) = self.last.get();
         let mut text = String::new();
         // Writing to a string can't fail.
         for (class, counts) in self.node.class_counts() {
@@ -156,7 +152,7 @@
         }
         let _ = writeln!(text, "forwards={}", self.node.attempts());
         let _ = writeln!(text, "outstanding={}", self.node.outstanding());
-        let _ = writeln!(text, "discovered={}\nejected={}", stands.0, stands.1);
+        let _ = writeln!(text, "discovered={listed}\nejected={avoided}");
         text
     }
 }
