Gossip between nodes: signed statements, SWIM membership, weighed suspicions, over UDP

A crate without I/O (dunelink-gossip), a UDP adapter on a thread of its own, [gossip] in the TOML configuration, `dunelink members`, `suspicions`, `gossip keygen`, two paths at the operators' door. The decision module takes two named events, Hearsay and Fleet, in policy/hearsay.rs: doubt lowers a server's draws to a quarter at most, and one own silent attempt then leaves it alone for up to 2 s. Off on the platform: no table, no thread, no event. Design and bounds: docs/gossip-design.md; operators: docs/gossip.md.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -7,6 +7,7 @@
 mod bodies;
 mod children;
 mod cost;
+mod gossip;
 mod load;
 mod memory;
 mod servers;
@@ -33,6 +34,8 @@
     Memory(memory::Options),
     /// The daemon's peak memory with 1, 10 and 100 long bodies that pass through slow peers.
     Bodies(bodies::Options),
+    /// Gossip among up to a thousand nodes in memory: how long until all know, how often wrongly, at what cost.
+    Gossip(gossip::Options),
     /// A proxy to stand beside; it prints its address.
     #[command(hide = true)]
     Peer(load::Peer),
@@ -56,6 +59,7 @@
         Command::Load(options) => load::run(&options),
         Command::Memory(options) => memory::run(&options),
         Command::Bodies(options) => bodies::run(&options),
+        Command::Gossip(options) => gossip::run_all(&options),
         Command::Peer(peer) => load::peer(&peer),
         Command::Generate(options) => load::generate(&options),
         Command::Stand => load::stand(),
--- a/crates/cherryusher/src/api.rs
+++ b/crates/cherryusher/src/api.rs
@@ -296,6 +296,28 @@
     pub finished: bool,
 }
 
+/// What a node has seen of a server lately by its own requests, for others to be told.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Sighting {
+    /// The server.
+    pub server: ServerId,
+    /// How surely it stalls, fails or is slow against what is usual, from 0 to 1.
+    pub strength: f64,
+    /// How many answers it gave lately; 0 if none came in the last second.
+    pub answers: u32,
+    /// How many requests the strength rests on.
+    pub rests_on: u32,
+}
+
+/// What other nodes say of a server, weighed by how many say it and how far they are believed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Doubt {
+    /// The server.
+    pub server: ServerId,
+    /// From 0 to 1.
+    pub doubt: f64,
+}
+
 /// What a node tells the module.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -322,6 +344,15 @@
     StreamBegan(RequestId, AttemptNo),
     /// An attempt has ended; each one sent does so once.
     AttemptEnded(Ended),
+    /// What other nodes say of servers: all of it. It has to be said again, else it is forgotten.
+    Hearsay(Vec<Doubt>),
+    /// The number of nodes that share the work has changed, or this node's place among them.
+    Fleet {
+        /// How many nodes there are to reckon with.
+        balancers: u32,
+        /// This node's place; it may lie beyond their number while some are away.
+        rank: u32,
+    },
     /// A wake-up asked for has come due.
     Woken(u64),
 }
--- a/crates/cherryusher/src/lib.rs
+++ b/crates/cherryusher/src/lib.rs
@@ -73,6 +73,11 @@
         ready.filter(|server| server.avoid_until.max(server.shut_until) > now).count()
     }
 
+    /// What it has seen by itself, up to this time, of the servers that it sent to lately: for other nodes.
+    pub fn sightings(&self, now: Micros) -> Vec<Sighting> {
+        self.seen(now)
+    }
+
     /// How many requests wait in the queue for a server with room: a gauge for the node that embeds it.
     pub fn requests_held(&self) -> usize {
         self.jobs.values().filter(|job| job.held).count()
--- a/crates/cherryusher/src/policy/feedback.rs
+++ b/crates/cherryusher/src/policy/feedback.rs
@@ -41,7 +41,8 @@
             let server = &mut self.servers[i];
             let slower: f64 = if took > times.usual * server.pace { 1.0 + STEP } else { 1.0 - STEP };
             server.pace = (server.pace * slower.powf(counts_for)).clamp(PACES.0, PACES.1);
-            server.refusals = 0;
+            (server.refusals, server.answered_at) = (0, self.now);
+            server.answers.add(self.now, 1.0);
             times.answered(took);
             let late = end.took > self.settings.classes[class].aim;
             // Late answers may come from pauses; while the usual time is up, more work only jams servers.
@@ -73,6 +74,7 @@
             let excess = self.excess(i);
             self.servers[i].avoid_until = now + (excess * RETREAT) as Micros;
         }
+        self.hushed(i, class, &end);
         self.refresh(i);
         self.let_go(i);
     }
--- a/crates/cherryusher/src/policy/mod.rs
+++ b/crates/cherryusher/src/policy/mod.rs
@@ -3,11 +3,13 @@
 //! own work gets the request. `docs/design.md` says what was added to that and why.
 //!
 //! `pools` says who is in which pool, `pick` draws two and takes one, `admission` keeps the queue and says
-//! what is let in, `attempts` sends, retries, hedges and gives up, `feedback` learns limits from outcomes.
+//! what is let in, `attempts` sends, retries, hedges and gives up, `feedback` learns limits from outcomes,
+//! `hearsay` says what this node has seen and how far it goes by what others say.
 
 mod admission;
 mod attempts;
 mod feedback;
+mod hearsay;
 mod pick;
 mod pools;
 
@@ -143,6 +145,8 @@
                 self.cancel_others(id, Some(attempt));
             }
             Event::AttemptEnded(ended) => self.attempt_ended(ended),
+            Event::Hearsay(doubts) => self.heard(&doubts),
+            Event::Fleet { balancers, rank } => self.fleet_changed(balancers, rank),
             Event::Woken(ASK) => self.ask(),
             Event::Woken(LOOK) => {
                 self.looking = false;
--- a/crates/cherryusher/src/policy/pick.rs
+++ b/crates/cherryusher/src/policy/pick.rs
@@ -45,7 +45,7 @@
         let mut first = None;
         for draws in 1..=DRAWS {
             let i = pool.members[pool.table.draw(random.f64())];
-            let slower = self.servers[i].pace_at(self.now) / PACES.0 / self.warmth(i);
+            let slower = self.servers[i].pace_at(self.now) / PACES.0 / self.warmth(i) / self.trust(i);
             if first == Some(i) || random.f64() * slower >= 1.0 || !home(i) || !fits(i) {
                 continue;
             }
@@ -75,7 +75,8 @@
         // key draws in place of chance.
         let late = |i: usize| {
             let s = &self.servers[i];
-            -unit(hash(by, s.entry.id)).ln() * s.pace_at(self.now) / (s.share * self.warmth(i))
+            -unit(hash(by, s.entry.id)).ln() * s.pace_at(self.now)
+                / (s.share * self.warmth(i) * self.trust(i))
         };
         let mut ranked: Vec<(f64, usize)> = fit.into_iter().map(|i| (late(i), i)).collect();
         let Some(last) = ranked.len().checked_sub(1) else { return (None, pool.members.len() as u64) };
--- a/crates/cherryusher/src/state.rs
+++ b/crates/cherryusher/src/state.rs
@@ -57,6 +57,14 @@
     pub(crate) refusals: u32,
     pub(crate) shut_until: Micros,
     pub(crate) last_sent: Micros,
+    /// Answers lately, and when the last one came.
+    pub(crate) answers: Fading,
+    pub(crate) answered_at: Micros,
+    /// Attempts lately that were given up while it said nothing at all.
+    pub(crate) silences: Fading,
+    /// What other nodes say of it, and when that was last heard.
+    pub(crate) doubt: f64,
+    pub(crate) doubted_at: Micros,
     /// Whether the last whole list had it.
     pub(crate) listed: bool,
     /// Its pool, while it is a member of one and can be drawn.
@@ -230,11 +238,21 @@
         Bucket { rate_per_s, depth, tokens: depth, at: 0 }
     }
 
-    /// Takes a token, if there is one.
-    pub(crate) fn take(&mut self, now: Micros) -> bool {
+    /// The node's part has changed; what it has saved up stays, up to the new depth.
+    pub(crate) fn change(&mut self, now: Micros, rate_per_s: f64, depth: f64) {
+        self.fill(now);
+        *self = Bucket { rate_per_s, depth, tokens: self.tokens.min(depth), at: self.at };
+    }
+
+    fn fill(&mut self, now: Micros) {
         let gained = self.rate_per_s * now.saturating_sub(self.at) as f64 / 1e6;
         self.tokens = (self.tokens + gained).min(self.depth);
         self.at = now;
+    }
+
+    /// Takes a token, if there is one.
+    pub(crate) fn take(&mut self, now: Micros) -> bool {
+        self.fill(now);
         let within = self.tokens >= 1.0;
         self.tokens -= f64::from(u8::from(within));
         within
--- a/crates/dunelink/src/config/check.rs
+++ b/crates/dunelink/src/config/check.rs
@@ -101,6 +101,7 @@
         }
         check_servers("known.servers", &self.known.servers, false)?;
         self.graphql.as_ref().map_or(Ok(()), |graphql| graphql.check(&self.classes))?;
+        self.gossip.as_ref().map_or(Ok(()), super::Gossip::check)?;
         self.settings().check().map_err(|e| Problem::new("", e.0))
     }
 }
--- a/crates/dunelink/src/config/mod.rs
+++ b/crates/dunelink/src/config/mod.rs
@@ -8,6 +8,7 @@
 mod classes;
 mod error;
 mod fleet;
+mod gossip;
 mod graphql;
 mod platform;
 mod settings;
@@ -24,6 +25,7 @@
 pub use error::ConfigError;
 use error::Problem;
 pub use fleet::{Fleet, RosterConfig};
+pub use gossip::Gossip;
 pub use graphql::{GraphQl, GraphQlLimits, GraphQlOperation, GraphQlType, GraphQlWeights};
 
 use crate::types::{Server, Update};
@@ -84,6 +86,9 @@
     /// An endpoint that speaks GraphQL over HTTP.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub graphql: Option<GraphQl>,
+    /// Gossip with the other nodes.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub gossip: Option<Gossip>,
 }
 
 /// What the node may hold.
@@ -239,6 +244,7 @@
             classes: Vec::new(),
             tenants: Vec::new(),
             graphql: None,
+            gossip: None,
         }
     }
 }
--- a/crates/dunelink/src/config/platform.rs
+++ b/crates/dunelink/src/config/platform.rs
@@ -331,6 +331,7 @@
                 .map(|p| Tenant { name: p.name, quota_per_s: p.quota_rps, share: p.share })
                 .collect(),
             graphql: None,
+            gossip: None,
         }
     }
 }
--- a/crates/dunelink/src/engine.rs
+++ b/crates/dunelink/src/engine.rs
@@ -9,7 +9,8 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use cherryusher::{
-    Action, AttemptNo, Balancer, Ended, Event, Micros, Outcome, Request, RequestId, ServerId, Upload,
+    Action, AttemptNo, Balancer, Ended, Event, Micros, Outcome, Request, RequestId, ServerId, Sighting,
+    Upload,
 };
 use hyper::Response;
 use tokio::sync::{Notify, mpsc, oneshot};
@@ -41,6 +42,8 @@
     Ended(RequestId, AttemptNo, Outcome, Option<Response<AnswerBody>>),
     /// Someone wants to know how things stand.
     Look(oneshot::Sender<Snapshot>),
+    /// Other nodes are to be told what this one has seen of servers.
+    Sight(oneshot::Sender<Vec<Sighting>>),
     /// The process is out of descriptors.
     Evict,
     /// Nothing more will be taken: the engine ends when all is answered, or at this time.
@@ -261,6 +264,7 @@
                 }
             }
             Happening::Look(ask) => drop(ask.send(self.look())),
+            Happening::Sight(ask) => drop(ask.send(self.balancer.sightings(self.now))),
             Happening::Evict => drop(self.servers.evict()),
             Happening::Shutdown(at) => self.ends = Some(self.ends.map_or(at, |before| before.min(at))),
             Happening::Ended(id, attempt, outcome, response) => {
--- a/crates/dunelink/src/lib.rs
+++ b/crates/dunelink/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod config;
 mod engine;
 mod error;
+mod gossip;
 pub mod headers;
 pub mod http;
 mod idle;
@@ -70,9 +71,12 @@
 
 pub use answer_body::AnswerBody;
 pub use config::Config;
+/// What gossip tells of members and servers.
+pub use dunelink_gossip as gossiping;
 /// What a GraphQL request is, and what the node says of it.
 pub use dunelink_graphql as graphql;
 pub use error::{BodyError, BoxError, CallError, Closed, Invalid, StartError};
+pub use gossip::{GossipView, Gossiper};
 pub use intake::ext;
 pub use node::{Builder, Finished, Handle, Node, Parts, Received, Shard, Source};
 pub use snapshot::{ClassCounts, Counts, ServerView, Snapshot};
--- a/crates/dunelink/src/node/handle.rs
+++ b/crates/dunelink/src/node/handle.rs
@@ -16,8 +16,10 @@
 use super::body::{Incoming, Patience, read_body};
 use super::graphql::Endpoint;
 use super::received::{One, Received, Work};
+use crate::config::ConfigError;
 use crate::engine::{Happening, Mailbox};
 use crate::error::{BodyError, BoxError, CallError, Closed, Invalid};
+use crate::gossip::{Ask, Asks, GossipView, ask};
 use crate::http::Rendering;
 use crate::intake::{Head, Intake};
 use crate::payload::{Coming, Payload};
@@ -52,6 +54,8 @@
 pub(super) struct Shared {
     pub(super) engines: Vec<Arc<Engine>>,
     pub(super) intake: Arc<Intake>,
+    /// The way to its gossip, where there is any.
+    pub(super) gossip: Option<Asks>,
     pub(super) class_names: Vec<String>,
     pub(super) graphql: Option<Endpoint>,
     pub(super) body_most: usize,
@@ -308,6 +312,25 @@
         whole.ok_or(Closed)
     }
 
+    /// What other nodes tell, where the configuration wants gossip.
+    pub async fn gossip(&self) -> Option<GossipView> {
+        ask(self.shared.gossip.as_ref(), Ask::Look).await
+    }
+
+    /// Reads the keys of gossip again and tells how many names there are; nothing where there is no gossip.
+    ///
+    /// # Errors
+    ///
+    /// The files can't be used; the keys stay as they were.
+    pub async fn reread_keys(&self) -> Option<Result<usize, ConfigError>> {
+        ask(self.shared.gossip.as_ref(), Ask::Keys).await
+    }
+
+    /// Tells other nodes that this one goes: its part is kept for it for a minute.
+    pub async fn leave_gossip(&self) {
+        ask(self.shared.gossip.as_ref(), Ask::Leave).await;
+    }
+
     /// Closes the connection to a server that has been idle for longest: the process is out of descriptors.
     pub fn free_descriptor(&self) {
         self.engine().mailbox.send(Happening::Evict);
--- a/crates/dunelink/src/node/mod.rs
+++ b/crates/dunelink/src/node/mod.rs
@@ -154,7 +154,7 @@
     /// The configuration does not hold together, or there is no thread or descriptor to be had.
     pub fn start(self) -> Result<Node, StartError> {
         // Shards that have started end with the node if a later one can't.
-        let Parts { node, shards, source } = self.split()?;
+        let Parts { node, shards, source, gossip } = self.split()?;
         let (begun, begins) = std::sync::mpsc::channel();
         let count = shards.len();
         for shard in shards {
@@ -169,6 +169,9 @@
         if let Some(source) = source {
             on_thread("dunelink roster".into(), move || source.run())?;
         }
+        if let Some(gossip) = gossip {
+            gossip.start()?;
+        }
         for _ in 0..count {
             begins.recv().map_err(|_| io::Error::other("it ended at once"))?;
         }
@@ -187,7 +190,10 @@
     /// Outside a `LocalSet`, as `tokio::task::spawn_local` does.
     pub fn start_local(self) -> Result<Node, StartError> {
         tokio::runtime::Handle::try_current().map_err(io::Error::other)?;
-        let Parts { node, mut shards, .. } = self.split()?;
+        let Parts { node, mut shards, gossip, .. } = self.split()?;
+        if let Some(gossip) = gossip {
+            gossip.start()?;
+        }
         match (shards.pop(), shards.is_empty()) {
             (Some(only), true) => {
                 // Not tied to the node's value: it has answers to give when that is dropped.
@@ -200,7 +206,7 @@
 }
 
 /// Runs a future that is made there on a thread with a runtime of its own.
-fn on_thread<F>(name: String, make: impl FnOnce() -> F + Send + 'static) -> io::Result<()>
+pub(crate) fn on_thread<F>(name: String, make: impl FnOnce() -> F + Send + 'static) -> io::Result<()>
 where
     F: Future<Output = ()> + 'static,
 {
--- a/crates/dunelink/src/node/shards.rs
+++ b/crates/dunelink/src/node/shards.rs
@@ -15,6 +15,7 @@
 use super::{Engineering, Node};
 use crate::config::{Config, ConfigError};
 use crate::engine::Mailbox;
+use crate::gossip::Gossiper;
 use crate::intake::Intake;
 use crate::roster::{Feed, Hub, Roster, RosterFuture};
 use crate::snapshot::Tally;
@@ -57,6 +58,8 @@
     pub shards: Vec<Shard>,
     /// The reader of the list, where there are several shards; to be run on a thread that nothing blocks.
     pub source: Option<Source>,
+    /// Gossip with the other nodes, where the configuration wants it; it is to be started.
+    pub gossip: Option<Gossiper>,
 }
 
 /// One shard of a node.
@@ -165,8 +168,11 @@
         engines.push(Arc::new(engine));
     }
     let ended = engines.iter().map(|engine| engine.ended.clone()).collect();
+    let mailboxes = engines.iter().map(|engine: &Arc<Engine>| engine.mailbox.clone()).collect();
+    let (gossip, asks) = Gossiper::new(&config, mailboxes)?.unzip();
     let shared = Shared {
         engines,
+        gossip: asks,
         class_names: config.classes.iter().map(|class| class.name.clone()).collect(),
         intake,
         graphql,
@@ -180,5 +186,5 @@
     let shard = |(number, engineering)| Shard { engineering, handle: handle.at_home(number) };
     let shards = engineerings.into_iter().enumerate().map(shard).collect();
     let source = hub.zip(roster).map(|(hub, roster)| Source { roster, config, seed, hub, ended });
-    Ok(Parts { node: Node { handle }, shards, source })
+    Ok(Parts { node: Node { handle }, shards, source, gossip })
 }
--- a/crates/dunelink/src/snapshot.rs
+++ b/crates/dunelink/src/snapshot.rs
@@ -168,6 +168,13 @@
     pub idle: usize,
 }
 
+impl ServerView {
+    /// The number under which nodes speak of it.
+    pub fn id(&self) -> u64 {
+        crate::types::server_id(&self.uid)
+    }
+}
+
 /// An answer that is being passed on. Dropped before its end, its client has left.
 pub(crate) struct Transfer {
     tally: Arc<Tally>,
--- a/crates/dunelink/src/types.rs
+++ b/crates/dunelink/src/types.rs
@@ -93,10 +93,14 @@
     /// The number under which the decision module knows it: a fixed hash of its name, as every node, and this
     /// one after a restart, must build the same pools.
     pub fn id(&self) -> ServerId {
-        xxhash_rust::xxh3::xxh3_64(self.uid.as_bytes())
+        server_id(&self.uid)
     }
 }
 
+pub(crate) fn server_id(uid: &str) -> ServerId {
+    xxhash_rust::xxh3::xxh3_64(uid.as_bytes())
+}
+
 /// A list of servers, or changes to it.
 ///
 /// ```
--- a/crates/dunelinkd/src/door.rs
+++ b/crates/dunelinkd/src/door.rs
@@ -26,6 +26,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::clients::NO_SOCKETS;
+use crate::gossip;
 
 /// Callers at once. Beyond that the one that has been silent for longest makes room.
 const CALLERS: usize = 16;
@@ -116,8 +117,8 @@
     }
 
     async fn respond(&self, request: &Request<Incoming>) -> Response<AnswerBody> {
-        let known = matches!(request.uri().path(), "/admin/health" | "/admin/stats");
-        if !known {
+        let paths = ["/admin/health", "/admin/stats", "/admin/members", "/admin/suspicions"];
+        if !paths.contains(&request.uri().path()) {
             return plain(StatusCode::NOT_FOUND, "no such call\n");
         }
         if request.method() != Method::GET && request.method() != Method::HEAD {
@@ -131,7 +132,16 @@
         match request.uri().path() {
             "/admin/health" if self.serving.load(Ordering::Acquire) => plain(StatusCode::OK, "serving\n"),
             "/admin/health" => plain(StatusCode::SERVICE_UNAVAILABLE, "not serving\n"),
-            _ => plain(StatusCode::OK, self.figures().await),
+            "/admin/stats" => plain(StatusCode::OK, self.figures().await),
+            path => match timeout(LOOK_WITHIN, self.node.gossip()).await.ok().flatten() {
+                None => plain(StatusCode::NOT_FOUND, "this node does not gossip\n"),
+                Some(view) if path == "/admin/members" => plain(StatusCode::OK, gossip::members(&view)),
+                Some(view) => {
+                    let known = timeout(LOOK_WITHIN, self.node.snapshot()).await;
+                    let known = known.ok().and_then(Result::ok).unwrap_or_default();
+                    plain(StatusCode::OK, gossip::suspicions(&view, &known))
+                }
+            },
         }
     }
 
--- a/crates/dunelinkd/src/main.rs
+++ b/crates/dunelinkd/src/main.rs
@@ -4,6 +4,7 @@
 mod dealer;
 mod demo;
 mod door;
+mod gossip;
 mod graphql;
 mod listen;
 mod passing;
@@ -37,6 +38,13 @@
     /// What a node makes of GraphQL requests.
     #[command(subcommand)]
     Graphql(graphql::Command),
+    /// Keys of gossip between nodes.
+    #[command(subcommand)]
+    Gossip(gossip::Command),
+    /// The other nodes, as a running one sees them.
+    Members(gossip::Asked),
+    /// The servers that other nodes suspect, and who does, as a running node sees it.
+    Suspicions(gossip::Asked),
     /// Show a fleet at work: stand-in servers, a roster and a node in one process, on loopback only.
     Demo(demo::Options),
 }
@@ -71,6 +79,9 @@
         Some(Command::Run(run)) => Source::find(run.config).and_then(serve::serve),
         Some(Command::Check(Check { file })) => check(file),
         Some(Command::Graphql(command)) => graphql::run(command),
+        Some(Command::Gossip(command)) => gossip::run(command),
+        Some(Command::Members(asked)) => gossip::ask(&asked, "members"),
+        Some(Command::Suspicions(asked)) => gossip::ask(&asked, "suspicions"),
         Some(Command::Demo(options)) => demo::run(&options),
     };
     match done {
--- a/crates/dunelinkd/src/serve.rs
+++ b/crates/dunelinkd/src/serve.rs
@@ -95,7 +95,11 @@
         builder = builder.roster(watch);
         mover = Some(moves);
     }
-    let Parts { node, mut shards, source: list, .. } = builder.split()?;
+    let Parts { node, mut shards, source: list, gossip, .. } = builder.split()?;
+    if let Some(gossip) = gossip {
+        eprintln!("dunelink: {} gossips on {}", config.name, gossip.address()?);
+        gossip.start()?;
+    }
     let serving = Arc::new(AtomicBool::new(false));
     if let Some(control) = control {
         let door = Door::new(node.handle().clone(), serving.clone()).open(control)?;
@@ -110,6 +114,7 @@
         terminate.recv().await;
         serving.store(false, Ordering::Release);
         eprintln!("dunelink: {} is leaving", config.name);
+        leave_gossip(node.handle());
         shards.leave();
         // What is not accepted is another process's to take, where there is one. Connections that are there are left to
         // their clients for as long either way: one that is closed may cross a request.
@@ -139,6 +144,7 @@
     terminate.recv().await;
     serving.store(false, Ordering::Release);
     eprintln!("dunelink: {} is leaving", config.name);
+    leave_gossip(node.handle());
     clients.leave();
     if shared {
         stop.notify_one();
@@ -177,6 +183,12 @@
     serving.store(true, Ordering::Release);
 }
 
+/// Has other nodes told, without waiting for that.
+fn leave_gossip(node: &Handle) {
+    let node = node.clone();
+    spawn_local(async move { node.leave_gossip().await });
+}
+
 /// The last line of the log.
 fn farewell(config: &Config, counts: Counts) {
     eprintln!(
@@ -190,6 +202,11 @@
 async fn reread(source: Source, mut hang_up: Signal, mover: Option<WatchMover>, node: Handle) {
     while hang_up.recv().await.is_some() {
         let path = source.path().display();
+        match node.reread_keys().await {
+            Some(Ok(names)) => eprintln!("dunelink: gossip keys read anew; {names} names are known"),
+            Some(Err(error)) => eprintln!("dunelink: {error}; the keys stay as they were"),
+            None => {}
+        }
         if node.graphql_path().is_some() {
             match node.reread_documents() {
                 Ok(count) => eprintln!("dunelink: {path} read anew; {count} GraphQL documents are known"),
--- /dev/null
+++ b/crates/gossip/tests/packets.rs
@@ -0,0 +1,83 @@
+//! What comes over the wire: the fuzz target's corpus, and whatever chance brings.
+
+use dunelink_gossip::sim::{Net, address};
+use dunelink_gossip::{Input, KeyRing, PACKET_MOST, Secret, Sighting, Unreadable, parse};
+use proptest::prelude::*;
+use testkit::corpus;
+
+/// Real packets of all kinds, by two nodes that find each other, lose sight of each other and suspect servers.
+fn packets() -> Vec<Vec<u8>> {
+    let mut net = Net::new(4, 21, |_, _| {});
+    net.tap = Some(Vec::new());
+    net.cut = Box::new(|from, to| from == 0 && to == 1);
+    net.start_all();
+    let seen = |node: usize, now| {
+        let strength = if now % 3_000_000 < 1_500_000 { 1.0 } else { 0.0 };
+        vec![Sighting { server: node as u64, strength, answers: 0, rests_on: 3 }]
+    };
+    net.run_until(10_000_000, &seen);
+    net.tap.take().unwrap().into_iter().map(|(_, _, bytes)| bytes).collect()
+}
+
+#[test]
+fn real_packets_are_read_and_no_longer_than_they_may_be() {
+    let packets = packets();
+    assert!(packets.len() > 200 && packets.iter().all(|bytes| bytes.len() <= PACKET_MOST));
+    assert!(packets.iter().all(|bytes| parse(bytes).is_ok()));
+    // Cut short anywhere, they are not.
+    let longest = packets.iter().max_by_key(|bytes| bytes.len()).unwrap();
+    assert!((0..longest.len()).all(|end| parse(&longest[..end]).is_err()));
+}
+
+#[test]
+fn the_corpus_is_replayed() {
+    let read: Vec<bool> = corpus("gossip_packet").iter().map(|bytes| parse(bytes).is_ok()).collect();
+    assert!(read.iter().any(|ok| *ok) && read.iter().any(|ok| !ok));
+}
+
+#[test]
+fn strangers_versions_and_lengths_are_told_apart() {
+    let packet = packets().swap_remove(0);
+    assert_eq!(parse(&[0; PACKET_MOST + 1]), Err(Unreadable::Length));
+    assert_eq!(parse(&[0; 10]), Err(Unreadable::Length));
+    let with = |at: usize, byte: u8| {
+        let mut packet = packet.clone();
+        packet[at] = byte;
+        parse(&packet)
+    };
+    assert_eq!(with(0, b'x'), Err(Unreadable::Stranger));
+    assert_eq!(with(2, 9), Err(Unreadable::Version(9)));
+}
+
+#[test]
+fn key_files_that_are_wrong_name_the_line() {
+    let good = Secret::from_seed([1; 32]).public_hex();
+    let ring = |text: &str| KeyRing::parse(text).unwrap_err();
+    assert_eq!(ring(&format!("n0 {good}\n\n# x\nn1\n")).line, 4);
+    assert_eq!(ring(&format!("n0 {good} more\n")).line, 1);
+    assert_eq!(ring(&format!("n0 {}\n", "00".repeat(32))).expected, "expected a key that is not weak");
+    assert_eq!(ring(&format!("n0 {good}\n").repeat(4)).line, 4);
+    assert!(Secret::parse("# nothing\n").is_err() && Secret::parse("00\n").is_err());
+    assert!(Secret::parse(&format!("{0}\n{0}\n", "01".repeat(32))).is_err());
+    let secret = Secret::parse(&format!("# mine\n{}\n", "01".repeat(32))).unwrap();
+    assert!(!format!("{secret:?}").contains("01"), "a secret is not shown");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(5), ..ProptestConfig::default() })]
+
+    #[test]
+    fn no_bytes_are_heard_without_a_key(bytes in prop::collection::vec(any::<u8>(), 0..1300), keep in 0..60_usize) {
+        let mut net = Net::new(2, 1, |_, _| {});
+        net.start(0);
+        // Some of them begin as packets do.
+        let real = b"dg\x01\x01";
+        let mixed: Vec<u8> = real.iter().copied().chain(bytes.iter().copied()).take(keep + bytes.len()).collect();
+        for bytes in [&bytes, &mixed] {
+            net.tell(0, Input::Packet(address(1), bytes));
+        }
+        let gossip = net.nodes[0].gossip.as_ref().unwrap();
+        prop_assert_eq!(gossip.figures().taken, 0);
+        prop_assert!(gossip.members().is_empty());
+    }
+}
