Gossip: news and probes have parts of the ceiling each; strangers are introduced with each packet

Seen in the simulation of 300 nodes: 120 s after a start together most knew two others (the seeds), 1.17 healthy members a node and minute were held dead, and a stall was known to nobody. Ruled out: flood limits (0 packets), unreadable or unsigned ones (0).

--- a/crates/dunelink/src/config/gossip.rs
+++ b/crates/dunelink/src/config/gossip.rs
@@ -11,7 +11,7 @@
 use super::{ConfigError, Problem, error};
 
 /// The least that a node may send in a second: probes and answers, and a packet of news now and then.
-const CEILING_LEAST: u32 = 4096;
+const CEILING_LEAST: u32 = 8192;
 /// How often a member may be asked whether it is there.
 const PERIODS: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(60));
 /// Addresses that a node may ask to be let in.
@@ -83,7 +83,7 @@
         let port = self.advertise.is_none_or(|address| address.port() != 0);
         want(port, "advertise", "expected an address with a port")?;
         want(self.seeds.len() <= SEEDS_MOST, "seeds", "expected at most 64 addresses")?;
-        want(self.ceiling >= CEILING_LEAST, "ceiling", "expected at least 4096 bytes a second")?;
+        want(self.ceiling >= CEILING_LEAST, "ceiling", "expected at least 8192 bytes a second")?;
         let period = (PERIODS.0..=PERIODS.1).contains(&self.period);
         want(period, "period", "expected 100ms to 60s")
     }
--- a/crates/gossip/src/gossip.rs
+++ b/crates/gossip/src/gossip.rs
@@ -32,8 +32,11 @@
 const STOOD_STILL: Micros = 3;
 /// Packets a second that one address, and one member, are listened to.
 const LISTEN: f64 = 200.0;
-/// The part of what may go at once that news leave to probes and answers.
-const SPARE: f64 = 0.3;
+/// The part of the ceiling that is for news; the rest is for probes and answers. Neither can take the other's: whom
+/// many ask at once still tells them of others, and who has much to tell still answers.
+const FOR_NEWS: f64 = 0.6;
+/// What a packet with nothing but news takes beside them, at most, with the headers of UDP and IP.
+const FRAME: usize = 200;
 /// The least time between two statements that answer an accusation.
 const REFUTE: Micros = 200_000;
 /// The least time between two notes of one kind.
@@ -176,7 +179,8 @@
     sightings: Vec<Sighting>,
     places: Places,
     told: Option<Fleet>,
-    ceiling: Bucket,
+    for_probes: Bucket,
+    for_news: Bucket,
     sources: Sources,
     by_member: BTreeMap<MemberId, Bucket>,
     notes: BTreeMap<(u8, MemberId), Micros>,
@@ -215,7 +219,8 @@
             own: Signed::new(statement, &secret),
             prober: Prober::new(period, now + random.u64(..period)),
             places: Places::new(settings.nodes),
-            ceiling: Bucket::ceiling(f64::from(settings.ceiling), now),
+            for_probes: Bucket::ceiling(f64::from(settings.ceiling) * (1.0 - FOR_NEWS), now),
+            for_news: Bucket::ceiling(f64::from(settings.ceiling) * FOR_NEWS, now),
             sources: Sources::new(LISTEN, now),
             sync_at: now + random.u64(..SYNC.1),
             join_at: now + random.u64(..ROUND),
@@ -343,6 +348,8 @@
     fn tell(&mut self, to: MemberId, message: Message, own: bool, news: bool) -> bool {
         let Some(member) = self.members.all.get(&to) else { return false };
         let Statement { address, instance, .. } = member.signed.statement;
+        // Who was never heard may not know this node, and would not listen to it.
+        let own = own || !member.was_heard();
         self.tell_at(address, Some(to), instance, message, own, news)
     }
 
@@ -379,16 +386,37 @@
             body.accusations.extend(self.news.accusations(room, tellings(nodes)));
         }
         let mut packet = Packet { header, body };
+        let size = packet.size();
+        let all_news =
+            matches!(packet.body.message, Message::News | Message::Digest { .. } | Message::Want(_));
+        let base = size + HEADERS;
+        if !self.afford(if all_news { (0, base) } else { (base, 0) }) {
+            return false;
+        }
         if news && self.news.is_hot() {
-            let Some(size) = packet.seal(&self.secret).map(|bytes| bytes.len()) else { return false };
-            let left = (self.ceiling.left(self.now) - SPARE * self.ceiling.depth()).max(0.0) as usize;
-            let space = (PACKET_MOST - size).min(left.saturating_sub(size + HEADERS));
+            let space = PACKET_MOST.saturating_sub(size).min(self.for_news.left(self.now) as usize);
             for id in self.pick_news(space, to, own) {
                 packet.body.news.extend(self.carried(id));
             }
         }
         let Some(bytes) = packet.seal(&self.secret) else { return false };
-        self.send(address, bytes, matches!(packet.body.message, Message::News | Message::Digest { .. }))
+        // What was picked fits what is left.
+        self.afford((0, bytes.len().saturating_sub(size)));
+        self.send(address, bytes);
+        true
+    }
+
+    /// Takes bytes of probes and of news from the ceiling.
+    fn afford(&mut self, (probes, news): (usize, usize)) -> bool {
+        let now = self.now;
+        let fits = self.for_probes.left(now) >= probes as f64 && self.for_news.left(now) >= news as f64;
+        if fits {
+            self.for_probes.take(now, probes as f64);
+            self.for_news.take(now, news as f64);
+        } else {
+            self.figures.kept_back += 1;
+        }
+        fits
     }
 
     fn pick_news(&mut self, space: usize, to: Option<MemberId>, own: bool) -> Vec<MemberId> {
@@ -399,7 +427,10 @@
         };
         let nodes = members.all.len();
         // What adds nothing to what enough others say is passed on once at most.
-        let words = self.evidence.words(self.now, members);
+        let suspects = self.news.hot().any(|id| {
+            members.all.get(&id).is_some_and(|member| !member.signed.statement.suspicions.is_empty())
+        });
+        let words = if suspects { self.evidence.words(self.now, members) } else { BTreeMap::new() };
         let enough = 2.0 * evidence::needed(nodes + 1);
         let said = |server: u64| words.get(&server).map_or(0.0, |w| w.iter().map(|w| w.weight).sum());
         let useful = |id: MemberId| {
@@ -412,17 +443,10 @@
         picked
     }
 
-    fn send(&mut self, address: SocketAddr, bytes: Vec<u8>, can_wait: bool) -> bool {
-        let spare = if can_wait { SPARE * self.ceiling.depth() } else { 0.0 };
-        let size = bytes.len() + HEADERS;
-        if !self.ceiling.take(self.now, size as f64, spare) {
-            self.figures.kept_back += 1;
-            return false;
-        }
+    fn send(&mut self, address: SocketAddr, bytes: Vec<u8>) {
         self.figures.sent += 1;
-        self.figures.sent_bytes += size as u64;
+        self.figures.sent_bytes += (bytes.len() + HEADERS) as u64;
         self.out.push(Output::Send(address, bytes));
-        true
     }
 
     // What is due.
@@ -560,7 +584,7 @@
         }
         let now = self.now;
         let bucket = self.by_member.entry(from).or_insert_with(|| Bucket::ceiling(LISTEN, now));
-        if !bucket.take(now, 1.0, 0.0) {
+        if !bucket.take(now, 1.0) {
             self.figures.flooded += 1;
             return;
         }
@@ -739,7 +763,7 @@
 
     /// Sends what is known of these, as much as fits one packet.
     fn give(&mut self, to: MemberId, ids: Vec<MemberId>) {
-        let mut space = PACKET_MOST - 200;
+        let mut space = (self.for_news.left(self.now) as usize).min(PACKET_MOST).saturating_sub(FRAME);
         let mut news = Vec::new();
         for carried in ids.into_iter().filter_map(|id| self.carried(id)) {
             let size = carried.signed.size();
@@ -762,8 +786,10 @@
             number: self.packets,
         };
         let body = Body { message: Message::News, accusations: Vec::new(), news };
-        if let Some(bytes) = (Packet { header, body }).seal(&self.secret) {
-            self.send(address, bytes, true);
+        if let Some(bytes) = (Packet { header, body }).seal(&self.secret)
+            && self.afford((0, bytes.len() + HEADERS))
+        {
+            self.send(address, bytes);
         }
     }
 
--- a/crates/gossip/src/limits.rs
+++ b/crates/gossip/src/limits.rs
@@ -35,10 +35,10 @@
         self.at = self.at.max(now);
     }
 
-    /// Takes so much, if `spare` is left after that.
-    pub(crate) fn take(&mut self, now: Micros, amount: f64, spare: f64) -> bool {
+    /// Takes so much, if there is as much.
+    pub(crate) fn take(&mut self, now: Micros, amount: f64) -> bool {
         self.fill(now);
-        let enough = self.tokens >= amount + spare;
+        let enough = self.tokens >= amount;
         self.tokens -= if enough { amount } else { 0.0 };
         enough
     }
@@ -73,11 +73,11 @@
             // Those that have been silent for long are as good as new.
             self.buckets.retain(|_, bucket| bucket.left(now) < bucket.depth());
             if self.buckets.len() >= SOURCES_MOST {
-                return self.others.take(now, 1.0, 0.0);
+                return self.others.take(now, 1.0);
             }
         }
         let each = self.each;
-        self.buckets.entry(from).or_insert_with(|| Bucket::ceiling(each, now)).take(now, 1.0, 0.0)
+        self.buckets.entry(from).or_insert_with(|| Bucket::ceiling(each, now)).take(now, 1.0)
     }
 }
 
@@ -90,7 +90,7 @@
         let mut bucket = Bucket::ceiling(1000.0, 0);
         let mut sent: Vec<(Micros, f64)> = Vec::new();
         for now in (0..5_000_000).step_by(1000) {
-            while bucket.take(now, 40.0, 0.0) {
+            while bucket.take(now, 40.0) {
                 sent.push((now, 40.0));
             }
         }
--- a/crates/gossip/src/members.rs
+++ b/crates/gossip/src/members.rs
@@ -48,6 +48,13 @@
     window: Window,
 }
 
+impl Member {
+    /// Whether any packet of its process came here.
+    pub(crate) fn was_heard(&self) -> bool {
+        self.window.instance == self.signed.statement.instance
+    }
+}
+
 /// Which of a process's packets were met: the highest number, and the 64 below it.
 #[derive(Debug, Default)]
 struct Window {
--- a/crates/gossip/src/news.rs
+++ b/crates/gossip/src/news.rs
@@ -33,6 +33,11 @@
         !self.hot.is_empty()
     }
 
+    /// Whose statements are new.
+    pub(crate) fn hot(&self) -> impl Iterator<Item = MemberId> + '_ {
+        self.hot.keys().copied()
+    }
+
     /// Up to `space` bytes of statements that were told least; `size` tells what each takes, if it is still known,
     /// and `useful` how many tellings it is worth.
     pub(crate) fn pick(
--- a/crates/gossip/src/packet.rs
+++ b/crates/gossip/src/packet.rs
@@ -225,6 +225,13 @@
 }
 
 impl Packet {
+    /// How many bytes it takes, signature included.
+    pub(crate) fn size(&self) -> usize {
+        // Its form has no part that can fail.
+        let bytes = postcard::to_extend(&self.header, MAGIC.to_vec()).unwrap_or_default();
+        postcard::to_extend(&self.body, bytes).map_or(0, |bytes| bytes.len()) + SIGNATURE
+    }
+
     /// Its bytes, signed. `None` if it is longer than a packet may be.
     pub(crate) fn seal(&self, secret: &Secret) -> Option<Vec<u8>> {
         let bytes = postcard::to_extend(&self.header, MAGIC.to_vec()).ok()?;
--- a/crates/gossip/tests/fleet.rs
+++ b/crates/gossip/tests/fleet.rs
@@ -175,6 +175,15 @@
     assert!(net.nodes.iter().all(|node| node.peak <= 16 * 1024));
 }
 
+#[test]
+fn many_that_know_only_the_same_few_find_each_other_within_a_low_ceiling() {
+    let mut net = Net::new(60, 14, |_, settings| settings.ceiling = 8192);
+    net.start_all();
+    net.run_until(45 * S, &well);
+    assert_eq!(present(&net), vec![59; 60]);
+    assert!(net.nodes.iter().all(|node| node.peak <= 8192));
+}
+
 #[test]
 fn what_was_recorded_is_not_taken_again() {
     let mut net = Net::new(3, 10, |_, _| {});
