Doubts about warm servers no longer push a starting one; the state machine in four files

`heard` returns early where nothing is and was said. The random worlds of `rules.rs` hear and change the number of nodes.

--- a/crates/cherryusher/src/policy/hearsay.rs
+++ b/crates/cherryusher/src/policy/hearsay.rs
@@ -1,8 +1,8 @@
 //! What nodes tell each other: what this one has seen of servers, and what the word of others does here.
 //!
-//! Hearsay alone never takes a server out of use: it lowers its part of the work, to a quarter at most, and makes
-//! own silent attempts count for more. Own answers that come as usual speak against it. Nothing of what is told on comes from hearsay, so that a rumour
-//! does not feed itself.
+//! Hearsay alone never takes a server out of use: it lowers its part of the work, to a quarter at most, and
+//! makes own silent attempts count for more. Own answers that come as usual speak against it. Nothing of what
+//! is told on comes from hearsay, so that a rumour does not feed itself.
 
 use super::*;
 
@@ -10,23 +10,29 @@
 const DOUBT_MOST: f64 = 0.75;
 /// That much of the doubt counts against own answers that come as usual.
 const OWN_PROOF: f64 = 0.5;
-/// For how long a server is left alone after an own attempt there was silent, at the most doubt (outlier ejection).
+/// For how long a server is left alone after an own attempt there was silent, at the most doubt (outlier
+/// ejection).
 const STAY: f64 = 2_000_000.0;
 /// For how long hearsay counts that is not said again.
 const HEARSAY: Micros = 3_000_000;
 /// Answers are lately while the last one is younger than this; and so many of them prove something.
 const LATELY: Micros = 1_000_000;
 const PROOF: f64 = 4.0;
-/// From and to which multiple of the usual time an attempt is more and more silent, while nothing else comes from
-/// its server.
+/// From and to which multiple of the usual time an attempt is more and more silent, while nothing else comes
+/// from its server.
 const SILENT: (f64, f64) = (4.0, 8.0);
-/// From and to which pace a server is more and more suspect; how many failures beyond the usual make it wholly so.
+/// From and to which pace a server is more and more suspect; how many failures beyond the usual make it
+/// wholly so.
 const SLOW: (f64, f64) = (1.5, 3.5);
 const FAILS: f64 = 4.0;
 
 impl Balancer {
     /// Takes in all that others say; of whom nothing is said there is no doubt.
     pub(super) fn heard(&mut self, doubts: &[Doubt]) {
+        if doubts.is_empty() && !self.doubting {
+            return;
+        }
+        self.doubting = !doubts.is_empty();
         self.servers.iter_mut().for_each(|s| s.doubt = 0.0);
         for told in doubts {
             if let Some(i) = self.find(told.server) {
@@ -36,12 +42,27 @@
                 server.doubted_at = self.now;
             }
         }
+        self.heard_at = self.now;
+        for p in 0..self.pools.len() {
+            let members = &self.pools[p].members;
+            let sum: f64 = members.iter().map(|i| self.servers[*i].doubt).sum();
+            self.pools[p].doubt = sum / members.len().max(1) as f64;
+        }
     }
 
-    /// The part of its draws that a server keeps for what others say, from a quarter to all. Comparisons go by own
-    /// counts alone: there a little doubt would lose every tie.
+    /// The part of its draws that a server keeps for what others say, from a quarter to all. Comparisons go
+    /// by own counts alone: there a little doubt would lose every tie.
     pub(super) fn trust(&self, i: usize) -> f64 {
-        1.0 - DOUBT_MOST * self.doubt(i)
+        1.0 - DOUBT_MOST * self.doubt(i).max(self.doubt_around(i))
+    }
+
+    /// A starting server gains nothing from doubts about the others: they would push it over.
+    fn doubt_around(&self, i: usize) -> f64 {
+        let s = &self.servers[i];
+        if self.now.saturating_sub(self.heard_at) >= HEARSAY || self.ramp(&s.entry) >= 1.0 {
+            return 0.0;
+        }
+        s.pool.map_or(0.0, |p| self.pools[p].doubt).max(self.everyone().doubt)
     }
 
     /// What is left of what others say, after its age and what own answers say against it.
@@ -68,8 +89,8 @@
         if waited < SILENT.0 { 0.0 } else { (waited / SILENT.1).min(1.0) }
     }
 
-    /// An attempt has ended: what was given up in silence is kept in mind, an answer ends that. Where others say the
-    /// same of a server, one own silence is enough to leave it alone for a while.
+    /// An attempt has ended: what was given up in silence is kept in mind, an answer ends that. Where others
+    /// say the same of a server, one own silence is enough to leave it alone for a while.
     pub(super) fn hushed(&mut self, i: usize, class: usize, end: &Ended) {
         let (now, id) = (self.now, self.servers[i].entry.id);
         match end.outcome {
--- a/crates/cherryusher/src/policy/mod.rs
+++ b/crates/cherryusher/src/policy/mod.rs
@@ -75,6 +75,9 @@
     needed: Fading,
     failed_asks: u32,
     copies_win: f64,
+    /// Whether others said anything against a server when they were last heard, and when that was.
+    doubting: bool,
+    heard_at: Micros,
     looking: bool,
     /// How many servers were looked at for picks.
     pub(crate) steps: u64,
@@ -116,6 +119,8 @@
             needed: Fading::default(),
             failed_asks: 0,
             copies_win: 0.0,
+            doubting: false,
+            heard_at: 0,
             looking: false,
             steps: 0,
             settings,
--- a/crates/cherryusher/src/state.rs
+++ b/crates/cherryusher/src/state.rs
@@ -126,6 +126,8 @@
     pub(crate) room: Room,
     pub(crate) avoided: usize,
     pub(crate) failures: Fading,
+    /// The mean of what others say against its members, when that was last heard.
+    pub(crate) doubt: f64,
 }
 
 impl Pool {
--- a/crates/cherryusher/tests/hearsay.rs
+++ b/crates/cherryusher/tests/hearsay.rs
@@ -47,6 +47,36 @@
     }
 }
 
+/// How many of 8,000 requests a starting server gets, while others say this of all the warm ones.
+fn to_a_cold_one(doubt: f64) -> u32 {
+    let mut node = Node::new(Settings { warm_up: 100 * S, ..few() }, servers(0..12));
+    let cold = unlabelled(&mut node);
+    let (mut got, mut out) = (0, std::collections::VecDeque::new());
+    for round in 0..8000 {
+        node.now += 5 * MS;
+        if round == 0 {
+            node.tell(Event::ServerChanges(vec![ServerEntry { ready_at: node.now, ..server(cold) }]));
+        }
+        if round % 40 == 0 {
+            let others = (0..12).filter(|server| *server != cold);
+            node.tell(Event::Hearsay(others.map(|server| Doubt { server, doubt }).collect()));
+        }
+        let (id, actions) = node.arrive(SAFE, None);
+        got += u32::from(sends(&actions, id).first() == Some(&cold));
+        out.push_back(id);
+        if out.len() > 8 {
+            node.end(out.pop_front().unwrap(), 0, Outcome::Served, 40 * MS);
+        }
+    }
+    got
+}
+
+#[test]
+fn a_cold_server_gains_nothing_by_doubts_about_the_others() {
+    let (plain, doubted) = (to_a_cold_one(0.0), to_a_cold_one(1.0));
+    assert!(plain > 100 && doubted <= plain, "{plain} {doubted}");
+}
+
 #[test]
 fn hearsay_that_is_not_said_again_is_forgotten_and_nonsense_is_none() {
     assert!(part(1.0, 12, false) > 0.9);
--- a/crates/cherryusher/tests/rules.rs
+++ b/crates/cherryusher/tests/rules.rs
@@ -236,6 +236,18 @@
         }
     }
 
+    /// Other nodes say something, or there are more or fewer of them.
+    fn hear(&mut self) {
+        if self.dice.bool() {
+            let doubt = |dice: &mut fastrand::Rng| Doubt { server: dice.u64(1..16), doubt: dice.f64() * 1.2 };
+            let doubts = (0..self.dice.u64(..6)).map(|_| doubt(&mut self.dice)).collect();
+            self.tell(Event::Hearsay(doubts));
+        } else {
+            let (balancers, rank) = (self.dice.u32(..12), self.dice.u32(..12));
+            self.tell(Event::Fleet { balancers, rank });
+        }
+    }
+
     fn run(seed: u64, steps: usize) -> World {
         let mut world = World::new(seed);
         for _ in 0..steps {
@@ -252,6 +264,7 @@
                     }
                     world.tell(Event::Left(id));
                 }
+                91 => world.hear(),
                 _ => {
                     let until = world.node.now + world.dice.u64(..40 * MS);
                     world.pass(until);
--- /dev/null
+++ b/crates/gossip/src/gossip/mod.rs
@@ -0,0 +1,383 @@
+//! The state machine of one node: what comes in, what goes out, and when it wants to be looked at.
+
+mod hear;
+mod tell;
+mod types;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use cherryusher::Sighting;
+
+use crate::Micros;
+use crate::evidence::{self, Evidence, Witness};
+use crate::keys::{KeyRing, MemberId, Secret};
+use crate::limits::{Bucket, HEADERS, Sources};
+use crate::members::{Member, Members, Standing};
+use crate::news::{News, tellings};
+use crate::packet::{
+    ACCUSATIONS_MOST, Accusation, Body, Carried, Header, Message, NAMED_MOST, PACKET_MOST, Packet, Signed,
+    Stance, Statement, Suspicion, Unreadable, VERSION, VERSION_LEAST, millis, parse,
+};
+use crate::places::{Fleet, Places};
+use crate::probe::{Prober, Step};
+
+pub use types::{Figures, Input, MemberView, Note, Output, Settings, SuspicionView};
+
+/// How often news are told while there are any.
+const ROUND: Micros = 100_000;
+/// Members that are told in a round.
+const FAN_OUT: usize = 2;
+/// How often a digest is sent while it finds nothing, and while it does.
+const SYNC: (Micros, Micros) = (5_000_000, 200_000);
+/// Seeds that are asked at once to be let in.
+const KNOCKS: usize = 3;
+/// The longest wait between two tries to join.
+const JOIN_MOST: Micros = 10_000_000;
+/// A gap between two looks, in periods, that means that this process stood still.
+const STOOD_STILL: Micros = 3;
+/// Packets a second that one address, and one member, are listened to.
+const LISTEN: f64 = 200.0;
+/// The part of the ceiling that is for news; the rest is for probes and answers. Neither can take the other's: whom
+/// many ask at once still tells them of others, and who has much to tell still answers.
+const FOR_NEWS: f64 = 0.6;
+/// What a packet with nothing but news takes beside them, at most, with the headers of UDP and IP.
+const FRAME: usize = 200;
+/// The least time between two statements that answer an accusation.
+const REFUTE: Micros = 200_000;
+/// The least time between two notes of one kind.
+const NOTE: Micros = 60_000_000;
+
+/// Gossip of one node.
+pub struct Gossip {
+    settings: Settings,
+    ring: KeyRing,
+    secret: Secret,
+    me: MemberId,
+    instance: u64,
+    now: Micros,
+    packets: u64,
+    own: Signed,
+    refuted_at: Micros,
+    members: Members,
+    news: News,
+    prober: Prober,
+    evidence: Evidence,
+    sightings: Vec<Sighting>,
+    places: Places,
+    told: Option<Fleet>,
+    for_probes: Bucket,
+    for_news: Bucket,
+    sources: Sources,
+    by_member: BTreeMap<MemberId, Bucket>,
+    notes: BTreeMap<(u8, MemberId), Micros>,
+    twins: u32,
+    round_at: Micros,
+    sync_at: Micros,
+    sync_from: MemberId,
+    join_at: Micros,
+    join_wait: Micros,
+    random: fastrand::Rng,
+    figures: Figures,
+    out: Vec<Output>,
+}
+
+impl Gossip {
+    /// A node that begins now. `None` if its name is not in the ring with its secret's key.
+    pub fn new(settings: Settings, ring: KeyRing, secret: Secret, now: Micros) -> Option<Gossip> {
+        let me = MemberId::of(&settings.name);
+        if !ring.holds(me, &secret) {
+            return None;
+        }
+        let mut random = fastrand::Rng::with_seed(settings.seed);
+        // 0 means that no process is known.
+        let instance = random.u64(1..);
+        let statement = Statement {
+            author: me,
+            key: secret.hint(),
+            instance,
+            number: settings.number,
+            address: settings.address,
+            stance: Stance::Here,
+            suspicions: Vec::new(),
+        };
+        let period = settings.period.max(1);
+        Some(Gossip {
+            own: Signed::new(statement, &secret),
+            prober: Prober::new(period, now + random.u64(..period)),
+            places: Places::new(settings.nodes),
+            for_probes: Bucket::ceiling(f64::from(settings.ceiling) * (1.0 - FOR_NEWS), now),
+            for_news: Bucket::ceiling(f64::from(settings.ceiling) * FOR_NEWS, now),
+            sources: Sources::new(LISTEN, now),
+            sync_at: now + random.u64(..SYNC.1),
+            join_at: now + random.u64(..ROUND),
+            settings,
+            ring,
+            secret,
+            me,
+            instance,
+            now,
+            random,
+            packets: 0,
+            refuted_at: 0,
+            members: Members::default(),
+            news: News::default(),
+            evidence: Evidence::default(),
+            sightings: Vec::new(),
+            told: None,
+            by_member: Default::default(),
+            notes: Default::default(),
+            twins: 0,
+            round_at: now,
+            sync_from: MemberId(0),
+            join_wait: ROUND,
+            figures: Figures::default(),
+            out: Vec::new(),
+        })
+    }
+
+    /// Takes in what happened and appends what is to be done about it.
+    pub fn handle(&mut self, now: Micros, input: Input<'_>, out: &mut Vec<Output>) {
+        let gap = now.saturating_sub(self.now);
+        self.now = self.now.max(now);
+        if gap > STOOD_STILL * self.settings.period {
+            // Nobody could be heard meanwhile: that is no sign that they are gone.
+            self.members.shift(gap);
+            self.prober.shift(gap);
+            self.places.shift(gap);
+            self.note(4, self.me, Note::StoodStill(gap));
+        }
+        match input {
+            Input::Packet(from, bytes) => self.packet(from, bytes),
+            Input::Tick => {}
+            Input::Sightings(seen) => self.saw(seen),
+            Input::Keys(ring, secret) => self.change_keys(ring, secret),
+            Input::Leave { restarts } => self.leave(restarts),
+        }
+        self.work();
+        out.append(&mut self.out);
+    }
+
+    /// When it wants to be looked at next.
+    pub fn next(&self) -> Micros {
+        let round = if self.news.is_hot() { self.round_at } else { Micros::MAX };
+        let least = self.now + 1000;
+        round.min(self.sync_at).min(self.join_at).min(self.prober.next()).max(least).min(self.now + ROUND)
+    }
+
+    /// What was counted.
+    pub fn figures(&self) -> Figures {
+        self.figures
+    }
+
+    /// The members that it knows, itself left out.
+    pub fn members(&self) -> Vec<MemberView> {
+        let view = |(id, member): (&MemberId, &Member)| MemberView {
+            name: self.name(*id),
+            address: member.signed.statement.address,
+            standing: member.standing,
+            since: self.now.saturating_sub(member.since),
+            place: self.ring.place(*id).unwrap_or_default(),
+            credit: self.evidence.credit(*id),
+        };
+        self.members.all.iter().map(view).collect()
+    }
+
+    /// The servers that others suspect.
+    pub fn suspicions(&self) -> Vec<SuspicionView> {
+        let needed = evidence::needed(self.members.all.len() + 1);
+        let words = self.evidence.words(self.now, &self.members);
+        let view = |(server, words): (u64, Vec<Witness>)| SuspicionView {
+            server,
+            doubt: (words.iter().map(|w| w.weight).sum::<f64>() / needed).min(1.0),
+            witnesses: words.into_iter().map(|word| (self.name(word.witness), word)).collect(),
+        };
+        words.into_iter().map(view).collect()
+    }
+
+    fn name(&self, id: MemberId) -> String {
+        self.ring.name(id).unwrap_or_default().to_owned()
+    }
+
+    fn note(&mut self, kind: u8, about: MemberId, note: Note) {
+        let last = self.notes.get(&(kind, about)).copied();
+        if last.is_none_or(|at| self.now.saturating_sub(at) >= NOTE) {
+            self.notes.insert((kind, about), self.now);
+            self.out.push(Output::Note(note));
+        }
+    }
+
+    fn note_up(&mut self, id: MemberId) {
+        self.note(0, id, Note::Up(self.name(id)));
+    }
+
+    fn work(&mut self) {
+        for id in self.members.expire(self.now, self.settings.period) {
+            self.note(1, id, Note::Down(self.name(id)));
+        }
+        while let Some(step) = self.prober.step(self.now, &self.members, &mut self.random) {
+            self.probe(step);
+        }
+        if self.round_at <= self.now && self.news.is_hot() {
+            self.round_at = self.now + ROUND;
+            for to in self.some_present(FAN_OUT) {
+                self.tell(to, Message::News, false, true);
+            }
+        }
+        if self.join_at <= self.now {
+            self.join();
+        }
+        if self.sync_at <= self.now {
+            self.sync();
+        }
+        let nodes = self.places.update(self.now, self.members.counted(self.now) as u32 + 1);
+        let fleet = Fleet { nodes, place: self.ring.place(self.me).unwrap_or_default() };
+        if self.told != Some(fleet) {
+            self.told = Some(fleet);
+            self.out.push(Output::Fleet(fleet));
+        }
+    }
+
+    fn some_present(&mut self, most: usize) -> Vec<MemberId> {
+        let mut there: Vec<MemberId> = self.members.present().collect();
+        let most = most.min(there.len());
+        for at in 0..most {
+            let with = self.random.usize(at..there.len());
+            there.swap(at, with);
+        }
+        there.truncate(most);
+        there
+    }
+
+    fn probe(&mut self, step: Step) {
+        match step {
+            Step::Ping(to, number) => drop(self.tell(to, Message::Ping { number, bare: false }, true, true)),
+            Step::Ask(target, number, helpers) => {
+                for helper in helpers {
+                    self.tell(helper, Message::PingFor { target, number }, true, false);
+                }
+            }
+            Step::Failed(accused) => {
+                let number =
+                    self.members.all.get(&accused).map_or(0, |member| member.signed.statement.number);
+                self.accuse(Accusation { accused, number, accuser: self.me });
+            }
+        }
+    }
+
+    fn accuse(&mut self, accusation: Accusation) {
+        let Accusation { accused, number, accuser } = accusation;
+        if self.members.accuse(self.now, accused, number, accuser) {
+            self.news.accuse(accusation);
+        }
+    }
+
+    /// Knocks at the seeds while nobody is there, and now and then at those that were.
+    fn join(&mut self) {
+        let alone = self.members.present().next().is_none();
+        self.join_wait = if alone { (2 * self.join_wait).min(JOIN_MOST) } else { JOIN_MOST };
+        self.join_at = self.now + self.join_wait / 2 + self.random.u64(..self.join_wait / 2);
+        let gone = |m: &Member| !matches!(m.standing, Standing::Alive | Standing::Suspect);
+        let gone: Vec<MemberId> =
+            self.members.all.iter().filter(|(_, m)| gone(m)).map(|(id, _)| *id).collect();
+        if let Some(id) = gone.get(self.random.usize(..gone.len().max(1))) {
+            let number = self.random.u64(..);
+            self.tell(*id, Message::Ping { number, bare: false }, true, true);
+        }
+        let mut seeds = self.settings.seeds.clone();
+        self.random.shuffle(&mut seeds);
+        seeds.truncate(if alone { KNOCKS } else { 1 });
+        seeds.retain(|seed| *seed != self.settings.address);
+        for address in seeds {
+            self.tell_at(address, None, 0, Message::Join, true, false);
+        }
+    }
+
+    /// Compares what is known with another member, a part at a time (anti-entropy).
+    fn sync(&mut self) {
+        self.sync_at = self.now + SYNC.0 / 2 + self.random.u64(..SYNC.0);
+        let Some(to) = self.some_present(1).pop() else { return };
+        let from = self.sync_from;
+        let mut known: Vec<(MemberId, u64)> =
+            self.members.all.range(from..).map(|(id, m)| (*id, m.signed.statement.number)).collect();
+        let whole = known.len() < NAMED_MOST;
+        known.truncate(NAMED_MOST - 1);
+        let end =
+            if whole { MemberId(u64::MAX) } else { known.last().map_or(MemberId(u64::MAX), |last| last.0) };
+        self.sync_from = if whole { MemberId(0) } else { MemberId(end.0.saturating_add(1)) };
+        if (from..=end).contains(&self.me) {
+            known.push((self.me, self.own.statement.number));
+        }
+        self.tell(to, Message::Digest { from, to: end, known }, true, false);
+    }
+
+    fn saw(&mut self, seen: Vec<Sighting>) {
+        self.sightings = seen;
+        let doubts = self.evidence.weigh(self.now, &self.members, &self.sightings);
+        if let Some(say) = self.evidence.say(self.now, &self.members, &self.sightings) {
+            self.restate(self.own.statement.stance, say, 0);
+        }
+        self.out.push(Output::Doubts(doubts));
+    }
+
+    fn change_keys(&mut self, ring: KeyRing, secret: Secret) {
+        if !ring.holds(self.me, &secret) {
+            return;
+        }
+        let keep = |id: MemberId| ring.contains(id);
+        self.members.retain(keep);
+        self.evidence.retain(keep);
+        self.by_member.retain(|id, _| keep(*id));
+        self.notes.retain(|(_, id), _| keep(*id));
+        (self.ring, self.secret) = (ring, secret);
+        let Statement { stance, suspicions, .. } = self.own.statement.clone();
+        self.restate(stance, suspicions, 0);
+    }
+
+    fn leave(&mut self, restarts: bool) {
+        let stance = if restarts { Stance::Restarting } else { Stance::Leaving };
+        self.restate(stance, Vec::new(), 0);
+        for to in self.some_present(2 * FAN_OUT) {
+            self.tell(to, Message::News, true, false);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::sim::Net;
+
+    /// Another member's answer is believed only from that member, whoever hands it through.
+    #[test]
+    fn a_helper_can_not_praise_the_dead() {
+        let mut net = Net::new(3, 17, |_, _| {});
+        net.start_all();
+        net.run_until(10_000_000, &|_, _| Vec::new());
+        net.kill(2);
+        let asked = |net: &Net| net.nodes[0].gossip.as_ref().and_then(|gossip| gossip.prober.asked());
+        while asked(&net).is_none_or(|(target, _)| target != MemberId::of("n2")) {
+            net.run_until(net.now + 10_000, &|_, _| Vec::new());
+        }
+        let number = asked(&net).unwrap().1;
+        let proof = |by: Secret| {
+            let header = Header {
+                version: VERSION,
+                speaks: VERSION,
+                from: MemberId::of("n2"),
+                key: net.secret(2).hint(),
+                instance: 1,
+                to_instance: 2,
+                number: 3,
+            };
+            let body = Body { message: Message::Ack(number), accusations: Vec::new(), news: Vec::new() };
+            Packet { header, body }.seal(&by).unwrap()
+        };
+        let (false_one, true_one) = (proof(net.secret(1)), proof(net.secret(2)));
+        let gossip = net.nodes[0].gossip.as_mut().unwrap();
+        gossip.proof(&false_one);
+        assert!(gossip.prober.asked().is_some());
+        gossip.proof(&true_one);
+        assert!(gossip.prober.asked().is_none());
+    }
+}
--- /dev/null
+++ b/crates/gossip/src/gossip/types.rs
@@ -0,0 +1,130 @@
+//! What a node of gossip is told, says, and shows.
+
+use std::net::SocketAddr;
+
+use cherryusher::{Doubt, Sighting};
+
+use crate::Micros;
+use crate::evidence::Witness;
+use crate::keys::{KeyRing, Secret};
+use crate::members::Standing;
+use crate::places::Fleet;
+
+/// What a node is told once.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Its name, which is in the ring.
+    pub name: String,
+    /// Where others reach it.
+    pub address: SocketAddr,
+    /// Where it asks to be let in.
+    pub seeds: Vec<SocketAddr>,
+    /// How often a member is asked whether it is there.
+    pub period: Micros,
+    /// The most bytes that it sends in any second, headers of UDP and IP included.
+    pub ceiling: u32,
+    /// How many nodes there are meant to be.
+    pub nodes: u32,
+    /// For random numbers, and for telling this process from the one before: never the same twice.
+    pub seed: u64,
+    /// The number of its first statement: higher than any that its name had before. One that is not is raised once
+    /// others say what they know.
+    pub number: u64,
+}
+
+/// What happened.
+#[derive(Debug)]
+pub enum Input<'a> {
+    /// A packet came.
+    Packet(SocketAddr, &'a [u8]),
+    /// Time has passed.
+    Tick,
+    /// What this node has seen of servers lately, by itself: all of it.
+    Sightings(Vec<Sighting>),
+    /// Other keys count from now on.
+    Keys(KeyRing, Secret),
+    /// This node goes, for a moment or for good.
+    Leave {
+        /// Whether it will be back in a moment.
+        restarts: bool,
+    },
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Send a packet.
+    Send(SocketAddr, Vec<u8>),
+    /// What others say of servers, weighed: all of it.
+    Doubts(Vec<Doubt>),
+    /// The number of nodes or this node's place has changed.
+    Fleet(Fleet),
+    /// Something for the log, never more than one of a kind in a minute for each member.
+    Note(Note),
+}
+
+/// Something for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Note {
+    /// A member is there.
+    Up(String),
+    /// A member does not answer any more.
+    Down(String),
+    /// Another process goes by this node's name.
+    NameShared,
+    /// A member tells ages that can't be.
+    NoSense(String),
+    /// This process stood still for so long.
+    StoodStill(Micros),
+}
+
+/// What was counted since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Figures {
+    /// Packets sent, and their bytes with the headers of UDP and IP.
+    pub sent: u64,
+    /// Bytes of those.
+    pub sent_bytes: u64,
+    /// Packets that the ceiling kept back.
+    pub kept_back: u64,
+    /// Packets taken in.
+    pub taken: u64,
+    /// Packets from addresses or members that send too many.
+    pub flooded: u64,
+    /// Packets that can't be read, or are of no version that is spoken.
+    pub unreadable: u64,
+    /// Packets of strangers, or whose signature does not hold.
+    pub unsigned: u64,
+    /// Packets met before, or meant for another process.
+    pub replayed: u64,
+    /// Signatures that were checked.
+    pub checked: u64,
+}
+
+/// A member, as this node sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct MemberView {
+    /// Its name.
+    pub name: String,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// How it stands.
+    pub standing: Standing,
+    /// For how long it has stood so.
+    pub since: Micros,
+    /// Its place in the ring.
+    pub place: u32,
+    /// How far its word on servers is believed, from 0 to 1.
+    pub credit: f64,
+}
+
+/// A server that others suspect, and who does.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SuspicionView {
+    /// The server's id.
+    pub server: u64,
+    /// The doubt about it.
+    pub doubt: f64,
+    /// Witnesses by name.
+    pub witnesses: Vec<(String, Witness)>,
+}
--- a/crates/gossip/src/probe.rs
+++ b/crates/gossip/src/probe.rs
@@ -120,6 +120,12 @@
         Some(Step::Ping(target, number))
     }
 
+    /// Who is being asked, and by which number.
+    #[cfg(test)]
+    pub(crate) fn asked(&self) -> Option<(MemberId, u64)> {
+        self.current.as_ref().map(|probe| (probe.target, probe.number))
+    }
+
     /// A member has answered, directly or by a proof; whether that was waited for.
     pub(crate) fn answered(&mut self, from: MemberId, number: u64) -> bool {
         let hit = self.current.take_if(|probe| probe.target == from && probe.number == number).is_some();
--- a/crates/gossip/src/sim.rs
+++ b/crates/gossip/src/sim.rs
@@ -38,6 +38,8 @@
     pub fleet: Option<Fleet>,
     /// What it logged, and when.
     pub notes: Vec<(Micros, Note)>,
+    /// How far its clock is ahead of the others'.
+    pub ahead: Micros,
     /// The most bytes that it sent in a second of the clock.
     pub peak: u64,
     /// Bytes that it sent, over all its processes.
@@ -109,6 +111,7 @@
             doubts: BTreeMap::new(),
             fleet: None,
             notes: Vec::new(),
+            ahead: 0,
             peak: 0,
             bytes: 0,
             second: (0, 0),
@@ -150,7 +153,8 @@
         // As the clock would have it: higher with each start.
         settings.number += *starts * 1_000;
         settings.seed ^= *starts << 48;
-        self.nodes[node].gossip = Gossip::new(settings, self.ring(), self.secret(node), self.now);
+        self.nodes[node].gossip =
+            Gossip::new(settings, self.ring(), self.secret(node), self.now + self.nodes[node].ahead);
         let at = self.now + self.random.u64(..LOOK);
         self.at(at, Event::Look(node));
         self.wake(node);
@@ -174,8 +178,9 @@
     /// Hands a node something that it has to do.
     pub fn tell(&mut self, node: usize, input: Input<'_>) {
         let mut out = Vec::new();
+        let now = self.now + self.nodes[node].ahead;
         if let Some(gossip) = &mut self.nodes[node].gossip {
-            gossip.handle(self.now, input, &mut out);
+            gossip.handle(now, input, &mut out);
         }
         self.carry_out(node, out);
     }
@@ -192,7 +197,8 @@
     }
 
     fn wake(&mut self, node: usize) {
-        let Some(next) = self.nodes[node].gossip.as_ref().map(Gossip::next) else { return };
+        let ahead = self.nodes[node].ahead;
+        let Some(next) = self.nodes[node].gossip.as_ref().map(|gossip| gossip.next() - ahead) else { return };
         if next < self.nodes[node].wakes || self.nodes[node].wakes <= self.now {
             self.nodes[node].wakes = next;
             self.at(next, Event::Wake(node));
--- a/crates/gossip/tests/fleet.rs
+++ b/crates/gossip/tests/fleet.rs
@@ -56,6 +56,24 @@
     assert!(net.nodes.iter().all(|node| node.peak <= 16 * 1024));
 }
 
+#[test]
+fn a_clock_that_is_hours_off_changes_nothing() {
+    let mut net = Net::new(5, 15, |_, _| {});
+    net.nodes[0].ahead = 7 * 3_600 * S;
+    net.start_all();
+    net.run_until(10 * S, &well);
+    let stalls = |node: usize, _: Micros| if node < 3 { vec![seen(SERVER, 1.0, 0)] } else { Vec::new() };
+    net.run_until(12 * S, &stalls);
+    assert!(
+        (0..5).all(|node| doubt(&net, node) > 0.6),
+        "{:?}",
+        (0..5).map(|n| doubt(&net, n)).collect::<Vec<_>>()
+    );
+    net.run_until(14 * S, &well);
+    assert!((0..5).all(|node| doubt(&net, node) == 0.0));
+    assert_eq!((present(&net), downs(&net)), (vec![4; 5], 0));
+}
+
 #[test]
 fn liars_cast_no_more_doubt_than_their_bound_and_are_soon_not_believed() {
     for (liars, nodes) in [(1, 5), (2, 5), (1, 2), (3, 12)] {
