Test of the four rules on gossiping processes that join, leave, are killed and cut off

Five real processes, eight stand-in servers that close one connection in 50 after the request ran; a server drains, one starts cold; a node is killed, one leaves by SIGTERM amid requests, one joins, one hears nobody for a while. Counted at clients and servers: one answer each in time, no order twice, a key's repeats in one cell, nothing to the draining server after 1 s, the cold one within what it bears.

--- a/crates/dunelinkd/tests/gossip/main.rs
+++ b/crates/dunelinkd/tests/gossip/main.rs
@@ -2,6 +2,7 @@
 
 #[path = "../process/mod.rs"]
 mod process;
+mod rules;
 
 use std::fmt::Write as _;
 use std::io::{BufRead, BufReader};
@@ -22,6 +23,8 @@
 struct Node {
     address: SocketAddr,
     gossip: Option<SocketAddr>,
+    /// The file with its keys of others.
+    ring: String,
     door: SocketAddr,
     child: Child,
     log: Arc<Mutex<Vec<String>>>,
@@ -51,24 +54,31 @@
 
 /// A node that shares the work with so many, and gossips if it is told whom to ask.
 fn start(node: usize, nodes: usize, servers: &[Server], seeds: Option<&[SocketAddr]>) -> Node {
-    let mut config = format!(
-        "name = \"n{node}\"\nlisten = \"127.0.0.1:0\"\ncontrol = \"127.0.0.1:0\"\n\
-         [fleet]\nnodes = {nodes}\nrank = {node}\n\
-         [[classes]]\nname = \"view\"\neffect = \"safe\"\naim = \"300ms\"\ndeadline = \"2s\"\n"
+    let mut config = String::from(
+        "[[classes]]\nname = \"view\"\neffect = \"safe\"\naim = \"300ms\"\ndeadline = \"2s\"\n\
+         [roster]\nfrom = \"fixed\"\n",
     );
+    for (at, server) in servers.iter().enumerate() {
+        let _ = write!(config, "[[roster.servers]]\nuid = \"s{at}\"\nendpoint = \"{}\"\n", server.address);
+    }
+    launch(node, (nodes, nodes), seeds, &config)
+}
+
+/// A node of so many that there are meant to be, with so many names in the ring; `rest` goes on in `[fleet]`.
+fn launch(node: usize, nodes: (usize, usize), seeds: Option<&[SocketAddr]>, rest: &str) -> Node {
+    let mut config = format!("name = \"n{node}\"\nlisten = \"127.0.0.1:0\"\ncontrol = \"127.0.0.1:0\"\n");
+    let own_ring = write_as("ring", &ring(nodes.1));
     if let Some(seeds) = seeds {
-        let (secret, ring) = (write_secret(node), write_as("ring", &ring(nodes)));
+        let secret = write_secret(node);
         let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         let _ = write!(
             config,
-            "[gossip]\nlisten = \"127.0.0.1:0\"\nsecret = \"{secret}\"\nring = \"{ring}\"\nceiling = {CEILING}\nseeds = [{}]\n",
+            "[gossip]\nlisten = \"127.0.0.1:0\"\nsecret = \"{secret}\"\nring = \"{own_ring}\"\n\
+             ceiling = {CEILING}\nseeds = [{}]\n",
             seeds.join(", ")
         );
     }
-    config += "[roster]\nfrom = \"fixed\"\n";
-    for (at, server) in servers.iter().enumerate() {
-        let _ = write!(config, "[[roster.servers]]\nuid = \"s{at}\"\nendpoint = \"{}\"\n", server.address);
-    }
+    let _ = write!(config, "[fleet]\nnodes = {}\nrank = {}\n{rest}", nodes.0, node.min(nodes.0 - 1));
     let mut child = program().args(["run", "--config", &write_as("toml", &config)]).spawn().unwrap();
     let mut told = BufReader::new(child.stderr.take().unwrap());
     let mut next = || {
@@ -84,7 +94,7 @@
     thread::spawn(move || {
         told.lines().map_while(Result::ok).for_each(|line| kept.lock().unwrap().push(line))
     });
-    Node { address, gossip, door, child, log }
+    Node { address, gossip, ring: own_ring, door, child, log }
 }
 
 /// What a node's operators see.
