The lab: a discrete-event model with the real decision module, ten rivals, rules and a report

Whether a setting or a policy is right for thousands of servers and 100 nodes can't be tried with sockets on one machine. `dunelink lab run|check|shrink`, `experiments/` (ten). A first version lost ends of requests when a server turned one away, seen by a test that never ended. Not there yet: `--real`, `tracing`, the table in the docs, causes mended in the policy.

--- a/crates/dunelinkd/src/main.rs
+++ b/crates/dunelinkd/src/main.rs
@@ -6,6 +6,7 @@
 mod door;
 mod gossip;
 mod graphql;
+mod lab;
 mod listen;
 mod passing;
 mod serve;
@@ -45,6 +46,9 @@
     Members(gossip::Asked),
     /// The servers that other nodes suspect, and who does, as a running node sees it.
     Suspicions(gossip::Asked),
+    /// Try settings and policies on a model of clients, servers, lists and networks.
+    #[command(subcommand)]
+    Lab(lab::Command),
     /// Show a fleet at work: stand-in servers, a roster and a node in one process, on loopback only.
     Demo(demo::Options),
 }
@@ -82,6 +86,7 @@
         Some(Command::Gossip(command)) => gossip::run(command),
         Some(Command::Members(asked)) => gossip::ask(&asked, "members"),
         Some(Command::Suspicions(asked)) => gossip::ask(&asked, "suspicions"),
+        Some(Command::Lab(command)) => lab::start(&command),
         Some(Command::Demo(options)) => demo::run(&options),
     };
     match done {
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,45 @@
+//! The lab: a discrete-event model in simulated time of clients, nodes, servers, the server list and the network. Each
+//! node hosts the real decision module, unchanged, or one of the rivals that it is compared with.
+//!
+//! Nothing here does I/O or reads a clock. The same experiment, policy and seed give the same run, to the byte: all
+//! chance comes from generators of a fixed kind, one for each purpose, so that all policies meet the same requests.
+//!
+//! ```
+//! use dunelink_lab::{Experiment, run};
+//!
+//! let experiment = Experiment::from_toml(
+//!     r#"
+//!     name = "two servers"
+//!     span = "2s"
+//!     settle = "0s"
+//!     clients.rate = 50.0
+//!     servers.count = 2
+//!     [[compare]]
+//!     policy = "p2c"
+//!     "#,
+//! )?;
+//! let case = &experiment.cases()?[0];
+//! let figures = run(case, &mut |_| true)?;
+//! assert!(figures.broken.is_empty());
+//! assert_eq!(figures.asked, figures.served);
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+pub mod experiment;
+mod figures;
+mod intervals;
+pub mod policy;
+pub mod report;
+mod rules;
+mod shrink;
+pub mod world;
+
+pub use experiment::{Case, Experiment, Problem};
+pub use figures::{Figures, Moment};
+pub use intervals::{Estimate, estimate};
+pub use rules::{Breach, Rule};
+pub use shrink::shortest;
+pub use world::{run, run_with};
+
+/// A point in simulated time, or a span of it, in microseconds.
+pub type Micros = u64;
--- /dev/null
+++ b/crates/lab/src/policy/mod.rs
@@ -0,0 +1,116 @@
+//! What decides at a node: the decision module, or one of its rivals, each from its paper or public description.
+
+mod choosers;
+mod ejection;
+mod oracle;
+mod plain;
+mod prequal;
+
+use cherryusher::{
+    Action, Balancer, Class, Discovery, Effect, Event, Group, ServerId, Settings, SettingsError, Tenant,
+};
+use rand::RngCore;
+
+use crate::Micros;
+use crate::experiment::{self, Experiment, micros};
+use crate::rules::KEY_WINDOW;
+use crate::world::chance::{For, generator};
+use crate::world::truth::Truth;
+
+pub use plain::{Choose, Known, Plain};
+
+/// The policies that an experiment may name.
+pub const NAMES: [&str; 11] = [
+    "dunelink",
+    "random",
+    "round-robin",
+    "least-requests",
+    "p2c",
+    "peak-ewma",
+    "weighted-least-load",
+    "subset",
+    "outlier-ejection",
+    "prequal",
+    "oracle",
+];
+
+/// What decides at a node. The same events and the same truth give the same actions.
+pub trait Policy {
+    /// Takes an event and says what is to be done. Only who could not exist looks at the truth.
+    fn handle(&mut self, now: Micros, event: Event, truth: &Truth<'_>, out: &mut Vec<Action>);
+}
+
+impl Policy for Balancer {
+    fn handle(&mut self, now: Micros, event: Event, _: &Truth<'_>, out: &mut Vec<Action>) {
+        Balancer::handle(self, now, event, out);
+    }
+}
+
+/// The name of a server, by its number: as far apart as names that are hashed.
+pub(crate) fn server_id(number: usize) -> ServerId {
+    (number as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 2
+}
+
+/// What the decision module is told at a node.
+pub fn settings(e: &Experiment, rank: u32) -> Settings {
+    let effect = |effect: experiment::Effect| match effect {
+        experiment::Effect::Safe => Effect::Safe,
+        experiment::Effect::Keyed => Effect::Keyed { group: Group::Cell, window: KEY_WINDOW },
+        experiment::Effect::Unsafe => Effect::Unsafe,
+    };
+    let class = |class: &experiment::Class| Class {
+        aim: micros(class.aim),
+        aim_stretch: 0.0,
+        deadline: micros(class.deadline),
+        worth: class.worth,
+        late_worth: class.late_worth,
+        effect: effect(class.effect),
+    };
+    let tenants = f64::from(e.tenants.count.max(1));
+    let tenant = Tenant { quota_per_s: e.tenants.quota * e.clients.rate / tenants, share: 1.0 / tenants };
+    Settings {
+        balancers: e.nodes.count,
+        rank,
+        zone: (rank % u32::from(e.servers.zones)) as u8,
+        classes: e.classes.iter().map(class).collect(),
+        tenants: vec![tenant; e.tenants.count as usize],
+        over_share_worth: e.tenants.over_share_worth,
+        max_attempts: e.nodes.attempts,
+        cancelling: e.nodes.cancelling,
+        second_copies: e.nodes.copies,
+        warm_keys: false,
+        cross_zone_price: 0.0,
+        live_weights: false,
+        discovery: Discovery::Pushed,
+        cold_from: e.servers.cold_from,
+        warm_up: micros(e.servers.warm_up),
+        fall_multiple: if e.servers.falls_at > 0.0 { e.servers.falls_at } else { 3.0 },
+        step: 5_000,
+        max_retry_after: micros(e.nodes.retry_after),
+        labels: e.nodes.labels,
+        pool_min: e.nodes.pool_min,
+    }
+}
+
+/// The policy of this name at a node. An unknown name is the least of them, a random choice; experiments that name
+/// one are turned down when they are read.
+pub fn make(name: &str, e: &Experiment, seed: u64, rank: u32) -> Result<Box<dyn Policy>, SettingsError> {
+    let mut rng = generator(seed, For::Policies, u64::from(rank));
+    let settings = settings(e, rank);
+    if name == "dunelink" {
+        return Ok(Box::new(Balancer::new(settings, rng.next_u64())?));
+    }
+    let chooser: Box<dyn Choose> = match name {
+        "round-robin" => Box::new(choosers::RoundRobin::default()),
+        "least-requests" => Box::new(choosers::LeastRequests { weighted: false }),
+        "p2c" => Box::new(choosers::TwoChoices),
+        "peak-ewma" => Box::new(choosers::PeakEwma::default()),
+        "weighted-least-load" => Box::new(choosers::LeastRequests { weighted: true }),
+        "subset" => Box::new(choosers::Subset::new(rank, e.nodes.count, e.nodes.subset)),
+        "outlier-ejection" => Box::new(ejection::OutlierEjection::default()),
+        "prequal" => Box::new(prequal::Prequal::new(4 * micros(e.network.delay))),
+        "oracle" => Box::new(oracle::Oracle { work: micros(e.servers.time) as f64 }),
+        _ => Box::new(choosers::Random),
+    };
+    Ok(Box::new(Plain::new(settings, rng, chooser)))
+}
--- /dev/null
+++ b/crates/lab/src/report/mod.rs
@@ -0,0 +1,187 @@
+//! What is told of the runs of an experiment: rows for programs, and a page for people.
+
+mod page;
+mod plots;
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use crate::experiment::Case;
+use crate::figures::Figures;
+use crate::intervals::{Estimate, estimate};
+
+pub use page::page;
+
+/// A run, or why there is none.
+pub type Outcome = Result<Figures, String>;
+
+/// One run as a row.
+#[derive(Clone, Debug, Serialize)]
+pub struct Row<'a> {
+    /// The experiment's name.
+    pub experiment: &'a str,
+    /// The values of swept keys.
+    pub point: &'a str,
+    /// The policy, as the report calls it.
+    pub policy: &'a str,
+    /// The seed.
+    pub seed: u64,
+    /// Worth earned over worth asked for.
+    pub gain: f64,
+    /// What came of it, or nothing.
+    pub figures: Option<&'a Figures>,
+    /// Why it failed.
+    pub error: Option<&'a str>,
+}
+
+fn row<'a>(case: &'a Case, outcome: &'a Outcome) -> Row<'a> {
+    Row {
+        experiment: &case.experiment.name,
+        point: &case.point,
+        policy: &case.variant,
+        seed: case.seed,
+        gain: outcome.as_ref().map_or(0.0, Figures::gain),
+        figures: outcome.as_ref().ok(),
+        error: outcome.as_ref().err().map(String::as_str),
+    }
+}
+
+/// One JSON object a line for each run, with all figures.
+pub fn json_lines(runs: &[(Case, Outcome)]) -> String {
+    let line = |(case, outcome): &(Case, Outcome)| {
+        serde_json::to_string(&row(case, outcome)).unwrap_or_default() + "\n"
+    };
+    runs.iter().map(line).collect()
+}
+
+/// A table for programs, one row for each run; a failed one has no figures.
+pub fn csv(runs: &[(Case, Outcome)]) -> String {
+    let mut writer = csv::Writer::from_writer(Vec::new());
+    let head = "experiment,point,policy,seed,gain,asked,served,in_time,lost,refused,failed,p50_ms,p99_ms,p999_ms,mean_ms,\
+                worst_tenant,fairness,attempts_a_request,wasted,used_mean,used_most,breaches,events,error";
+    // Nothing fails in memory.
+    let _ = writer.write_record(head.split(','));
+    for (case, outcome) in runs {
+        let mut cells = vec![
+            case.experiment.name.clone(),
+            case.point.clone(),
+            case.variant.clone(),
+            case.seed.to_string(),
+        ];
+        match outcome {
+            Ok(f) => {
+                let numbers = [f.gain(), f.asked as f64, f.served as f64, f.in_time as f64, f.lost as f64];
+                let more = [
+                    f.refused as f64,
+                    f.failed as f64,
+                    f.p50,
+                    f.p99,
+                    f.p999,
+                    f.mean,
+                    f.worst_tenant,
+                    f.fairness,
+                ];
+                let last = [
+                    f.attempts_a_request(),
+                    f.attempts.wasted as f64,
+                    f.used.1,
+                    f.used.2,
+                    f.breaches as f64,
+                    f.events as f64,
+                ];
+                let all = numbers.iter().chain(&more).chain(&last);
+                cells.extend(all.map(|number| {
+                    format!("{number:.6}").trim_end_matches('0').trim_end_matches('.').to_string()
+                }));
+                cells.push(String::new());
+            }
+            Err(error) => {
+                cells.extend((0..19).map(|_| String::new()));
+                cells.push(error.clone());
+            }
+        }
+        let _ = writer.write_record(&cells);
+    }
+    String::from_utf8(writer.into_inner().unwrap_or_default()).unwrap_or_default()
+}
+
+/// The runs of one policy at one point of the sweep.
+pub struct Group<'a> {
+    /// The values of swept keys.
+    pub point: &'a str,
+    /// The policy.
+    pub policy: &'a str,
+    /// Its runs that count.
+    pub runs: Vec<(&'a Case, &'a Figures)>,
+    /// Those that failed, by seed.
+    pub failed: Vec<(u64, &'a str)>,
+}
+
+impl Group<'_> {
+    /// A figure over the seeds.
+    pub fn figure(&self, of: impl Fn(&Figures) -> f64) -> Estimate {
+        estimate(&self.runs.iter().map(|(_, figures)| of(figures)).collect::<Vec<_>>())
+    }
+
+    /// A count over all runs.
+    pub fn sum(&self, of: impl Fn(&Figures) -> u64) -> u64 {
+        self.runs.iter().map(|(_, figures)| of(figures)).sum()
+    }
+}
+
+/// The runs by point and policy, in the order in which they were given.
+pub fn groups(runs: &[(Case, Outcome)]) -> Vec<Group<'_>> {
+    let mut order: BTreeMap<(&str, &str), usize> = BTreeMap::new();
+    let mut groups: Vec<Group<'_>> = Vec::new();
+    for (case, outcome) in runs {
+        let at = *order.entry((&case.point, &case.variant)).or_insert_with(|| {
+            groups.push(Group {
+                point: &case.point,
+                policy: &case.variant,
+                runs: Vec::new(),
+                failed: Vec::new(),
+            });
+            groups.len() - 1
+        });
+        match outcome {
+            Ok(figures) => groups[at].runs.push((case, figures)),
+            Err(error) => groups[at].failed.push((case.seed, error)),
+        }
+    }
+    groups
+}
+
+/// The figures of each policy as a table of text, for a terminal or a document.
+pub fn table(runs: &[(Case, Outcome)]) -> String {
+    let mut text = String::from(
+        "| point | policy | G | p50, ms | p99, ms | p99.9, ms | worst tenant | attempts | refused | failed | broken |\n\
+         | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n",
+    );
+    for group in groups(runs) {
+        let gain = group.figure(Figures::gain);
+        let mean = |of: fn(&Figures) -> f64| group.figure(of).mean;
+        text += &format!(
+            "| {} | {} | {:.3} ± {:.3} | {:.0} | {:.0} | {:.0} | {:.3} | {:.2} | {} | {} | {} |\n",
+            group.point,
+            group.policy,
+            gain.mean,
+            gain.within,
+            mean(|f| f.p50),
+            mean(|f| f.p99),
+            mean(|f| f.p999),
+            mean(|f| f.worst_tenant),
+            mean(Figures::attempts_a_request),
+            group.sum(|f| f.refused),
+            group.sum(|f| f.failed),
+            group.sum(|f| f.breaches),
+        );
+        for (seed, error) in &group.failed {
+            text += &format!(
+                "| {} | {} | seed {seed} failed: {error} | | | | | | | | |\n",
+                group.point, group.policy
+            );
+        }
+    }
+    text
+}
--- /dev/null
+++ b/crates/lab/src/report/page.rs
@@ -0,0 +1,142 @@
+//! One page that needs nothing else: tables, pictures, and what was tried.
+
+use std::fmt::Write as _;
+
+use super::{Group, Outcome, groups, plots};
+use crate::experiment::{Case, Experiment};
+use crate::figures::Figures;
+
+const STYLE: &str = "body{font:15px/1.45 system-ui,sans-serif;max-width:960px;margin:2em auto;padding:0 1em;color:#222}\
+table{border-collapse:collapse;font-size:13px;width:100%}th,td{padding:3px 7px;border-bottom:1px solid #ddd;text-align:right}\
+th:first-child,td:first-child{text-align:left}tr.own td{background:#eef5fb}.bad{color:#a50026;font-weight:600}\
+pre{background:#f6f6f6;padding:10px;overflow:auto;font-size:12px}svg{max-width:100%;height:auto}summary{cursor:pointer;margin:.6em 0}\
+h2{margin-top:2em}";
+
+fn escape(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;").replace('"', "&quot;")
+}
+
+fn row(text: &mut String, group: &Group<'_>) {
+    let gain = group.figure(Figures::gain);
+    let mean = |of: fn(&Figures) -> f64| group.figure(of).mean;
+    let breaches = group.sum(|f| f.breaches);
+    let own = if group.policy.starts_with("dunelink") { " class=own" } else { "" };
+    let _ = write!(
+        text,
+        "<tr{own}><td>{}</td><td>{:.3} ± {:.3}</td><td>{:.1}</td><td>{:.0}</td><td>{:.0}</td><td>{:.3}</td><td>{:.3}</td>\
+         <td>{:.2}</td><td>{}</td><td>{}</td><td>{}</td><td>{:.2}, {:.2}</td><td{}>{breaches}</td></tr>",
+        escape(group.policy),
+        gain.mean,
+        gain.within,
+        mean(|f| f.p50),
+        mean(|f| f.p99),
+        mean(|f| f.p999),
+        mean(|f| f.worst_tenant),
+        mean(|f| f.fairness),
+        mean(Figures::attempts_a_request),
+        group.sum(|f| f.attempts.wasted),
+        group.sum(|f| f.refused),
+        group.sum(|f| f.failed),
+        mean(|f| f.used.1),
+        mean(|f| f.used.2),
+        if breaches > 0 { " class=bad" } else { "" },
+    );
+    for (seed, error) in &group.failed {
+        let _ = write!(
+            text,
+            "<tr><td>{}</td><td class=bad colspan=12>seed {seed} failed: {}</td></tr>",
+            escape(group.policy),
+            escape(error)
+        );
+    }
+}
+
+fn parts(text: &mut String, title: &str, groups: &[&Group<'_>], of: fn(&Figures) -> &[crate::figures::Part]) {
+    let names: Vec<&str> = groups
+        .iter()
+        .find_map(|group| group.runs.first())
+        .map(|(_, figures)| of(figures).iter().map(|part| part.name.as_str()).collect())
+        .unwrap_or_default();
+    if names.len() < 2 {
+        return;
+    }
+    let most = 12;
+    let shown = &names[..names.len().min(most)];
+    let more = if names.len() > most { format!(" (the first {most})") } else { String::new() };
+    let _ = write!(text, "<details><summary>G by {title}{more}</summary><table><tr><th>policy</th>");
+    shown.iter().for_each(|name| *text += &format!("<th>{}</th>", escape(name)));
+    *text += "</tr>";
+    for group in groups {
+        let _ = write!(text, "<tr><td>{}</td>", escape(group.policy));
+        for at in 0..shown.len() {
+            let gain = group.figure(|figures| of(figures).get(at).map_or(0.0, crate::figures::Part::gain));
+            let _ = write!(text, "<td>{:.3}</td>", gain.mean);
+        }
+        *text += "</tr>";
+    }
+    *text += "</table></details>";
+}
+
+fn pictures(text: &mut String, group: &Group<'_>, open: bool) {
+    let Some((case, figures)) = group.runs.first() else { return };
+    let open = if open { " open" } else { "" };
+    let _ = write!(
+        text,
+        "<details{open}><summary>{}, seed {}, over time</summary>",
+        escape(group.policy),
+        case.seed
+    );
+    *text += &plots::rates(case, figures);
+    *text += &plots::latency(case, figures);
+    *text += &plots::heat(case, figures);
+    let (there, law) = figures.little;
+    let _ = write!(
+        text,
+        "<p>{} events, {:.1} a request. Little's law at the servers: {there:.2} there on average, {law:.2} by arrivals and stays.</p>",
+        figures.events,
+        figures.events as f64 / figures.asked.max(1) as f64
+    );
+    if !figures.broken.is_empty() {
+        *text += "<ul class=bad>";
+        for breach in &figures.broken {
+            let _ = write!(text, "<li>{:.3} s: {:?}, {}</li>", breach.at, breach.rule, escape(&breach.what));
+        }
+        *text += "</ul>";
+    }
+    *text += "</details>";
+}
+
+/// The page of an experiment's runs.
+pub fn page(experiment: &Experiment, runs: &[(Case, Outcome)]) -> String {
+    let mut text = format!(
+        "<!doctype html><html lang=en><meta charset=utf-8><title>{0}</title><style>{STYLE}</style><h1>{0}</h1><p>{1}</p>",
+        escape(&experiment.name),
+        escape(&experiment.about)
+    );
+    if runs.iter().any(|(_, outcome)| outcome.as_ref().is_ok_and(|figures| figures.cut)) {
+        text +=
+            "<p class=bad>Some runs were ended before their time; their figures are of what was played.</p>";
+    }
+    let all = groups(runs);
+    let mut points: Vec<&str> = all.iter().map(|group| group.point).collect();
+    points.dedup();
+    for point in points {
+        let here: Vec<&Group<'_>> = all.iter().filter(|group| group.point == point).collect();
+        if !point.is_empty() {
+            let _ = write!(text, "<h2>{}</h2>", escape(point));
+        }
+        text += &plots::gains(&here);
+        text += "<table><tr><th>policy</th><th>G</th><th>p50 ms</th><th>p99</th><th>p99.9</th><th>worst tenant</th><th>fairness</th>\
+                 <th>attempts</th><th>wasted</th><th>refused</th><th>failed</th><th>used: mean, most</th><th>rules broken</th></tr>";
+        here.iter().for_each(|group| row(&mut text, group));
+        text += "</table>";
+        parts(&mut text, "class", &here, |figures| &figures.classes);
+        parts(&mut text, "tenant", &here, |figures| &figures.tenants);
+        for (at, group) in here.iter().enumerate() {
+            pictures(&mut text, group, at == 0);
+        }
+    }
+    let told = toml::to_string(experiment).unwrap_or_default();
+    let _ = write!(text, "<h2>What was played</h2><pre>{}</pre></html>", escape(&told));
+    text
+}
