--- /dev/null
+++ b/crates/lab/src/experiment/cases.rs
@@ -0,0 +1,88 @@
+//! The runs of an experiment: every point of its sweep, every policy, every seed.
+
+use super::{Experiment, Problem};
+
+/// One run: an experiment with all its keys settled, a policy, a seed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Case {
+    /// What holds for it.
+    pub experiment: Experiment,
+    /// Which policy.
+    pub policy: String,
+    /// What the policy is called.
+    pub variant: String,
+    /// The values of swept keys, as text; empty without a sweep.
+    pub point: String,
+    /// For random numbers.
+    pub seed: u64,
+}
+
+/// Puts a value at a dotted key of a tree; whether there was such a key.
+fn set(tree: &mut toml::Value, key: &str, value: &toml::Value) -> bool {
+    let mut at = tree;
+    for part in key.split('.') {
+        let next = match at {
+            toml::Value::Table(table) => table.get_mut(part),
+            toml::Value::Array(array) => part.parse().ok().and_then(|i: usize| array.get_mut(i)),
+            _ => None,
+        };
+        let Some(next) = next else { return false };
+        at = next;
+    }
+    *at = value.clone();
+    true
+}
+
+impl Experiment {
+    /// The same with some keys changed.
+    fn with(&self, changes: &[(&str, &toml::Value)]) -> Result<Experiment, Problem> {
+        if changes.is_empty() {
+            return Ok(self.clone());
+        }
+        let mut tree = toml::Value::try_from(self).map_err(|e| Problem::of("", e.to_string()))?;
+        for (key, value) in changes {
+            if !set(&mut tree, key, value) {
+                return Err(Problem::of(*key, "a key that experiments have"));
+            }
+        }
+        let key = || changes.iter().map(|(key, _)| *key).collect::<Vec<_>>().join(", ");
+        let read: Experiment =
+            tree.try_into().map_err(|e: toml::de::Error| Problem::of(key(), e.message()))?;
+        read.check()?;
+        Ok(read)
+    }
+
+    /// All points of the sweep.
+    fn points(&self) -> Vec<Vec<(&str, &toml::Value)>> {
+        let mut points = vec![Vec::new()];
+        for (key, values) in &self.sweep {
+            let mut more = Vec::new();
+            for point in &points {
+                more.extend(values.iter().map(|value| [&point[..], &[(key.as_str(), value)]].concat()));
+            }
+            points = more;
+        }
+        points
+    }
+
+    /// All runs: every point of the sweep, every policy, every seed.
+    pub fn cases(&self) -> Result<Vec<Case>, Problem> {
+        let mut cases = Vec::new();
+        for point in self.points() {
+            let name: Vec<String> = point.iter().map(|(key, value)| format!("{key}={value}")).collect();
+            for variant in &self.compare {
+                let own = variant.set.iter().map(|(key, value)| (key.as_str(), value));
+                let changes: Vec<_> = point.iter().copied().chain(own).collect();
+                let experiment = self.with(&changes)?;
+                cases.extend(self.seeds.iter().map(|seed| Case {
+                    experiment: experiment.clone(),
+                    policy: variant.policy.clone(),
+                    variant: if variant.name.is_empty() { &variant.policy } else { &variant.name }.clone(),
+                    point: name.join(" "),
+                    seed: *seed,
+                }));
+            }
+        }
+        Ok(cases)
+    }
+}
