Lab's policies live in `rivals`; one header for gossip packets, one reading of a tenant's quota

The lab's folder bore the name of the decision module's, so that its lines looked like policy; it is `rivals` now. `tell_at` and `give` built the same packet header; `header` does. The quota of a tenant was worked out in the clients and in the nodes' settings; `quota_per_s` does. Behaviour as before; test.sh passes, tests changed in the module's path alone.

--- a/crates/gossip/src/gossip/tell.rs
+++ b/crates/gossip/src/gossip/tell.rs
@@ -30,6 +30,20 @@
         self.tell_at(address, Some(to), instance, message, own, news)
     }
 
+    /// The header of the next packet, for a process that speaks up to this version.
+    fn header(&mut self, speaks: u8, to_instance: u64) -> Header {
+        self.packets += 1;
+        Header {
+            version: speaks.min(VERSION),
+            speaks: VERSION,
+            from: self.me,
+            key: self.secret.hint(),
+            instance: self.instance,
+            to_instance,
+            number: self.packets,
+        }
+    }
+
     pub(super) fn tell_at(
         &mut self,
         address: SocketAddr,
@@ -41,16 +55,7 @@
     ) -> bool {
         let speaks =
             to.and_then(|to| self.members.all.get(&to)).map_or(VERSION_LEAST, |member| member.speaks);
-        self.packets += 1;
-        let header = Header {
-            version: speaks.min(VERSION),
-            speaks: VERSION,
-            from: self.me,
-            key: self.secret.hint(),
-            instance: self.instance,
-            to_instance,
-            number: self.packets,
-        };
+        let header = self.header(speaks, to_instance);
         let mut body = Body { message, accusations: Vec::new(), news: Vec::new() };
         body.news.extend(own.then(|| self.carried(self.me)).flatten());
         let nodes = self.members.all.len();
@@ -140,16 +145,7 @@
         let Some(member) = self.members.all.get(&to).filter(|_| !news.is_empty()) else { return };
         let (statement, speaks) = (&member.signed.statement, member.speaks);
         let (address, to_instance) = (statement.address, statement.instance);
-        self.packets += 1;
-        let header = Header {
-            version: speaks.min(VERSION),
-            speaks: VERSION,
-            from: self.me,
-            key: self.secret.hint(),
-            instance: self.instance,
-            to_instance,
-            number: self.packets,
-        };
+        let header = self.header(speaks, to_instance);
         let body = Body { message: Message::News, accusations: Vec::new(), news };
         if let Some(bytes) = (Packet { header, body }).seal(&self.secret)
             && self.afford((0, bytes.len() + HEADERS))
--- a/crates/lab/src/experiment/check.rs
+++ b/crates/lab/src/experiment/check.rs
@@ -6,7 +6,7 @@
 use toml::de::{DeTable, DeValue};
 
 use super::{Experiment, Problem, Shape, Which};
-use crate::policy;
+use crate::rivals;
 
 /// What one machine bears in one run.
 const MOST: (u32, u32) = (1000, 20_000);
@@ -173,8 +173,8 @@
         }
         c.holds(!self.compare.is_empty(), "compare", "at least one policy");
         for (at, variant) in self.compare.iter().enumerate() {
-            let known = policy::NAMES.contains(&variant.policy.as_str());
-            c.holds(known, format!("compare.{at}.policy"), &format!("one of {}", policy::NAMES.join(", ")));
+            let known = rivals::NAMES.contains(&variant.policy.as_str());
+            c.holds(known, format!("compare.{at}.policy"), &format!("one of {}", rivals::NAMES.join(", ")));
         }
         for (key, values) in &self.sweep {
             c.holds(!values.is_empty(), format!("sweep.{key}"), "at least one value");
--- a/crates/lab/src/experiment/mod.rs
+++ b/crates/lab/src/experiment/mod.rs
@@ -209,7 +209,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Variant {
-    /// Which policy: see [`crate::policy::NAMES`].
+    /// Which policy: see [`crate::rivals::NAMES`].
     pub policy: String,
     /// What it is called in the report; the policy's name if empty.
     #[serde(default)]
@@ -327,6 +327,11 @@
 }
 
 impl Experiment {
+    /// How many requests a second are within the share of each tenant, over all nodes.
+    pub(crate) fn quota_per_s(&self) -> f64 {
+        self.tenants.quota * self.clients.rate / f64::from(self.tenants.count.max(1))
+    }
+
     /// Reads an experiment, and checks it.
     pub fn from_toml(text: &str) -> Result<Experiment, Problem> {
         let read: Experiment = toml::from_str(text).map_err(|error| Problem {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -28,8 +28,8 @@
 pub mod experiment;
 mod figures;
 mod intervals;
-pub mod policy;
 pub mod report;
+pub mod rivals;
 mod rules;
 mod shrink;
 pub mod world;
--- a/crates/lab/src/policy/mod.rs
+++ b/crates/lab/src/rivals/mod.rs
@@ -67,7 +67,7 @@
         effect: effect(class.effect),
     };
     let tenants = f64::from(e.tenants.count.max(1));
-    let tenant = Tenant { quota_per_s: e.tenants.quota * e.clients.rate / tenants, share: 1.0 / tenants };
+    let tenant = Tenant { quota_per_s: e.quota_per_s(), share: 1.0 / tenants };
     Settings {
         balancers: e.nodes.count,
         rank,
--- a/crates/lab/src/world/clients.rs
+++ b/crates/lab/src/world/clients.rs
@@ -95,7 +95,7 @@
 
     /// Whether a tenant is within its share, which this takes from.
     fn in_share(&mut self, now: Micros, tenant: u32) -> bool {
-        let quota = self.e.tenants.quota * self.e.clients.rate / f64::from(self.e.tenants.count.max(1));
+        let quota = self.e.quota_per_s();
         let Some((left, at)) = self.shares.get_mut(tenant as usize) else { return true };
         // A second's worth may be saved up, one request at least.
         *left = (*left + quota * (now - *at) as f64 / 1e6).min(quota.max(1.0));
--- a/crates/lab/src/world/list.rs
+++ b/crates/lab/src/world/list.rs
@@ -7,7 +7,7 @@
 use super::chance::exponential;
 use super::events::Due;
 use crate::experiment::micros;
-use crate::policy::server_id;
+use crate::rivals::server_id;
 
 /// How much later laggards hear.
 const LAG: f64 = 10.0;
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -18,7 +18,7 @@
 use crate::Micros;
 use crate::experiment::{Case, Experiment, Kind, micros};
 use crate::figures::{Counts, Figures, MOMENTS, Rest};
-use crate::policy::{self, Policy};
+use crate::rivals::{self, Policy};
 use crate::rules::Rules;
 use chance::{For, exponential, generator};
 use clients::{Clients, Want};
@@ -69,7 +69,7 @@
 /// Plays a case. `progress` hears how much of it is over, and says whether it goes on. An error tells what the policy
 /// does not take.
 pub fn run(case: &Case, progress: &mut dyn FnMut(f64) -> bool) -> Result<Figures, SettingsError> {
-    let make = |rank| policy::make(&case.policy, &case.experiment, case.seed, rank);
+    let make = |rank| rivals::make(&case.policy, &case.experiment, case.seed, rank);
     make(0)?;
     Ok(run_with(case, progress, &|rank| make(rank).ok()))
 }
@@ -115,7 +115,7 @@
             number: 0,
             nodes: (0..e.nodes.count).map(|rank| Node::new(make(rank), count)).collect(),
             stations: (0..count).map(station).collect(),
-            ids: (0..count).map(|number| (policy::server_id(number), number)).collect(),
+            ids: (0..count).map(|number| (rivals::server_id(number), number)).collect(),
             troubles: troubles::met(e, seed),
             burst: 1.0,
             network: generator(seed, For::Network, 0),
--- a/crates/lab/src/world/nodes.rs
+++ b/crates/lab/src/world/nodes.rs
@@ -8,7 +8,7 @@
 use super::{BEGIN, Taken, World};
 use crate::Micros;
 use crate::experiment::{Effect, micros};
-use crate::policy::Policy;
+use crate::rivals::Policy;
 use crate::rules::{GRACE, Rule, Runs};
 
 /// A node gives up this long before its client does.
--- a/crates/lab/tests/worlds.rs
+++ b/crates/lab/tests/worlds.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cherryusher::{Action, Event, ServerId};
-use dunelink_lab::policy::Policy;
+use dunelink_lab::rivals::Policy;
 use dunelink_lab::world::truth::Truth;
 use dunelink_lab::{Case, Experiment, Figures, Micros, Rule, report, run, run_with, shortest};
 
