--- a/crates/dunelinkd/src/clients.rs
+++ b/crates/dunelinkd/src/clients.rs
@@ -18,12 +18,13 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::awake::{AwakeTimer, stood_still};
 use crate::dealer::Seat;
 use crate::passing::Passing;
 use crate::socket::{ClientSocket, Seen};
@@ -236,7 +237,12 @@
     /// not take the last answer.
     pub(crate) async fn sweep(&self) {
         loop {
+            let due = Instant::now() + SWEEP;
             sleep(SWEEP).await;
+            if stood_still(due) {
+                // What came meanwhile is not read yet.
+                continue;
+            }
             let stuck =
                 |c: &&Rc<Connection>| c.spare_since().is_some_and(|s| s.elapsed() > 2 * REQUEST_WITHIN);
             // A long answer that its client does not take holds a server up as well.
@@ -286,7 +292,7 @@
             }
         });
         let mut builder = http1::Builder::new();
-        builder.timer(TokioTimer::new()).header_read_timeout(REQUEST_WITHIN).max_buf_size(BUFFER_MOST);
+        builder.timer(AwakeTimer).header_read_timeout(REQUEST_WITHIN).max_buf_size(BUFFER_MOST);
         let mut serving = pin!(builder.serve_connection(TokioIo::new(socket), service));
         tokio::select! {
             // What has come is read before the connection is closed.
--- a/crates/dunelinkd/src/main.rs
+++ b/crates/dunelinkd/src/main.rs
@@ -1,5 +1,6 @@
 //! One dunelink node as a program, and what operators do with its files.
 
+mod awake;
 mod clients;
 mod dealer;
 mod demo;
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod long;
 pub mod peers;
 pub mod reading;
+pub mod rig;
 
 use std::path::PathBuf;
 
