The house: no circles of imports; list entries, counts and engines in rooms of their own

Change: what lists say is in entries.rs, counts in counts.rs, the giving of an answer in answering.rs; a roster feeds whatever is fed (trait Fed) and knows no engine, feeding.rs is the engine's end; node/ has engines, engineering, running, one, endpoint; adapters for other nodes live in fleet/. dunelinkd's listener has what dealer and clients share; graphql's Media no longer knows errors. Nothing behaves otherwise.

--- a/crates/dunelink/src/answer_body.rs
+++ b/crates/dunelink/src/answer_body.rs
@@ -12,8 +12,8 @@
 use hyper::body::Incoming;
 use tokio::sync::oneshot;
 
+use crate::counts::Transfer;
 use crate::error::{BodyError, BoxError};
-use crate::snapshot::Transfer;
 
 /// The body of an answer. Up to `limits.body` bytes are there as a whole; a longer one is passed on as its server
 /// gives it and as fast as it is read. It ends with an error if its server or the way to it breaks: what came before
--- /dev/null
+++ b/crates/dunelink/src/counts.rs
@@ -0,0 +1,233 @@
+//! How requests ended: counted by class, by whoever learns of it, and read from any thread.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+/// How requests ended since the start. Each that was taken ends up in one of `served`, `refused`, `failed` and
+/// `left`.
+///
+/// ```
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+/// # use dunelink::{Config, Node, config::{Class, Effect}};
+/// # use std::time::Duration;
+/// # let classes = vec![Class::new("view", Effect::Safe, Duration::from_secs(1))];
+/// # let node = Node::builder(Config { classes, ..Config::default() }).start()?;
+/// node.handle().call(http::Request::get("/view/7").body(String::new())?).await?;
+/// let counts = node.handle().counts();
+/// assert_eq!(counts.taken, counts.served + counts.refused + counts.failed + counts.left);
+/// # Ok(()) }
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Requests that the node took.
+    pub taken: u64,
+    /// Answered by a server.
+    pub served: u64,
+    /// Turned away, where trying again is harmless.
+    pub refused: u64,
+    /// Failed, with no promise.
+    pub failed: u64,
+    /// Their clients went away before the answer.
+    pub left: u64,
+    /// Not taken, as something was wrong with them; not among `taken`.
+    pub invalid: u64,
+}
+
+impl Counts {
+    /// Both together.
+    pub(crate) fn plus(self, other: Counts) -> Counts {
+        Counts {
+            taken: self.taken + other.taken,
+            served: self.served + other.served,
+            refused: self.refused + other.refused,
+            failed: self.failed + other.failed,
+            left: self.left + other.left,
+            invalid: self.invalid + other.invalid,
+        }
+    }
+}
+
+/// How requests of one class ended since the start.
+///
+/// ```
+/// # use dunelink::{Config, Node, config::{Class, Effect}};
+/// # use std::time::Duration;
+/// let classes = vec![Class::new("view", Effect::Safe, Duration::from_secs(1))];
+/// let node = Node::builder(Config { classes, ..Config::default() }).start()?;
+/// assert_eq!(node.handle().class_counts()["view"], dunelink::ClassCounts::default());
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ClassCounts {
+    /// Answered by a server.
+    pub served: u64,
+    /// Turned away, where trying again is harmless.
+    pub refused: u64,
+    /// Failed, with no promise.
+    pub failed: u64,
+}
+
+impl ClassCounts {
+    /// Both together.
+    pub(crate) fn plus(self, other: ClassCounts) -> ClassCounts {
+        ClassCounts {
+            served: self.served + other.served,
+            refused: self.refused + other.refused,
+            failed: self.failed + other.failed,
+        }
+    }
+}
+
+/// An answer that is being passed on. Dropped before its end, its client has left.
+pub(crate) struct Transfer {
+    tally: Arc<Tally>,
+    class: usize,
+    over: bool,
+}
+
+impl Transfer {
+    /// It came to its end.
+    pub(crate) fn served(mut self) {
+        self.over = true;
+        self.tally.of_class(self.class, SERVED);
+    }
+
+    /// It broke off.
+    pub(crate) fn failed(mut self) {
+        self.over = true;
+        self.tally.of_class(self.class, FAILED);
+    }
+}
+
+impl Drop for Transfer {
+    fn drop(&mut self) {
+        if !self.over {
+            self.tally.left();
+        }
+        self.tally.transfers.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Counts as the engine and its callers keep them.
+pub(crate) struct Tally {
+    /// By class: served, refused, failed.
+    classes: Box<[[AtomicU64; 3]]>,
+    attempts: AtomicU64,
+    /// Answers that are being passed on.
+    transfers: AtomicU64,
+    taken: AtomicU64,
+    left: AtomicU64,
+    invalid: AtomicU64,
+    /// Whether the list's source has told anything since the start.
+    listed: AtomicBool,
+}
+
+fn one_more(count: &AtomicU64) {
+    count.fetch_add(1, Ordering::Relaxed);
+}
+
+/// How a request ended.
+#[derive(Clone, Copy)]
+pub(crate) enum How {
+    Served,
+    Refused,
+    Failed,
+}
+
+const SERVED: usize = How::Served as usize;
+const REFUSED: usize = How::Refused as usize;
+const FAILED: usize = How::Failed as usize;
+
+impl Tally {
+    pub(crate) fn new(classes: usize) -> Tally {
+        Tally {
+            classes: (0..classes).map(|_| Default::default()).collect(),
+            attempts: AtomicU64::default(),
+            transfers: AtomicU64::default(),
+            taken: AtomicU64::default(),
+            left: AtomicU64::default(),
+            invalid: AtomicU64::default(),
+            listed: AtomicBool::default(),
+        }
+    }
+
+    /// The list's source has told something.
+    pub(crate) fn heard_list(&self) {
+        self.listed.store(true, Ordering::Release);
+    }
+
+    pub(crate) fn has_list(&self) -> bool {
+        self.listed.load(Ordering::Acquire)
+    }
+
+    /// An attempt was written whole to a server.
+    pub(crate) fn attempted(&self) {
+        one_more(&self.attempts);
+    }
+
+    pub(crate) fn attempts(&self) -> u64 {
+        self.attempts.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn transfers(&self) -> usize {
+        self.transfers.load(Ordering::Relaxed) as usize
+    }
+
+    fn of_class(&self, class: usize, what: usize) {
+        if let Some(counts) = self.classes.get(class) {
+            one_more(&counts[what]);
+        }
+    }
+
+    pub(crate) fn class_counts(&self) -> impl Iterator<Item = ClassCounts> {
+        let of = |count: &AtomicU64| count.load(Ordering::Relaxed);
+        self.classes.iter().map(move |counts| ClassCounts {
+            served: of(&counts[SERVED]),
+            refused: of(&counts[REFUSED]),
+            failed: of(&counts[FAILED]),
+        })
+    }
+
+    pub(crate) fn arrived(&self) {
+        one_more(&self.taken);
+    }
+
+    pub(crate) fn left(&self) {
+        one_more(&self.left);
+    }
+
+    pub(crate) fn invalid(&self) {
+        one_more(&self.invalid);
+    }
+
+    /// A request that was refused without the engine.
+    pub(crate) fn turned_away(&self, class: usize) {
+        one_more(&self.taken);
+        self.of_class(class, REFUSED);
+    }
+
+    /// An answer that counts once it has been passed on to its end.
+    pub(crate) fn passes(self: &Arc<Self>, class: usize) -> Transfer {
+        one_more(&self.transfers);
+        Transfer { tally: self.clone(), class, over: false }
+    }
+
+    /// A request has ended so.
+    pub(crate) fn ended(&self, class: usize, how: How) {
+        self.of_class(class, how as usize);
+    }
+
+    pub(crate) fn counts(&self) -> Counts {
+        let answered = self.class_counts().fold(ClassCounts::default(), ClassCounts::plus);
+        let of = |count: &AtomicU64| count.load(Ordering::Relaxed);
+        Counts {
+            served: answered.served,
+            refused: answered.refused,
+            failed: answered.failed,
+            left: of(&self.left),
+            invalid: of(&self.invalid),
+            taken: of(&self.taken),
+        }
+    }
+}
--- a/crates/dunelink/src/engine.rs
+++ b/crates/dunelink/src/engine.rs
@@ -20,9 +20,11 @@
 use tokio_util::time::delay_queue::Key;
 
 use crate::answer_body::AnswerBody;
+use crate::answering::answered;
 use crate::attempt::Attempted;
+use crate::counts::Tally;
 use crate::servers::Servers;
-use crate::snapshot::{ServerView, Snapshot, Tally};
+use crate::snapshot::{ServerView, Snapshot};
 use crate::types::{Answer, Outgoing};
 
 /// The longest sleep that timers take.
@@ -184,7 +186,7 @@
             match happening {
                 Happening::Arrived(request, _, _, answer) => {
                     self.tally.arrived();
-                    self.tally.answered(request.class, answer, Answer::Refused { retry_after: None });
+                    answered(&self.tally, request.class, answer, Answer::Refused { retry_after: None });
                 }
                 Happening::Ended(id, _, Outcome::Served, Some(response)) => {
                     self.answer(id, Answer::Served(response));
@@ -200,7 +202,7 @@
         }
         for (_, open) in self.open.drain() {
             if let Some(answer) = open.answer {
-                self.tally.answered(open.class, answer, Answer::Failed { timed_out: true });
+                answered(&self.tally, open.class, answer, Answer::Failed { timed_out: true });
             }
             open.attempts.iter().filter_map(|a| a.task.as_ref()).for_each(AbortHandle::abort);
         }
@@ -384,7 +386,7 @@
         let open = self.open.get_mut(&id);
         if let Some((class, waiting)) = open.and_then(|open| Some((open.class, open.answer.take()?))) {
             // A client that is just leaving hears no answer; its `Left` then finds the request finished.
-            self.tally.answered(class, waiting, answer);
+            answered(&self.tally, class, waiting, answer);
         }
         self.let_go(id);
     }
--- a/crates/dunelink/src/gossip.rs
+++ b/crates/dunelink/src/fleet/gossip.rs
@@ -16,6 +16,7 @@
 
 use crate::config::{Config, ConfigError};
 use crate::engine::{Happening, Mailbox};
+use crate::thread::on_thread;
 
 /// How often engines are asked what they have seen.
 const LOOK: Duration = Duration::from_millis(200);
@@ -102,7 +103,7 @@
     ///
     /// There is no thread or descriptor to be had.
     pub fn start(self) -> io::Result<()> {
-        crate::node::on_thread("dunelink gossip".into(), move || async move {
+        on_thread("dunelink gossip".into(), move || async move {
             let name = self.config.name.clone();
             if let Err(error) = self.run().await {
                 eprintln!("dunelink: {name}: gossip has ended: {error}");
--- a/crates/dunelink/src/lib.rs
+++ b/crates/dunelink/src/lib.rs
@@ -48,11 +48,15 @@
 //! in: its time limit uses the timers of the tokio runtime that polls the call.
 
 mod answer_body;
+mod answering;
 mod attempt;
 pub mod config;
+mod counts;
 mod engine;
+mod entries;
 mod error;
-mod gossip;
+mod feeding;
+mod fleet;
 pub mod headers;
 pub mod http;
 mod idle;
@@ -65,19 +69,22 @@
 pub mod roster;
 mod servers;
 mod snapshot;
+mod thread;
 #[cfg(feature = "tower")]
 pub mod tower;
 mod types;
 
 pub use answer_body::AnswerBody;
 pub use config::Config;
+pub use counts::{ClassCounts, Counts};
 /// What gossip tells of members and servers.
 pub use dunelink_gossip as gossiping;
 /// What a GraphQL request is, and what the node says of it.
 pub use dunelink_graphql as graphql;
+pub use entries::{Server, ServerState, Update};
 pub use error::{BodyError, BoxError, CallError, Closed, Invalid, StartError};
-pub use gossip::{GossipView, Gossiper};
+pub use fleet::{GossipView, Gossiper};
 pub use intake::ext;
 pub use node::{Builder, Finished, Handle, Node, Parts, Received, Shard, Source};
-pub use snapshot::{ClassCounts, Counts, ServerView, Snapshot};
-pub use types::{Answer, Server, ServerState, Update};
+pub use snapshot::{ServerView, Snapshot};
+pub use types::Answer;
--- a/crates/dunelink/src/line.rs
+++ b/crates/dunelink/src/line.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-use crate::snapshot::Tally;
+use crate::counts::Tally;
 
 /// A place in the budget for connections to servers.
 pub(crate) struct Place(Rc<Cell<usize>>);
--- a/crates/dunelink/src/listing.rs
+++ b/crates/dunelink/src/listing.rs
@@ -4,7 +4,7 @@
 
 use serde::Deserialize;
 
-use crate::types::{Server, ServerState, Update};
+use crate::entries::{Server, ServerState, Update};
 
 /// What discovery says on one line, and the configuration of the list as it was last held.
 #[derive(Default, Deserialize)]
--- a/crates/dunelink/src/node/batch.rs
+++ b/crates/dunelink/src/node/batch.rs
@@ -8,7 +8,7 @@
 use futures_util::stream::FuturesUnordered;
 use http::StatusCode;
 
-use super::received::One;
+use super::one::One;
 use crate::answer_body::AnswerBody;
 use crate::http::graphql;
 use crate::intake::Claimed;
--- a/crates/dunelink/src/node/graphql.rs
+++ b/crates/dunelink/src/node/graphql.rs
@@ -1,53 +1,24 @@
 //! Requests at the GraphQL endpoint: what they are is told by `dunelink_graphql`, all else is as for any other.
 
-use std::sync::{Arc, PoisonError, RwLock};
-use std::time::Duration;
-
 use ::http::request::Parts;
 use dunelink_edge::fields::KEY;
 use dunelink_edge::request;
-use dunelink_graphql::{self as graphql, Effect, Media, Reader, Rejection, Ruling, Verdict};
+use dunelink_graphql::{self as graphql, Effect, Media, Rejection, Ruling, Verdict};
 use http::{HeaderValue, StatusCode};
 use http_body::Body;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Instant;
 
 use super::batch::{Batch, Part};
+use super::endpoint::Endpoint;
 use super::handle::Handle;
 use super::received::{Received, Work};
-use crate::config::{Class, Config, ConfigError, GraphQl};
+use crate::config::ConfigError;
 use crate::error::{BoxError, CallError, Invalid};
 use crate::http::Rendering;
-use crate::intake::{Basics, Head, ID_MOST, ext};
+use crate::intake::{Basics, Head, ID_MOST};
 use crate::payload::Payload;
 
-/// The endpoint, if a node has one.
-pub(super) struct Endpoint {
-    /// For reading the manifest anew.
-    settings: GraphQl,
-    classes: Vec<Class>,
-    /// The longest that any client waits there.
-    longest: Duration,
-    reader: RwLock<Arc<Reader>>,
-}
-
-impl Endpoint {
-    pub(super) fn new(config: &Config) -> Result<Option<Endpoint>, ConfigError> {
-        let Some(settings) = config.graphql.clone() else { return Ok(None) };
-        let reader = RwLock::new(Arc::new(settings.reader(&config.classes)?));
-        Ok(Some(Endpoint { settings, classes: config.classes.clone(), longest: config.longest(), reader }))
-    }
-
-    fn reader(&self) -> Arc<Reader> {
-        self.reader.read().unwrap_or_else(PoisonError::into_inner).clone()
-    }
-
-    /// Whether a request is for it. One whose host has found its class goes by that.
-    fn is_at(&self, head: &Parts) -> bool {
-        head.uri.path() == self.settings.path && head.extensions.get::<ext::Class>().is_none()
-    }
-}
-
 /// What stands in the way of a request at the endpoint.
 fn rejected(media: Media) -> impl Fn(Rejection) -> CallError {
     move |rejection| CallError::GraphQl { rejection, media }
@@ -80,11 +51,7 @@
     ///
     /// It can't be read, or has a document that would be turned down. The old one stays then.
     pub fn reread_documents(&self) -> Result<usize, ConfigError> {
-        let Some(endpoint) = &self.shared.graphql else { return Ok(0) };
-        let reader = Arc::new(endpoint.settings.reader(&endpoint.classes)?);
-        let count = reader.documents.len();
-        *endpoint.reader.write().unwrap_or_else(PoisonError::into_inner) = reader;
-        Ok(count)
+        self.shared.graphql.as_ref().map_or(Ok(0), Endpoint::reread)
     }
 
     /// Reads and checks a request at the endpoint.
--- a/crates/dunelink/src/node/handle.rs
+++ b/crates/dunelink/src/node/handle.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use ::http::Request;
@@ -11,19 +11,21 @@
 use http_body::Body;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
 use tokio::time::Instant;
-use tokio_util::sync::CancellationToken;
 
 use super::body::{Incoming, Patience, read_body};
-use super::graphql::Endpoint;
-use super::received::{One, Received, Work};
+use super::endpoint::Endpoint;
+use super::engines::Engine;
+use super::one::One;
+use super::received::{Received, Work};
 use crate::config::ConfigError;
-use crate::engine::{Happening, Mailbox};
+use crate::counts::{ClassCounts, Counts};
+use crate::engine::Happening;
 use crate::error::{BodyError, BoxError, CallError, Closed, Invalid};
-use crate::gossip::{Ask, Asks, GossipView, ask};
+use crate::fleet::{Ask, Asks, GossipView, ask};
 use crate::http::Rendering;
 use crate::intake::{Head, Intake};
 use crate::payload::{Coming, Payload};
-use crate::snapshot::{ClassCounts, Counts, Snapshot, Tally};
+use crate::snapshot::Snapshot;
 use crate::types::Answer;
 
 /// How long a body may take in any case.
@@ -67,17 +69,6 @@
     pub(super) closing: AtomicBool,
 }
 
-/// One shard's engine, as its callers see it.
-pub(super) struct Engine {
-    pub(super) mailbox: Mailbox,
-    pub(super) tally: Arc<Tally>,
-    pub(super) any_ready: Arc<AtomicBool>,
-    /// Calls that wait for it, as callers count them: an engine that stands still counts nothing.
-    pub(super) waiting: AtomicUsize,
-    /// Told once it has ended.
-    pub(super) ended: CancellationToken,
-}
-
 impl Handle {
     /// The engines that this handle speaks for.
     fn engines(&self) -> &[Arc<Engine>] {
--- a/crates/dunelink/src/node/mod.rs
+++ b/crates/dunelink/src/node/mod.rs
@@ -2,34 +2,29 @@
 
 mod batch;
 mod body;
+mod endpoint;
+mod engineering;
+mod engines;
 mod graphql;
 mod handle;
+mod one;
 mod received;
+mod running;
 mod shards;
 
-use std::future::Future;
 use std::io;
-use std::rc::Rc;
-use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
-
-use cherryusher::Balancer;
-use tokio::sync::{Notify, Semaphore, mpsc};
-use tokio::task::LocalSet;
-use tokio_util::sync::CancellationToken;
-use tokio_util::task::AbortOnDropHandle;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 pub use handle::Handle;
-pub use received::{Finished, Received};
+pub use one::Finished;
+pub use received::Received;
+pub use running::Node;
 pub use shards::{Parts, Shard, Source};
 
 use crate::config::{Config, ConfigError, RosterConfig};
-use crate::engine::{Engine, Happening, Mailbox};
 use crate::error::StartError;
-use crate::roster::{self, Feed, Fixed, Roster, Watch};
-use crate::servers::Servers;
-use crate::snapshot::{Counts, Tally};
+use crate::roster::{self, Fixed, Roster, Watch};
+use crate::thread::on_thread;
 
 /// Sets a node up.
 ///
@@ -49,72 +44,6 @@
     roster: Option<Box<dyn Roster>>,
 }
 
-/// A running node. It ends when it is dropped: what is open is then answered as failed. [`Node::shutdown`]
-/// gives it time.
-///
-/// ```
-/// # #[tokio::main(flavor = "current_thread")]
-/// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
-/// # use dunelink::{Config, Node, config::{Class, Effect}};
-/// # use std::time::Duration;
-/// # let classes = vec![Class::new("view", Effect::Safe, Duration::from_secs(1))];
-/// # let node = Node::builder(Config { classes, ..Config::default() }).start()?;
-/// // Two nodes in one process share nothing.
-/// let other = Node::builder(Config {
-///     classes: vec![Class::new("order", Effect::Unsafe, Duration::from_secs(3))],
-///     ..Config::default()
-/// });
-/// let other = other.start()?;
-/// node.shutdown(Duration::from_secs(1)).await;
-/// assert!(!other.handle().is_closed());
-/// # Ok(()) }
-/// ```
-pub struct Node {
-    handle: Handle,
-}
-
-/// All that an engine's thread is given.
-struct Engineering {
-    config: Config,
-    seed: u64,
-    balancer: Balancer,
-    roster: Box<dyn Roster>,
-    mailbox: Mailbox,
-    inbox: mpsc::UnboundedReceiver<Happening>,
-    tally: Arc<Tally>,
-    transfers: Arc<Semaphore>,
-    any_ready: Arc<AtomicBool>,
-    ended: CancellationToken,
-}
-
-impl Engineering {
-    /// Takes in the list that is known at the start: what is asked from now on finds it. The node then runs in
-    /// the future, which needs a `LocalSet`; whatever it began ends with it.
-    fn begin(mut self) -> impl Future<Output = ()> + 'static {
-        let ended = self.ended.drop_guard();
-        let servers = Servers::new(&self.config, self.any_ready, self.tally.clone(), self.transfers);
-        let (servers, wanted) = (Rc::new(servers), Rc::new(Notify::new()));
-        let mut feed =
-            Feed::new(&self.config, self.seed, servers.clone(), self.mailbox.clone(), wanted.clone());
-        feed.cached(&self.roster.known().unwrap_or(self.config.known));
-        let (roster, inbox) = (self.roster.run(feed), self.inbox);
-        let swept = servers.clone();
-        let sweep = async move { swept.sweep().await };
-        let engine = Engine::new(self.balancer, servers, self.mailbox, wanted, self.tally);
-        async move {
-            let _ended = ended;
-            let roster = AbortOnDropHandle::new(tokio::task::spawn_local(roster));
-            let sweep = AbortOnDropHandle::new(tokio::task::spawn_local(sweep));
-            engine.run(inbox).await;
-            // Who hears that the node has ended must not find any of it at work.
-            for task in [roster, sweep] {
-                task.abort();
-                let _ = task.await;
-            }
-        }
-    }
-}
-
 /// Without a seed, starts and nodes still differ.
 fn seed_from(name: &str) -> u64 {
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -205,39 +134,9 @@
     }
 }
 
-/// Runs a future that is made there on a thread with a runtime of its own.
-pub(crate) fn on_thread<F>(name: String, make: impl FnOnce() -> F + Send + 'static) -> io::Result<()>
-where
-    F: Future<Output = ()> + 'static,
-{
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    std::thread::Builder::new()
-        // Linux cuts names at 15 bytes; one with a NUL would panic.
-        .name(name.chars().filter(|c| *c != '\0').collect())
-        .spawn(move || LocalSet::new().block_on(&runtime, async move { make().await }))?;
-    Ok(())
-}
-
 impl Node {
     /// A node that goes by this.
     pub fn builder(config: Config) -> Builder {
         Builder { config, roster: None }
     }
-
-    /// The way to it, for as many owners as there are.
-    pub fn handle(&self) -> &Handle {
-        &self.handle
-    }
-
-    /// Takes nothing more, and waits until all that is open has its answer or `deadline` has passed: what is
-    /// still open then is answered as failed. Tells how its requests ended.
-    pub async fn shutdown(self, deadline: Duration) -> Counts {
-        self.handle.shutdown(deadline).await
-    }
-}
-
-impl Drop for Node {
-    fn drop(&mut self) {
-        self.handle.close(Duration::ZERO);
-    }
 }
--- a/crates/dunelink/src/node/received.rs
+++ b/crates/dunelink/src/node/received.rs
@@ -1,26 +1,15 @@
 //! A request that the node can take, and its one final answer.
 
-use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
-use cherryusher::RequestId;
-use tokio::sync::{OwnedSemaphorePermit, oneshot};
 use tokio::time::Instant;
 
 use super::batch::Batch;
-use super::body::Rest;
-use super::handle::Engine;
-use crate::engine::Happening;
+use super::one::{Finished, One};
 use crate::error::CallError;
 use crate::http::Rendering;
-use crate::intake::{Claimed, Head};
-use crate::payload::Inlet;
-use crate::types::{Answer, Outgoing};
-
-/// For how long what comes beyond `limits.requests` is told to stay away.
-const CROWDED: Duration = Duration::from_secs(1);
+use crate::types::Answer;
 
 /// A request that the node can take: whole, and in order. It counts as taken once [`Received::answer`] is
 /// polled; dropped before that, nothing has happened.
@@ -45,15 +34,6 @@
     pub(super) work: Work,
 }
 
-/// The final answer to a request.
-#[derive(Debug)]
-pub struct Finished {
-    /// The answer.
-    pub answer: Answer,
-    /// Whether some of the request's body was not read.
-    pub unread: bool,
-}
-
 /// One request for the engine, or several in one.
 pub(super) enum Work {
     One(One),
@@ -110,98 +90,3 @@
         }
     }
 }
-
-/// One request for the engine.
-pub(super) struct One {
-    pub(super) engine: Arc<Engine>,
-    pub(super) head: Head,
-    pub(super) outgoing: Arc<Outgoing>,
-    pub(super) number: RequestId,
-    pub(super) claimed: Claimed,
-    pub(super) place: Option<OwnedSemaphorePermit>,
-    /// Its room among the bodies that are passed on.
-    pub(super) room: Option<OwnedSemaphorePermit>,
-    /// The body that is still coming, and where it goes.
-    pub(super) rest: Option<(Box<Rest>, Inlet)>,
-}
-
-impl One {
-    /// Refuses it without asking the engine.
-    pub(super) fn refuse(self, retry_after: Option<Duration>) -> Answer {
-        self.engine.tally.turned_away(self.head.class());
-        Answer::Refused { retry_after }
-    }
-
-    /// Takes it and waits for its one final answer.
-    pub(super) async fn answer(self) -> Answer {
-        match self.finish().await {
-            Ok(Finished { answer, .. }) => answer,
-            // Only a body that is passed on can break off.
-            Err(_) => Answer::Failed { timed_out: false },
-        }
-    }
-
-    /// The same for one whose body may still be coming.
-    pub(super) async fn finish(self) -> Result<Finished, CallError> {
-        let unread = self.rest.is_some();
-        if self.place.is_none() {
-            return Ok(Finished { answer: self.refuse(Some(CROWDED)), unread });
-        }
-        let One { engine, head, outgoing, number, claimed: _claimed, place: _place, room, mut rest } = self;
-        let (sender, mut answer) = oneshot::channel();
-        let class = head.class();
-        let upload = rest.as_ref().map(|(rest, _)| rest.upload());
-        // Dropped before the body's inlet: what breaks off is not a server's failure.
-        let mut waiting = Waiting::new(number, &engine);
-        if !engine.mailbox.send(Happening::Arrived(head.request(number), upload, outgoing, sender)) {
-            waiting.answered = true;
-            engine.tally.turned_away(class);
-            return Ok(Finished { answer: Answer::Refused { retry_after: None }, unread });
-        }
-        // The engine answers all that it has heard of; without an answer its thread has died.
-        let dead = |_| Answer::Failed { timed_out: false };
-        if let Some((rest, inlet)) = &mut rest {
-            let early = tokio::select! {
-                biased;
-                early = &mut answer => Some(early.unwrap_or_else(dead)),
-                passed = rest.pass_on(inlet, head.patience()) => {
-                    let left = passed?.saturating_duration_since(Instant::now());
-                    engine.mailbox.send(Happening::CameWhole(number, left.as_micros() as u64));
-                    None
-                }
-            };
-            if let Some(answer) = early {
-                waiting.answered = true;
-                return Ok(Finished { answer, unread });
-            }
-        }
-        // Its body has come to its end.
-        drop((rest, room));
-        let answer = answer.await;
-        waiting.answered = true;
-        Ok(Finished { answer: answer.unwrap_or_else(dead), unread: false })
-    }
-}
-
-/// A call that waits for its engine. Tells it if the client goes away first: its future is then dropped.
-struct Waiting<'a> {
-    number: RequestId,
-    engine: &'a Engine,
-    answered: bool,
-}
-
-impl Waiting<'_> {
-    fn new(number: RequestId, engine: &Engine) -> Waiting<'_> {
-        engine.waiting.fetch_add(1, Ordering::Relaxed);
-        Waiting { number, engine, answered: false }
-    }
-}
-
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        self.engine.waiting.fetch_sub(1, Ordering::Relaxed);
-        if !self.answered {
-            self.engine.mailbox.send(Happening::Left(self.number));
-        }
-    }
-}
--- a/crates/dunelink/src/node/shards.rs
+++ b/crates/dunelink/src/node/shards.rs
@@ -10,15 +10,17 @@
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 
-use super::graphql::Endpoint;
-use super::handle::{Engine, Handle, Shared};
-use super::{Engineering, Node};
+use super::endpoint::Endpoint;
+use super::engineering::Engineering;
+use super::engines::Engine;
+use super::handle::{Handle, Shared};
+use super::running::Node;
 use crate::config::{Config, ConfigError};
+use crate::counts::Tally;
 use crate::engine::Mailbox;
-use crate::gossip::Gossiper;
+use crate::fleet::Gossiper;
 use crate::intake::Intake;
 use crate::roster::{Feed, Hub, Roster, RosterFuture};
-use crate::snapshot::Tally;
 
 /// Between the seeds of two shards (the golden ratio in 64 bits).
 const SEED_STEP: u64 = 0x9e37_79b9_7f4a_7c15;
@@ -99,7 +101,7 @@
     /// Runs until all shards have ended. It needs a tokio `LocalSet`.
     pub fn run(self) -> RosterFuture {
         let Source { roster, config, seed, hub, ended } = self;
-        let running = roster.run(Feed::of_hub(&config, seed, hub));
+        let running = roster.run(Feed::new(&config, seed, hub));
         Box::pin(async move {
             let all = async {
                 for ended in &ended {
--- a/crates/dunelink/src/roster/fixed.rs
+++ b/crates/dunelink/src/roster/fixed.rs
@@ -1,5 +1,5 @@
 use super::{Feed, Roster, RosterFuture};
-use crate::types::{Server, Update};
+use crate::entries::{Server, Update};
 
 /// A list that never changes.
 ///
--- a/crates/dunelink/src/roster/hub.rs
+++ b/crates/dunelink/src/roster/hub.rs
@@ -3,14 +3,16 @@
 //! the list, as it was last *read*, still has the server: what drains is heeded by all shards at once.
 
 use std::collections::HashMap;
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
 use cherryusher::ServerId;
 use tokio::sync::Notify;
 
-use super::{Feed, Roster, RosterFuture};
-use crate::types::{Server, ServerState, Update};
+use super::{Fed, Feed, News, Roster, RosterFuture};
+use crate::entries::{Server, ServerState, Update};
 
 /// Servers that take requests by the list as it was last read, and where.
 #[derive(Default)]
@@ -116,8 +118,15 @@
         list
     }
 
-    /// A list, or changes to it, for all shards.
-    pub(crate) fn update(&self, update: &Update) {
+    /// The roster of one shard.
+    pub(crate) fn branch(&self, shard: usize) -> Branch {
+        Branch { hub: self.0.clone(), shard }
+    }
+}
+
+impl Fed for Hub {
+    /// For all shards.
+    fn update(&self, update: &Update, _news: News) {
         // First what all go by before they send.
         self.0.ready.update(update);
         let list = self.note(update);
@@ -133,22 +142,15 @@
         }
     }
 
-    /// The source failed, for now.
-    pub(crate) fn failed(&self) {
+    fn failed(&self) {
         for slot in &self.0.slots {
             slot.pending.lock().unwrap_or_else(PoisonError::into_inner).failed = true;
             slot.news.notify_one();
         }
     }
 
-    /// Waits until some shard wants the source to be asked.
-    pub(crate) async fn wanted(&self) {
-        self.0.wanted.notified().await;
-    }
-
-    /// The roster of one shard.
-    pub(crate) fn branch(&self, shard: usize) -> Branch {
-        Branch { hub: self.0.clone(), shard }
+    fn wanted(&self) -> Pin<Box<dyn Future<Output = ()> + '_>> {
+        Box::pin(self.0.wanted.notified())
     }
 }
 
@@ -189,6 +191,12 @@
         Server::new(uid, ([127, 0, 0, 1], port).into()).with_state(state)
     }
 
+    impl Hub {
+        fn tell(&self, update: &Update) {
+            self.update(update, News::Current);
+        }
+    }
+
     fn pending(hub: &Hub, shard: usize) -> (Option<Update>, bool) {
         let (update, failed) = hub.0.slots[shard].pending.lock().unwrap().take();
         let sorted = update.map(|mut update| {
@@ -203,16 +211,16 @@
         use ServerState::*;
         let hub = Hub::new(2);
         hub.begin(&Update::whole([server("a", 1, Ready)]));
-        hub.update(&Update { rev: 2, ..Update::changes([server("a", 1, Draining), server("b", 2, Ready)]) });
+        hub.tell(&Update { rev: 2, ..Update::changes([server("a", 1, Draining), server("b", 2, Ready)]) });
         assert_eq!(pending(&hub, 0).0.unwrap().servers, [server("a", 1, Draining), server("b", 2, Ready)]);
-        hub.update(&Update { rev: 3, ..Update::changes([server("a", 1, Gone), server("b", 3, Ready)]) });
+        hub.tell(&Update { rev: 3, ..Update::changes([server("a", 1, Gone), server("b", 3, Ready)]) });
         hub.failed();
         let (update, failed) = pending(&hub, 1);
         let update = update.unwrap();
         assert_eq!((update.rev, update.whole, failed), (3, false, true));
         assert_eq!(update.servers, [server("a", 1, Gone), server("b", 3, Ready)]);
-        hub.update(&Update { rev: 4, ..Update::whole([server("b", 3, Ready), server("c", 4, Ready)]) });
-        hub.update(&Update { rev: 5, ..Update::changes([server("c", 4, Gone)]) });
+        hub.tell(&Update { rev: 4, ..Update::whole([server("b", 3, Ready), server("c", 4, Ready)]) });
+        hub.tell(&Update { rev: 5, ..Update::changes([server("c", 4, Gone)]) });
         let update = pending(&hub, 0).0.unwrap();
         assert_eq!((update.rev, update.whole), (5, true));
         assert_eq!(update.servers, [server("b", 3, Ready)]);
@@ -226,9 +234,9 @@
         let a = server("a", 1, Ready);
         hub.begin(&Update::whole([a.clone()]));
         assert!(hub.0.ready.has(a.id(), a.endpoint));
-        hub.update(&Update::changes([server("a", 2, Ready)]));
+        hub.tell(&Update::changes([server("a", 2, Ready)]));
         assert!(!hub.0.ready.has(a.id(), a.endpoint), "it has moved");
-        hub.update(&Update::changes([server("a", 2, Draining)]));
+        hub.tell(&Update::changes([server("a", 2, Draining)]));
         assert!(!hub.0.ready.has(a.id(), server("a", 2, Ready).endpoint));
     }
 
@@ -239,7 +247,7 @@
         for rev in 0..10_000_u64 {
             let (old, new) = (format!("s-{}", rev), format!("s-{}", rev + 1));
             let gone = server(&old, 2, ServerState::Gone);
-            hub.update(&Update { rev, ..Update::changes([gone, server(&new, 2, ServerState::Ready)]) });
+            hub.tell(&Update { rev, ..Update::changes([gone, server(&new, 2, ServerState::Ready)]) });
         }
         let held = hub.0.slots[1].pending.lock().unwrap().servers.len();
         assert!(held < 100, "{held}");
--- a/crates/dunelink/src/roster/mod.rs
+++ b/crates/dunelink/src/roster/mod.rs
@@ -23,15 +23,12 @@
 mod hub;
 mod watch;
 
-use std::collections::HashMap;
 use std::fmt;
 use std::future::Future;
 use std::pin::Pin;
-use std::rc::Rc;
 use std::sync::Arc;
 
-use cherryusher::{Discovery, Event, ServerEntry, ServerState as State};
-use tokio::sync::Notify;
+use cherryusher::Discovery;
 
 pub use channel::{ChannelRoster, RosterGone, RosterSender, channel};
 pub use file::File;
@@ -40,9 +37,7 @@
 pub use watch::{Watch, WatchMover};
 
 use crate::config::Config;
-use crate::engine::{Happening, Mailbox};
-use crate::servers::Servers;
-use crate::types::{Server, ServerState, Update};
+use crate::entries::Update;
 
 /// What a roster does for as long as the node runs. It may end earlier: the list then stays as it is.
 pub type RosterFuture = Pin<Box<dyn Future<Output = ()>>>;
@@ -60,51 +55,33 @@
     fn run(self: Box<Self>, feed: Feed) -> RosterFuture;
 }
 
-/// Turns a list's entries into the module's.
-struct Reader {
-    zones: HashMap<String, u8>,
-    kinds: HashMap<String, u8>,
+/// What a list tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum News {
+    /// The list as it is now, or changes to it.
+    Current,
+    /// The list as it was held before the start: it may be old.
+    Cached,
 }
 
-impl Reader {
-    fn new(config: &Config) -> Reader {
-        let numbered = |names: &[String]| names.iter().cloned().zip(0..u8::MAX).collect();
-        Reader { zones: numbered(&config.fleet.zones), kinds: numbered(&config.fleet.kinds) }
-    }
+/// Who is fed: whatever takes lists in.
+pub(crate) trait Fed {
+    /// A list, or changes to it.
+    fn update(&self, update: &Update, news: News);
 
-    fn entry(&self, server: &Server) -> ServerEntry {
-        ServerEntry {
-            id: server.id(),
-            state: match server.state {
-                ServerState::Ready => State::Ready,
-                ServerState::Draining => State::Draining,
-                ServerState::Gone => State::Gone,
-            },
-            ready_at: server.started_ms.saturating_mul(1000),
-            zone: self.zones.get(&server.zone).copied().unwrap_or(u8::MAX),
-            cell: server.cell,
-            weight: if server.weight.is_finite() { server.weight.max(0.0) } else { 0.0 },
-            kind: self.kinds.get(&server.kind).copied().unwrap_or(u8::MAX),
-        }
-    }
-}
+    /// From now on nothing new goes to a server that is not among these.
+    fn heed(&self, _ready: Arc<Ready>) {}
+
+    /// The source failed, for now.
+    fn failed(&self);
 
-/// Who is fed.
-enum To {
-    Engine {
-        reader: Reader,
-        servers: Rc<Servers>,
-        engine: Mailbox,
-        /// Told when the module wants to be told of changes.
-        wanted: Rc<Notify>,
-    },
-    /// All shards of a node.
-    Hub(Hub),
+    /// Waits until the source should be asked.
+    fn wanted(&self) -> Pin<Box<dyn Future<Output = ()> + '_>>;
 }
 
 /// The way from a roster to the node.
 pub struct Feed {
-    to: To,
+    to: Box<dyn Fed>,
     asked: bool,
     rev: u64,
     random: fastrand::Rng,
@@ -112,24 +89,9 @@
 }
 
 impl Feed {
-    pub(crate) fn new(
-        config: &Config,
-        seed: u64,
-        servers: Rc<Servers>,
-        engine: Mailbox,
-        wanted: Rc<Notify>,
-    ) -> Feed {
-        Feed::to(To::Engine { reader: Reader::new(config), servers, engine, wanted }, config, seed)
-    }
-
-    /// The way to all shards of a node.
-    pub(crate) fn of_hub(config: &Config, seed: u64, hub: Hub) -> Feed {
-        Feed::to(To::Hub(hub), config, seed)
-    }
-
-    fn to(to: To, config: &Config, seed: u64) -> Feed {
+    pub(crate) fn new(config: &Config, seed: u64, to: impl Fed + 'static) -> Feed {
         Feed {
-            to,
+            to: Box::new(to),
             asked: config.settings().discovery != Discovery::Pushed,
             rev: config.known.rev,
             random: fastrand::Rng::with_seed(seed),
@@ -139,32 +101,19 @@
 
     /// Passes on a list, or changes to it. From here on nothing new goes to a server that drains or is gone.
     pub fn update(&mut self, update: &Update) {
-        self.take(update, if update.whole { Event::ServerList } else { Event::ServerChanges });
+        self.rev = update.rev;
+        self.to.update(update, News::Current);
     }
 
     /// Passes on the list as it was held before the start: it may be old.
     pub(crate) fn cached(&mut self, update: &Update) {
-        self.take(update, Event::CachedList);
-    }
-
-    /// Tells addresses and states to the servers' side at once; the rest is for the engine.
-    fn take(&mut self, update: &Update, event: fn(Vec<ServerEntry>) -> Event) {
         self.rev = update.rev;
-        match &self.to {
-            To::Engine { reader, servers, engine, .. } => {
-                let list: Vec<ServerEntry> = update.servers.iter().map(|s| reader.entry(s)).collect();
-                servers.list_changed(list.iter().copied().zip(&update.servers), update.whole);
-                engine.send(Happening::Module(event(list)));
-            }
-            To::Hub(hub) => hub.update(update),
-        }
+        self.to.update(update, News::Cached);
     }
 
     /// From now on nothing new goes to a server that is not among these.
     pub(crate) fn heed(&self, ready: Arc<Ready>) {
-        if let To::Engine { servers, .. } = &self.to {
-            servers.heed(ready);
-        }
+        self.to.heed(ready);
     }
 
     /// The version of the list that was last passed on; at first that of the list which the node started with.
@@ -174,13 +123,7 @@
 
     /// The source failed, for now. Where it is asked, the decision module says when to ask again.
     pub fn failed(&self) {
-        match &self.to {
-            To::Engine { engine, .. } if self.asked => {
-                engine.send(Happening::Module(Event::DiscoveryFailed));
-            }
-            To::Engine { .. } => {}
-            To::Hub(hub) => hub.failed(),
-        }
+        self.to.failed();
     }
 
     /// Whether the source sends nothing by itself and is asked when the decision module says so.
@@ -190,10 +133,8 @@
 
     /// Waits until the source should be asked; at once where it sends by itself.
     pub async fn wanted(&self) {
-        match &self.to {
-            _ if !self.asked => {}
-            To::Engine { wanted, .. } => wanted.notified().await,
-            To::Hub(hub) => hub.wanted().await,
+        if self.asked {
+            self.to.wanted().await;
         }
     }
 
--- a/crates/dunelink/src/servers.rs
+++ b/crates/dunelink/src/servers.rs
@@ -19,12 +19,13 @@
 
 use crate::answer_body::Tap;
 use crate::config::{Answers, Config};
+use crate::counts::Tally;
+use crate::entries::Server;
 use crate::idle::Order;
 use crate::line::{Line, Place, ServerSocket};
 use crate::payload::OutgoingBody;
 use crate::roster::Ready;
-use crate::snapshot::Tally;
-use crate::types::{Outgoing, Server};
+use crate::types::Outgoing;
 
 /// What a connection may buffer; it bounds headers too.
 const BUFFER_MOST: usize = 32 * 1024;
--- a/crates/dunelinkd/src/clients.rs
+++ b/crates/dunelinkd/src/clients.rs
@@ -3,7 +3,6 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::convert::Infallible;
-use std::io;
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -26,6 +25,7 @@
 
 use crate::awake::{AwakeTimer, stood_still};
 use crate::dealer::Seat;
+use crate::listen::{LAST_LOOK, NO_SOCKETS, is_ready, out_of_sockets};
 use crate::passing::Passing;
 use crate::socket::{ClientSocket, Seen};
 
@@ -43,10 +43,6 @@
 const SWEEP: Duration = Duration::from_secs(1);
 /// For how long an older one has to be idle before it is closed.
 const IDLE_LEAST: Duration = Duration::from_millis(100);
-/// How long accepting pauses when there are no descriptors left.
-pub(crate) const NO_SOCKETS: Duration = Duration::from_millis(10);
-/// How long the listener has to stay silent, once told to stop, for the kernel to have nothing more.
-pub(crate) const LAST_LOOK: Duration = Duration::from_millis(20);
 /// How long the first request on a connection may lag behind it at the end.
 const LATE_REQUEST: Duration = Duration::from_millis(200);
 /// How long a connection may take to end once it should, beyond the longest deadline.
@@ -378,14 +374,6 @@
     }
 }
 
-/// Waits until the node is ready; whether it was before it was told to stop.
-pub(crate) async fn is_ready(ready: &mut JoinHandle<()>, stop: &Notify) -> bool {
-    tokio::select! {
-        ready = ready => ready.is_ok(),
-        () = stop.notified() => false,
-    }
-}
-
 /// A connection with a request open or an answer to take, for as long as it lasts.
 struct Busy {
     clients: Rc<Clients>,
@@ -418,13 +406,6 @@
 /// What a client is told of what it did wrong.
 type Wrong = Response<AnswerBody>;
 
-/// Whether the node or its machine has no descriptor left.
-pub(crate) fn out_of_sockets(error: &io::Error) -> bool {
-    const ENFILE: i32 = 23;
-    const EMFILE: i32 = 24;
-    matches!(error.raw_os_error(), Some(ENFILE | EMFILE))
-}
-
 /// The last answer on its connection.
 fn ending(mut response: Response<AnswerBody>) -> Response<AnswerBody> {
     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
--- a/crates/dunelinkd/src/dealer.rs
+++ b/crates/dunelinkd/src/dealer.rs
@@ -15,7 +15,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
-use crate::clients::{self, LAST_LOOK, NO_SOCKETS, out_of_sockets};
+use crate::listen::{LAST_LOOK, NO_SOCKETS, is_ready, out_of_sockets};
 
 /// A shard that has not taken a connection for this long stands still.
 const STILL: Duration = Duration::from_millis(50);
@@ -154,7 +154,7 @@
         stop: Arc<Notify>,
         shared: bool,
     ) {
-        if shared && !clients::is_ready(&mut ready, &stop).await {
+        if shared && !is_ready(&mut ready, &stop).await {
             return;
         }
         let mut stopping = false;
--- a/crates/dunelinkd/src/door.rs
+++ b/crates/dunelinkd/src/door.rs
@@ -25,8 +25,8 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::clients::NO_SOCKETS;
 use crate::gossip;
+use crate::listen::NO_SOCKETS;
 
 /// Callers at once. Beyond that the one that has been silent for longest makes room.
 const CALLERS: usize = 16;
--- a/crates/dunelinkd/src/listen.rs
+++ b/crates/dunelinkd/src/listen.rs
@@ -1,12 +1,23 @@
 //! The clients' listening socket: bound here, or held by a platform that passes it on so that one version can follow
 //! another without a moment in which nobody listens.
 
+use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use anyhow::{Context, bail, ensure};
 use listenfd::ListenFd;
 use socket2::SockRef;
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
+
+/// How long accepting pauses when there are no descriptors left.
+pub(crate) const NO_SOCKETS: Duration = Duration::from_millis(10);
+/// How long the listener has to stay silent, once told to stop, for the kernel to have nothing more.
+pub(crate) const LAST_LOOK: Duration = Duration::from_millis(20);
+/// What comes on top of the longest deadline at the end, and what the last answers may take.
+pub(crate) const LAST_ANSWERS: Duration = Duration::from_millis(100);
 
 /// Set where the platform holds the socket: a descriptor's number. `run` turns it into what socket activation goes by.
 const PASSED: &str = "GW_LISTEN_FD";
@@ -45,3 +56,18 @@
         }
     }
 }
+
+/// Waits until the node is ready; whether it was before it was told to stop.
+pub(crate) async fn is_ready(ready: &mut JoinHandle<()>, stop: &Notify) -> bool {
+    tokio::select! {
+        ready = ready => ready.is_ok(),
+        () = stop.notified() => false,
+    }
+}
+
+/// Whether the node or its machine has no descriptor left.
+pub(crate) fn out_of_sockets(error: &io::Error) -> bool {
+    const ENFILE: i32 = 23;
+    const EMFILE: i32 = 24;
+    matches!(error.raw_os_error(), Some(ENFILE | EMFILE))
+}
--- a/crates/dunelinkd/src/serve.rs
+++ b/crates/dunelinkd/src/serve.rs
@@ -18,16 +18,13 @@
 
 use crate::clients::Clients;
 use crate::door::{self, Door};
-use crate::listen::{Listening, listen};
+use crate::listen::{LAST_ANSWERS, Listening, listen};
 use crate::shards::Shards;
 
 /// For how long after SIGTERM connections are taken in: new ones come for up to 0.4 s.
 const STILL_ACCEPT: Duration = Duration::from_millis(500);
 /// SIGKILL may come 3.7 s after SIGTERM: by then all has to be answered.
 const STAY_MOST: Duration = Duration::from_millis(3400);
-/// What comes on top of the longest deadline, and what the last answers may take.
-pub(crate) const LAST_ANSWERS: Duration = Duration::from_millis(100);
-
 /// For how long a process that follows another waits to hear from discovery before it serves.
 const HEAR_WITHIN: Duration = Duration::from_secs(2);
 /// How often it looks.
--- a/crates/dunelinkd/src/shards.rs
+++ b/crates/dunelinkd/src/shards.rs
@@ -13,7 +13,7 @@
 
 use crate::clients::Clients;
 use crate::dealer::{Dealer, Seat};
-use crate::serve::LAST_ANSWERS;
+use crate::listen::LAST_ANSWERS;
 
 /// How far the end has come, for all shards as one.
 #[derive(Clone, Copy, PartialEq, PartialOrd)]
--- a/crates/graphql/src/lib.rs
+++ b/crates/graphql/src/lib.rs
@@ -36,6 +36,7 @@
 mod known;
 mod limits;
 mod media;
+mod negotiation;
 mod order;
 mod params;
 mod reader;
--- a/crates/graphql/src/reader.rs
+++ b/crates/graphql/src/reader.rs
@@ -11,7 +11,7 @@
 use crate::error::{Code, Limit, Rejection};
 use crate::known::Known;
 use crate::limits::{Limits, Weights};
-use crate::media;
+use crate::negotiation;
 use crate::params::{Params, check_beside_body};
 use crate::table::{Ruling, Table};
 
@@ -94,7 +94,7 @@
     }
 
     fn read_post(&self, request: Request<'_>) -> Result<Verdict, Rejection> {
-        media::check_body(request.headers)?;
+        negotiation::check_body(request.headers)?;
         check_beside_body(request.query, &self.passed)?;
         let text = std::str::from_utf8(request.body)
             .map_err(|_| Rejection::new(Code::BadRequest, "the body is not in UTF-8"))?;
