--- /dev/null
+++ b/crates/view/src/register.rs
@@ -0,0 +1,237 @@
+//! How a majority decides a view. A register in the manner of CASPaxos: who wants a change asks electors for a promise,
+//! takes the view that was accepted last among their answers, and has its successor accepted. No leader is needed for
+//! safety; a chair spares duels.
+//!
+//! *Restarts from nothing.* Votes are counted by process, not by name. One that starts is no elector until a view that
+//! the others have decided says so; what its name has promised before is never counted again, so that nobody votes
+//! twice for having forgotten. Where electors differ between a view and the one it follows from, a majority of both has
+//! to accept it, and as long as it is not known to be decided, a majority of both has to promise.
+//!
+//! *Founding.* Only processes that know of no view and have run for longer than any lease lasts may found one, as a
+//! majority of the names. A majority of the names that has forgotten leaves an older generation without one, for good.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::process::{Electors, Names, Process};
+use crate::view::{Change, View};
+
+/// Orders proposals; of two of one round, by who made them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Ballot {
+    /// Goes up with each try.
+    pub round: u64,
+    /// Who tries.
+    pub by: Process,
+}
+
+/// The view that an elector has accepted last.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Accepted {
+    /// In which ballot.
+    pub ballot: Ballot,
+    /// The view.
+    pub view: View,
+    /// Whether it knows that a majority has.
+    pub decided: bool,
+}
+
+/// What processes say to each other.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Message {
+    /// Asks to take part in no ballot below this one.
+    Prepare(Ballot),
+    /// It does so, and has accepted this.
+    Promise(Ballot, Option<Accepted>),
+    /// Asks to accept this view.
+    Accept(Ballot, View),
+    /// It has.
+    Accepts(Ballot),
+    /// It takes part in a higher ballot, which this is.
+    Refuses(Ballot),
+    /// This view is decided.
+    Decided(Ballot, View),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Phase {
+    Preparing(BTreeMap<Process, Option<Accepted>>),
+    Accepting { view: View, votes: BTreeSet<Process> },
+}
+
+/// A ballot of this process.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Proposal {
+    ballot: Ballot,
+    change: Option<Change>,
+    phase: Phase,
+}
+
+/// One process's part in deciding views.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Register {
+    me: Process,
+    names: Names,
+    /// Whether this process has run for longer than any lease that its name may have granted before lasts.
+    waited: bool,
+    promised: Ballot,
+    accepted: Option<Accepted>,
+    decided: Option<View>,
+    proposal: Option<Proposal>,
+}
+
+impl Register {
+    /// A process that starts and knows nothing.
+    pub fn new(me: Process, names: Names) -> Register {
+        let promised = Ballot::default();
+        Register { me, names, waited: false, promised, accepted: None, decided: None, proposal: None }
+    }
+
+    /// This process has run for longer than any lease lasts: it may found a view.
+    pub fn waited(&mut self) {
+        self.waited = true;
+    }
+
+    /// The newest view that it knows to be decided.
+    pub fn view(&self) -> Option<&View> {
+        self.decided.as_ref()
+    }
+
+    /// Whether it has a ballot under way.
+    pub fn proposes(&self) -> bool {
+        self.proposal.is_some()
+    }
+
+    /// Begins a ballot for a change, or to finish or learn what is decided. One that is under way is given up.
+    pub fn propose(&mut self, change: Option<Change>, out: &mut Vec<(u64, Message)>) {
+        let ballot = Ballot { round: self.promised.round + 1, by: self.me };
+        self.promised.round = ballot.round;
+        self.proposal = Some(Proposal { ballot, change, phase: Phase::Preparing(BTreeMap::new()) });
+        self.to_all(&Message::Prepare(ballot), out);
+    }
+
+    fn to_all(&self, message: &Message, out: &mut Vec<(u64, Message)>) {
+        out.extend(self.names.iter().map(|name| (name, message.clone())));
+    }
+
+    /// Takes in what a process says; appends what is to be said, and to whom. A view that is newly known to be decided
+    /// is returned.
+    pub fn hear(&mut self, from: Process, message: Message, out: &mut Vec<(u64, Message)>) -> Option<View> {
+        match message {
+            Message::Prepare(ballot) if self.may_vote(ballot) => {
+                self.promised = ballot;
+                out.push((from.name, Message::Promise(ballot, self.accepted.clone())));
+            }
+            Message::Accept(ballot, view) if self.may_vote(ballot) => {
+                self.promised = ballot;
+                // What is known to be decided stays so under a higher ballot.
+                let decided = self.accepted.as_ref().is_some_and(|known| known.decided && known.view == view);
+                self.accepted = Some(Accepted { ballot, view, decided });
+                out.push((from.name, Message::Accepts(ballot)));
+            }
+            Message::Prepare(ballot) | Message::Accept(ballot, _) => {
+                if ballot < self.promised {
+                    out.push((from.name, Message::Refuses(self.promised)));
+                }
+            }
+            Message::Promise(ballot, accepted) => self.promise(from, ballot, accepted, out),
+            Message::Accepts(ballot) => return self.vote(from, ballot, out),
+            Message::Refuses(ballot) => {
+                self.promised.round = self.promised.round.max(ballot.round);
+                if self.proposal.as_ref().is_some_and(|proposal| proposal.ballot < ballot) {
+                    self.proposal = None;
+                }
+            }
+            Message::Decided(ballot, view) => return self.learn(ballot, view),
+        }
+        None
+    }
+
+    /// Whether this process takes part in a ballot: as an elector of the view that it has, or as one that may found.
+    fn may_vote(&self, ballot: Ballot) -> bool {
+        ballot >= self.promised
+            && (self.accepted.is_some() || self.waited)
+            && self.names.contains(self.me.name)
+    }
+
+    fn promise(
+        &mut self,
+        from: Process,
+        ballot: Ballot,
+        accepted: Option<Accepted>,
+        out: &mut Vec<(u64, Message)>,
+    ) {
+        let Some(proposal) = self.proposal.as_mut().filter(|proposal| proposal.ballot == ballot) else {
+            return;
+        };
+        let Phase::Preparing(promises) = &mut proposal.phase else { return };
+        promises.insert(from, accepted);
+        let newest = promises.values().flatten().max_by_key(|accepted| accepted.ballot);
+        let Some(newest) = newest else {
+            // Nobody knows a view.
+            let electors: Electors = promises.keys().map(|p| (p.name, p.instance)).collect();
+            if self.names.decide(&electors, promises.keys()) {
+                let view = View::found(ballot, electors);
+                self.accepting(view, out);
+            }
+            return;
+        };
+        let view = &newest.view;
+        let decided = promises.values().flatten().any(|known| known.decided && known.view == *view);
+        let by_own = self.names.decide(&view.electors, promises.keys());
+        let by_before = decided || self.names.decide(&view.before, promises.keys());
+        if !by_own || !by_before {
+            return;
+        }
+        // What may have been decided is first decided for good.
+        let change = proposal.change.as_ref().filter(|_| decided);
+        let is_elector = |change: &Change| matches!(change, Change::Admit(p) if self.names.contains(p.name));
+        let next = change.and_then(|change| view.next(change, is_elector(change)));
+        let view = next.unwrap_or_else(|| view.clone());
+        self.accepting(view, out);
+    }
+
+    fn accepting(&mut self, view: View, out: &mut Vec<(u64, Message)>) {
+        let Some(proposal) = &mut self.proposal else { return };
+        proposal.phase = Phase::Accepting { view: view.clone(), votes: BTreeSet::new() };
+        let message = Message::Accept(proposal.ballot, view);
+        self.to_all(&message, out);
+    }
+
+    fn vote(&mut self, from: Process, ballot: Ballot, out: &mut Vec<(u64, Message)>) -> Option<View> {
+        let proposal = self.proposal.as_mut().filter(|proposal| proposal.ballot == ballot)?;
+        let Phase::Accepting { view, votes } = &mut proposal.phase else { return None };
+        votes.insert(from);
+        let decided = self.names.decide(&view.electors, &*votes) && self.names.decide(&view.before, &*votes);
+        if !decided {
+            return None;
+        }
+        let view = view.clone();
+        self.proposal = None;
+        self.to_all(&Message::Decided(ballot, view.clone()), out);
+        self.learn(ballot, view)
+    }
+
+    /// A view is decided. An elector takes it as accepted: who is admitted begins to vote with it.
+    fn learn(&mut self, ballot: Ballot, view: View) -> Option<View> {
+        let is_elector = view.electors.get(&self.me.name) == Some(&self.me.instance);
+        let newer = self.accepted.as_ref().is_none_or(|known| known.ballot < ballot);
+        match &mut self.accepted {
+            Some(known) if known.view == view => known.decided = true,
+            _ if newer && is_elector && ballot >= self.promised => {
+                self.accepted = Some(Accepted { ballot, view: view.clone(), decided: true });
+            }
+            _ => {}
+        }
+        let known = self.decided.as_ref();
+        let new = known.is_none_or(|known| known.generation != view.generation || known.epoch < view.epoch);
+        // A generation that was founded later is a later one at whoever hears of it: the older can decide no more.
+        let later = known.is_none_or(|known| known.generation <= view.generation);
+        if !new || !later {
+            return None;
+        }
+        self.decided = Some(view.clone());
+        Some(view)
+    }
+}
--- /dev/null
+++ b/crates/view/src/side.rs
@@ -0,0 +1,55 @@
+//! On which side of a cut a node is.
+
+use std::collections::BTreeMap;
+
+use crate::Micros;
+use crate::process::{Name, Names};
+
+/// A side of a cut.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Side {
+    /// A majority of electors was heard lately: what the fleet decides is decided here.
+    Majority,
+    /// Some were, or other nodes: nothing is decided here.
+    Minority,
+    /// Nobody was.
+    Alone,
+}
+
+/// Who was heard when.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Sides {
+    me: Name,
+    names: Names,
+    /// One that was not heard for so long is on another side.
+    silence: Micros,
+    heard: BTreeMap<Name, Micros>,
+}
+
+impl Sides {
+    /// A node that has heard nobody yet.
+    pub fn new(me: Name, names: Names, silence: Micros) -> Sides {
+        Sides { me, names, silence, heard: BTreeMap::new() }
+    }
+
+    /// A node was heard, directly: it answered what this one asked.
+    pub fn heard(&mut self, now: Micros, name: Name) {
+        self.heard.insert(name, now);
+        let silence = self.silence;
+        self.heard.retain(|_, at| now.saturating_sub(*at) <= silence);
+    }
+
+    /// Where this node is now.
+    pub fn side(&self, now: Micros) -> Side {
+        let lately = |at: &Micros| now.saturating_sub(*at) <= self.silence;
+        let electors =
+            self.names.iter().filter(|name| *name == self.me || self.heard.get(name).is_some_and(lately));
+        if electors.count() >= self.names.majority() {
+            return Side::Majority;
+        }
+        match self.heard.iter().any(|(name, at)| *name != self.me && lately(at)) {
+            true => Side::Minority,
+            false => Side::Alone,
+        }
+    }
+}
--- /dev/null
+++ b/crates/view/src/view.rs
@@ -0,0 +1,93 @@
+//! What is decided: who votes, who is a member, and small named facts.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::process::{Electors, Process};
+use crate::register::Ballot;
+
+/// Facts that a view holds at most, and the bytes of a key and a value.
+const FACTS_MOST: usize = 256;
+const KEY_MOST: usize = 64;
+const VALUE_MOST: usize = 256;
+/// Members that a view holds at most.
+const MEMBERS_MOST: usize = 4096;
+
+/// Views that follow from one founding. There is a second founding only once a majority of the first one's electors
+/// is gone for good, so that it can decide nothing any more.
+pub type Generation = Ballot;
+
+/// What the fleet has decided: one for each epoch of a generation.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct View {
+    /// The founding that it comes from.
+    pub generation: Generation,
+    /// Its number in the generation, from 1; one up with each decision.
+    pub epoch: u64,
+    /// Who votes on what follows.
+    pub electors: Electors,
+    /// Who voted on this one.
+    pub before: Electors,
+    /// The members' processes.
+    pub members: Electors,
+    /// Small decisions of other kinds, by name.
+    pub facts: BTreeMap<String, String>,
+}
+
+/// One step from a view to the next.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Change {
+    /// A process is a member from now on, and an elector if its name is one; one of its name before it is neither.
+    Admit(Process),
+    /// A process is no member any more. As an elector it stays until another of its name is admitted, so that the
+    /// number of votes needed never shrinks.
+    Remove(Process),
+    /// A fact holds.
+    Set(String, String),
+    /// It does not hold any more.
+    Clear(String),
+}
+
+impl View {
+    /// The first view of a generation.
+    pub(crate) fn found(generation: Generation, electors: Electors) -> View {
+        View {
+            generation,
+            epoch: 1,
+            before: electors.clone(),
+            members: electors.clone(),
+            electors,
+            facts: BTreeMap::new(),
+        }
+    }
+
+    /// The view that follows by a change; nothing if it changes nothing, or there is no room for it.
+    pub fn next(&self, change: &Change, is_elector: bool) -> Option<View> {
+        let mut next = self.clone();
+        match change {
+            Change::Admit(process) => {
+                next.members.insert(process.name, process.instance);
+                if is_elector {
+                    next.electors.insert(process.name, process.instance);
+                }
+            }
+            Change::Remove(process) if self.members.get(&process.name) == Some(&process.instance) => {
+                next.members.remove(&process.name);
+            }
+            Change::Remove(_) => {}
+            Change::Set(key, value) if key.len() <= KEY_MOST && value.len() <= VALUE_MOST => {
+                next.facts.insert(key.clone(), value.clone());
+            }
+            Change::Set(..) => {}
+            Change::Clear(key) => drop(next.facts.remove(key)),
+        }
+        let fits = next.facts.len() <= FACTS_MOST && next.members.len() <= MEMBERS_MOST;
+        if !fits || next == *self {
+            return None;
+        }
+        next.epoch += 1;
+        next.before = self.electors.clone();
+        Some(next)
+    }
+}
