Views: newcomers accept their own admission, dead generations are passed over; the council

Need: a fresh process could promise in a founding while the view that admits it was decided without it, and survivors of a lost majority blocked a new founding (both found by thinking through restarts, then in the model's terms).

Change: who votes for the first time has to accept the view that says so; a generation whose electors' names are borne by other processes is over.

--- a/crates/dunelink/src/config/gossip.rs
+++ b/crates/dunelink/src/config/gossip.rs
@@ -14,6 +14,12 @@
 const CEILING_LEAST: u32 = 8192;
 /// How often a member may be asked whether it is there.
 const PERIODS: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(60));
+/// Names that may decide.
+const ELECTORS_MOST: usize = 7;
+/// How long leases may be.
+const LEASES: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(60));
+/// How wrong a clock may be: a hundredth.
+const DRIFT_MOST: u32 = 10_000;
 /// Addresses that a node may ask to be let in.
 const SEEDS_MOST: usize = 64;
 
@@ -57,6 +63,15 @@
     /// How often a member is asked whether it is there.
     #[serde(default = "period", with = "humantime_serde")]
     pub period: Duration,
+    /// The names of those that decide for the fleet, the same at all nodes; without any, nothing is decided.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub electors: Vec<String>,
+    /// For how long what a node holds is its own without being renewed.
+    #[serde(default = "lease", with = "humantime_serde")]
+    pub lease: Duration,
+    /// By how many millionths a clock may be fast or slow.
+    #[serde(default = "drift")]
+    pub drift: u32,
 }
 
 fn ceiling() -> u32 {
@@ -67,6 +82,14 @@
     Duration::from_millis(300)
 }
 
+fn lease() -> Duration {
+    Duration::from_secs(2)
+}
+
+fn drift() -> u32 {
+    500
+}
+
 impl Gossip {
     /// Where others reach it.
     pub fn address(&self) -> SocketAddr {
@@ -85,7 +108,19 @@
         want(self.seeds.len() <= SEEDS_MOST, "seeds", "expected at most 64 addresses")?;
         want(self.ceiling >= CEILING_LEAST, "ceiling", "expected at least 8192 bytes a second")?;
         let period = (PERIODS.0..=PERIODS.1).contains(&self.period);
-        want(period, "period", "expected 100ms to 60s")
+        want(period, "period", "expected 100ms to 60s")?;
+        let count = self.electors.len();
+        want(
+            count == 0 || count % 2 == 1 && count <= ELECTORS_MOST,
+            "electors",
+            "expected 1, 3, 5 or 7 names",
+        )?;
+        let mut names: Vec<&String> = self.electors.iter().collect();
+        names.sort();
+        names.dedup();
+        want(names.len() == count, "electors", "expected each name once")?;
+        want((LEASES.0..=LEASES.1).contains(&self.lease), "lease", "expected 1s to 60s")?;
+        want(self.drift <= DRIFT_MOST, "drift", "expected at most 10000 millionths")
     }
 
     /// Reads the keys that it names.
@@ -115,6 +150,15 @@
             let what = format!("expected a line with the name {name} and the public key of gossip.secret");
             return Err(ConfigError::of(what).in_file(&self.ring).at(None, "gossip.ring"));
         }
+        let electors = |what: &str| ConfigError::of(what).in_file(&self.ring).at(None, "gossip.electors");
+        let known = |name: &String| ring.contains(dunelink_gossip::MemberId::of(name));
+        if let Some(name) = self.electors.iter().find(|name| !known(name)) {
+            return Err(electors(&format!("expected a line with the name {name}")));
+        }
+        if !self.electors.is_empty() && ring.len() > dunelink_view::MEMBERS_MOST {
+            let most = dunelink_view::MEMBERS_MOST;
+            return Err(electors(&format!("expected at most {most} names where there are electors")));
+        }
         Ok((ring, secret))
     }
 }
--- a/crates/dunelink/src/fleet/gossip.rs
+++ b/crates/dunelink/src/fleet/gossip.rs
@@ -8,12 +8,14 @@
 
 use cherryusher::{Event, ServerId, Sighting};
 use dunelink_gossip::{
-    Figures, Gossip, Input, MemberView, Micros, Note, Output, PACKET_MOST, Settings, SuspicionView,
+    Figures, Gossip, Input, KeyRing, MemberView, Micros, Note, Output, PACKET_MOST, Settings, SuspicionView,
 };
+use dunelink_view::Standing;
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until, timeout};
 
+use super::view::{Deciding, Deed};
 use crate::config::{Config, ConfigError};
 use crate::engine::{Happening, Mailbox};
 use crate::thread::on_thread;
@@ -34,6 +36,8 @@
     pub suspicions: Vec<SuspicionView>,
     /// What was counted since the start.
     pub figures: Figures,
+    /// How this node stands with what the fleet decides, where the configuration names electors.
+    pub fleet: Option<Standing>,
 }
 
 /// What owners of the node want of it.
@@ -52,6 +56,11 @@
     config: Config,
     socket: std::net::UdpSocket,
     gossip: Gossip,
+    deciding: Option<Deciding>,
+    /// For the names that are logged.
+    ring: KeyRing,
+    /// This node's place among all names.
+    place: u32,
     engines: Vec<Mailbox>,
     asks: mpsc::Receiver<Ask>,
     began: Instant,
@@ -88,7 +97,20 @@
         let gossip = Gossip::new(settings, ring, secret, 0)
             .ok_or_else(|| ConfigError::whole("gossip.ring: expected this node's name and key"))?;
         let (asks, asked) = mpsc::channel(ASKS);
-        let gossiper = Gossiper { config: config.clone(), socket, gossip, engines, asks: asked, began };
+        let deciding = Deciding::new(config, gossip.process(), 0);
+        let (ring, _) = wanted.keys(&config.name)?;
+        let place = config.fleet.rank;
+        let gossiper = Gossiper {
+            deciding,
+            ring,
+            place,
+            config: config.clone(),
+            socket,
+            gossip,
+            engines,
+            asks: asked,
+            began,
+        };
         Ok(Some((gossiper, asks)))
     }
 
@@ -124,7 +146,9 @@
         let mut bytes = [0; PACKET_MOST + 1];
         let mut out = Vec::new();
         loop {
-            let next = self.began + Duration::from_micros(self.gossip.next());
+            let now = self.now();
+            let decides = self.deciding.as_ref().map_or(Micros::MAX, |deciding| deciding.next(now));
+            let next = self.began + Duration::from_micros(self.gossip.next().min(decides));
             tokio::select! {
                 // An error is what came back of a packet that was sent: its member does not answer then.
                 received = socket.recv_from(&mut bytes) => if let Ok((length, from)) = received {
@@ -142,13 +166,53 @@
                 }
                 Some(ask) = self.asks.recv() => self.answer(ask, &socket, &mut out).await,
             }
-            for output in out.drain(..) {
-                self.act(output, &socket);
+            self.settle(&mut out, &socket);
+        }
+    }
+
+    /// Does what gossip and the council want, to the last word that the one has for the other.
+    fn settle(&mut self, out: &mut Vec<Output>, socket: &UdpSocket) {
+        let now = self.now();
+        let Gossiper { deciding, gossip, ring, .. } = self;
+        let deeds =
+            deciding.as_mut().map_or(Vec::new(), |deciding| deciding.tick(now, || gossip.there(), ring));
+        self.carry_out(deeds, out);
+        while !out.is_empty() {
+            for output in std::mem::take(out) {
+                let Output::Carried(from, instance, bytes) = &output else {
+                    self.act(output, socket);
+                    continue;
+                };
+                let Gossiper { deciding, ring, .. } = self;
+                let Some(deciding) = deciding else { continue };
+                let deeds = deciding.hear(now, (*from, *instance), bytes, ring);
+                self.carry_out(deeds, out);
             }
         }
     }
 
-    fn act(&self, output: Output, socket: &UdpSocket) {
+    fn carry_out(&mut self, deeds: Vec<Deed>, out: &mut Vec<Output>) {
+        let now = self.now();
+        for deed in deeds {
+            match deed {
+                Deed::Carry(to, bytes) => self.gossip.handle(now, Input::Carry(to, bytes), out),
+                Deed::Part(part) => self.tell_fleet((1.0 / part).ceil() as u32),
+                Deed::Log(what) => eprintln!("dunelink: {}: {what}", self.config.name),
+            }
+        }
+    }
+
+    /// Tells the engines of how many nodes this is one.
+    fn tell_fleet(&self, nodes: u32) {
+        let shards = self.engines.len() as u32;
+        for (shard, engine) in (0..).zip(&self.engines) {
+            let balancers = nodes.saturating_mul(shards);
+            let rank = self.place.saturating_mul(shards).saturating_add(shard);
+            engine.send(Happening::Module(Event::Fleet { balancers, rank }));
+        }
+    }
+
+    fn act(&mut self, output: Output, socket: &UdpSocket) {
         match output {
             // One that can't be sent is one that got lost.
             Output::Send(to, bytes) => drop(socket.try_send_to(&bytes, to)),
@@ -157,14 +221,14 @@
                     engine.send(Happening::Module(Event::Hearsay(doubts.clone())));
                 }
             }
+            // Where the fleet decides, parts follow leases.
             Output::Fleet(fleet) => {
-                let shards = self.engines.len() as u32;
-                for (shard, engine) in (0..).zip(&self.engines) {
-                    let balancers = fleet.nodes.saturating_mul(shards);
-                    let rank = fleet.place.saturating_mul(shards).saturating_add(shard);
-                    engine.send(Happening::Module(Event::Fleet { balancers, rank }));
+                self.place = fleet.place;
+                if self.deciding.is_none() {
+                    self.tell_fleet(fleet.nodes);
                 }
             }
+            Output::Carried(..) => {}
             Output::Note(note) => self.log(&note),
         }
     }
@@ -214,6 +278,7 @@
                     members: self.gossip.members(),
                     suspicions: self.gossip.suspicions(),
                     figures: self.gossip.figures(),
+                    fleet: self.deciding.as_ref().map(|deciding| deciding.standing(now)),
                 };
                 let _ = tell.send(view);
             }
@@ -229,9 +294,7 @@
                 // It may well be back in a moment; if not, its part goes to the others after a minute.
                 let now = self.now();
                 self.gossip.handle(now, Input::Leave { restarts: true }, out);
-                for output in out.drain(..) {
-                    self.act(output, socket);
-                }
+                self.settle(out, socket);
                 let _ = tell.send(());
             }
         }
--- a/crates/dunelink/src/fleet/mod.rs
+++ b/crates/dunelink/src/fleet/mod.rs
@@ -2,6 +2,8 @@
 //! decided. Here is where they are plugged in.
 
 mod gossip;
+mod view;
 
 pub(crate) use gossip::{Ask, Asks, ask};
 pub use gossip::{GossipView, Gossiper};
+pub use view::side_name;
--- a/crates/dunelink/src/lib.rs
+++ b/crates/dunelink/src/lib.rs
@@ -81,9 +81,11 @@
 pub use dunelink_gossip as gossiping;
 /// What a GraphQL request is, and what the node says of it.
 pub use dunelink_graphql as graphql;
+/// What the fleet decides as one.
+pub use dunelink_view as deciding;
 pub use entries::{Server, ServerState, Update};
 pub use error::{BodyError, BoxError, CallError, Closed, Invalid, StartError};
-pub use fleet::{GossipView, Gossiper};
+pub use fleet::{GossipView, Gossiper, side_name};
 pub use intake::ext;
 pub use node::{Builder, Finished, Handle, Node, Parts, Received, Shard, Source};
 pub use snapshot::{ServerView, Snapshot};
--- a/crates/dunelinkd/src/door.rs
+++ b/crates/dunelinkd/src/door.rs
@@ -117,7 +117,7 @@
     }
 
     async fn respond(&self, request: &Request<Incoming>) -> Response<AnswerBody> {
-        let paths = ["/admin/health", "/admin/stats", "/admin/members", "/admin/suspicions"];
+        let paths = ["/admin/health", "/admin/stats", "/admin/members", "/admin/suspicions", "/admin/fleet"];
         if !paths.contains(&request.uri().path()) {
             return plain(StatusCode::NOT_FOUND, "no such call\n");
         }
@@ -135,6 +135,10 @@
             "/admin/stats" => plain(StatusCode::OK, self.figures().await),
             path => match timeout(LOOK_WITHIN, self.node.gossip()).await.ok().flatten() {
                 None => plain(StatusCode::NOT_FOUND, "this node does not gossip\n"),
+                Some(view) if path == "/admin/fleet" => match gossip::fleet(&view) {
+                    Some(text) => plain(StatusCode::OK, text),
+                    None => plain(StatusCode::NOT_FOUND, "this node's configuration names no electors\n"),
+                },
                 Some(view) if path == "/admin/members" => plain(StatusCode::OK, gossip::members(&view)),
                 Some(view) => {
                     let known = timeout(LOOK_WITHIN, self.node.snapshot()).await;
--- a/crates/dunelinkd/src/gossip.rs
+++ b/crates/dunelinkd/src/gossip.rs
@@ -9,8 +9,8 @@
 
 use anyhow::{Context, bail};
 use clap::{Args, Subcommand};
-use dunelink::gossiping::Secret;
-use dunelink::{GossipView, Snapshot};
+use dunelink::gossiping::{MemberId, Secret};
+use dunelink::{GossipView, Snapshot, side_name};
 
 /// How long a node may take to answer its operators.
 const ANSWER_WITHIN: Duration = Duration::from_secs(5);
@@ -25,6 +25,13 @@
     control: SocketAddr,
 }
 
+/// What operators ask of the fleet as a whole.
+#[derive(Subcommand)]
+pub(crate) enum FleetCommand {
+    /// What the fleet has decided, on which side of a cut a node is, and what it holds.
+    Status(Asked),
+}
+
 /// What operators do with the keys of gossip.
 #[derive(Subcommand)]
 pub(crate) enum Command {
@@ -123,3 +130,24 @@
     }
     text
 }
+
+/// How this node stands with what the fleet decides: a line of its own, and one for each member of the view.
+pub(crate) fn fleet(view: &GossipView) -> Option<String> {
+    let standing = view.fleet.as_ref()?;
+    let epoch = standing.view.as_ref().map(|view| format!("{}.{}", view.generation.round, view.epoch));
+    let mut text = format!(
+        "side={} epoch={} name_for={}ms chair={} part={:.3}\n",
+        side_name(standing.side),
+        epoch.as_deref().unwrap_or("none"),
+        standing.name_for / 1000,
+        standing.chair,
+        standing.part
+    );
+    for (name, instance) in standing.view.iter().flat_map(|view| &view.members) {
+        let known = view.members.iter().find(|member| MemberId::of(&member.name).0 == *name);
+        let elects = standing.view.as_ref().is_some_and(|view| view.electors.get(name) == Some(instance));
+        // Writing to a string can't fail.
+        let _ = writeln!(text, "{} elector={elects}", known.map_or("(this node)", |member| &member.name));
+    }
+    Some(text)
+}
--- a/crates/dunelinkd/src/main.rs
+++ b/crates/dunelinkd/src/main.rs
@@ -45,6 +45,9 @@
     Gossip(gossip::Command),
     /// The other nodes, as a running one sees them.
     Members(gossip::Asked),
+    /// The fleet as a whole.
+    #[command(subcommand)]
+    Fleet(gossip::FleetCommand),
     /// The servers that other nodes suspect, and who does, as a running node sees it.
     Suspicions(gossip::Asked),
     /// Try settings and policies on a model of clients, servers, lists and networks.
@@ -87,6 +90,7 @@
         Some(Command::Gossip(command)) => gossip::run(command),
         Some(Command::Members(asked)) => gossip::ask(&asked, "members"),
         Some(Command::Suspicions(asked)) => gossip::ask(&asked, "suspicions"),
+        Some(Command::Fleet(gossip::FleetCommand::Status(asked))) => gossip::ask(&asked, "fleet"),
         Some(Command::Lab(command)) => lab::start(&command),
         Some(Command::Demo(options)) => demo::run(&options),
     };
--- a/crates/gossip/src/gossip/hear.rs
+++ b/crates/gossip/src/gossip/hear.rs
@@ -154,7 +154,7 @@
             return;
         }
         let due = self.refuted_at == 0 || self.now.saturating_sub(self.refuted_at) >= REFUTE;
-        if accusation.number == self.own.statement.number && due {
+        if accusation.number >= self.own.statement.number && due {
             self.refuted_at = self.now;
             self.prober.own_health(false);
             let Statement { stance, suspicions, .. } = self.own.statement.clone();
@@ -192,6 +192,11 @@
             // A stranger's knock was answered before.
             Message::News | Message::Join | Message::Given { .. } => {}
             Message::Digest { from: first, to: last, known } => self.compare(from, first, last, &known),
+            Message::Carried(bytes) => {
+                let instance =
+                    self.members.all.get(&from).map_or(0, |member| member.signed.statement.instance);
+                self.out.push(Output::Carried(from, instance, bytes));
+            }
             Message::Want(ids) => self.give(from, ids),
             Message::Sums { from: first, to: last, salt, known } => {
                 self.compare_sums(from, (first, last), salt, known);
--- a/crates/gossip/src/gossip/mod.rs
+++ b/crates/gossip/src/gossip/mod.rs
@@ -22,7 +22,7 @@
 use crate::places::{Fleet, Places};
 use crate::probe::{Prober, Step};
 
-pub use types::{Figures, Input, MemberView, Note, Output, Settings, SuspicionView};
+pub use types::{CARRIED_MOST, Figures, Input, MemberView, Note, Output, Settings, SuspicionView};
 
 /// How often news are told while there are any.
 const ROUND: Micros = 100_000;
@@ -179,6 +179,11 @@
             Input::Packet(from, bytes) => self.packet(from, bytes),
             Input::Tick => {}
             Input::Sightings(seen) => self.saw(seen),
+            Input::Carry(to, bytes) => {
+                if bytes.len() <= CARRIED_MOST && self.knows_sums(to) {
+                    self.tell(to, Message::Carried(bytes), false, false);
+                }
+            }
             Input::Keys(ring, secret) => self.change_keys(ring, secret),
             Input::Leave { restarts } => self.leave(restarts),
         }
@@ -212,6 +217,17 @@
         self.members.all.iter().map(view).collect()
     }
 
+    /// This process, by its name and its random number.
+    pub fn process(&self) -> (MemberId, u64) {
+        (self.me, self.instance)
+    }
+
+    /// The other processes that are there.
+    pub fn there(&self) -> Vec<(MemberId, u64)> {
+        let alive = self.members.all.iter().filter(|(_, member)| member.standing == Standing::Alive);
+        alive.map(|(id, member)| (*id, member.signed.statement.instance)).collect()
+    }
+
     /// The servers that others suspect.
     pub fn suspicions(&self) -> Vec<SuspicionView> {
         let needed = evidence::needed(self.members.all.len() + 1);
@@ -362,8 +378,10 @@
             return;
         }
         self.sync_at = match self.eager {
-            0 => self.now + SYNC.0 / 2 + self.random.u64(..SYNC.0),
-            _ => self.now + SYNC.1 + self.random.u64(..SYNC.1),
+            // The last ones are found by asking several.
+            0 if now.saturating_sub(self.began) < LEARNS => now + SYNC.0 / 10 + self.random.u64(..SYNC.0 / 5),
+            0 => now + SYNC.0 / 2 + self.random.u64(..SYNC.0),
+            _ => now + SYNC.1 + self.random.u64(..SYNC.1),
         };
         let Some(to) = self.some_present(1).pop() else { return };
         self.sync_with(to);
--- a/crates/gossip/src/gossip/types.rs
+++ b/crates/gossip/src/gossip/types.rs
@@ -6,10 +6,13 @@
 
 use crate::Micros;
 use crate::evidence::Witness;
-use crate::keys::{KeyRing, Secret};
+use crate::keys::{KeyRing, MemberId, Secret};
 use crate::members::Standing;
 use crate::places::Fleet;
 
+/// Bytes that can be carried in one packet.
+pub const CARRIED_MOST: usize = 1000;
+
 /// What a node is told once.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -41,6 +44,8 @@
     Tick,
     /// What this node has seen of servers lately, by itself: all of it.
     Sightings(Vec<Sighting>),
+    /// Bytes for a member's process that are none of gossip's business, at most [`CARRIED_MOST`].
+    Carry(MemberId, Vec<u8>),
     /// Other keys count from now on.
     Keys(KeyRing, Secret),
     /// This node goes, for a moment or for good.
@@ -59,6 +64,8 @@
     Doubts(Vec<Doubt>),
     /// The number of nodes or this node's place has changed.
     Fleet(Fleet),
+    /// Bytes that a member's process, told by its instance, had carried here.
+    Carried(MemberId, u64, Vec<u8>),
     /// Something for the log, never more than one of a kind in a minute for each member.
     Note(Note),
 }
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -28,7 +28,7 @@
 
 pub use cherryusher::{Doubt, Sighting};
 pub use evidence::{Witness, bound, needed};
-pub use gossip::{Figures, Gossip, Input, MemberView, Note, Output, Settings, SuspicionView};
+pub use gossip::{CARRIED_MOST, Figures, Gossip, Input, MemberView, Note, Output, Settings, SuspicionView};
 pub use keys::{KeyError, KeyRing, MemberId, Secret};
 pub use members::Standing;
 pub use packet::{PACKET_MOST, Unreadable, VERSION, parse};
--- a/crates/gossip/src/members.rs
+++ b/crates/gossip/src/members.rs
@@ -153,7 +153,8 @@
     /// Somebody says that a member, as of this statement, does not answer. Whether that is new.
     pub(crate) fn accuse(&mut self, now: Micros, accused: MemberId, number: u64, accuser: MemberId) -> bool {
         let Some(member) = self.all.get_mut(&accused) else { return false };
-        if number != member.signed.statement.number || accused == accuser {
+        // Who accuses may know a newer statement than this node; an older one has been answered.
+        if number < member.signed.statement.number || accused == accuser {
             return false;
         }
         if member.standing == Standing::Alive {
--- a/crates/gossip/src/packet.rs
+++ b/crates/gossip/src/packet.rs
@@ -93,6 +93,8 @@
     Sums { from: MemberId, to: MemberId, salt: u64, known: Vec<u16> },
     /// Statements that were asked for, and whether there are more. They are no news, and not passed on as such.
     Given { more: bool },
+    /// Something that gossip hands on without reading it.
+    Carried(Vec<u8>),
 }
 
 /// Whether a member means to stay.
--- a/crates/gossip/src/sim.rs
+++ b/crates/gossip/src/sim.rs
@@ -239,6 +239,7 @@
                 Output::Doubts(doubts) => {
                     self.nodes[node].doubts = doubts.into_iter().map(|d| (d.server, d.doubt)).collect();
                 }
+                Output::Carried(..) => {}
                 Output::Fleet(fleet) => self.nodes[node].fleet = Some(fleet),
                 Output::Note(note) => self.nodes[node].notes.push((self.now, note)),
             }
--- /dev/null
+++ b/crates/view/src/council.rs
@@ -0,0 +1,379 @@
+//! One node's part in what the fleet decides: who is asked when, and what is made of the answers. It plugs the register,
+//! the leases and the sides together, on one rhythm.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::Micros;
+use crate::lease::{Answer, Ask, Bounds, Grantor, Holder, Resource};
+use crate::parts::Parts;
+use crate::process::{Electors, Name, Names, Process};
+use crate::register::{Ballot, Message, Register};
+use crate::side::{Side, Sides};
+use crate::view::{Change, View};
+
+/// The resource that lets an elector propose: it spares duels, nothing rests on it.
+const CHAIR: Resource = 0;
+/// Beats in a lease.
+const BEATS: u64 = 4;
+/// Changes that wait for the chair at most.
+const WANTED_MOST: usize = 64;
+
+/// What nodes say to each other of all this.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Wire {
+    /// Of views.
+    Register(Message),
+    /// Of leases.
+    Ask(Ask),
+    /// The answer.
+    Answer(Answer),
+    /// Which view its author knows, as a sign of life; who knows a newer one tells it.
+    Hello(Ballot, u64),
+    /// The same, as an answer.
+    Here(Ballot, u64),
+    /// Something that its author wants decided.
+    Want(Change),
+}
+
+/// What a node is told once.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Its process.
+    pub me: Process,
+    /// The electors' names, the same at all nodes.
+    pub names: Names,
+    /// Leases and clocks.
+    pub bounds: Bounds,
+    /// How many nodes there are meant to be.
+    pub nodes: usize,
+    /// For random waits.
+    pub seed: u64,
+}
+
+/// What happened.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// Time has passed.
+    Tick,
+    /// A process said something, and it was that process.
+    Heard(Process, Wire),
+    /// The other processes that are there, as far as this node knows by itself.
+    There(Vec<Process>),
+    /// An operator wants something decided.
+    Want(Change),
+}
+
+/// What is to be done, or was found.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Say this to whoever bears a name.
+    Send(Name, Wire),
+    /// A view is decided.
+    Decided(View),
+    /// This node is on another side of a cut than before.
+    Side(Side),
+    /// This node holds its name, or no longer does.
+    Name(bool),
+    /// This node is the one that proposes, or no longer is.
+    Chair(bool),
+    /// What part of the fleet's limits this node takes from now on.
+    Part(f64),
+}
+
+/// How a node stands with the rest of the fleet.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Standing {
+    /// The newest view that it knows.
+    pub view: Option<View>,
+    /// Its side.
+    pub side: Side,
+    /// For how long it still holds its name; 0 if it does not.
+    pub name_for: Micros,
+    /// Whether it proposes.
+    pub chair: bool,
+    /// What part of the fleet's limits it takes.
+    pub part: f64,
+}
+
+/// One node's part.
+pub struct Council {
+    settings: Settings,
+    register: Register,
+    grantor: Option<Grantor>,
+    name: Holder,
+    chair: Holder,
+    sides: Sides,
+    parts: Parts,
+    there: BTreeMap<Process, Micros>,
+    wanted: Vec<Change>,
+    began: Micros,
+    beat_at: Micros,
+    /// Until when a ballot that is under way is left alone, and the chair is left to another.
+    patient: Micros,
+    shy: Micros,
+    side: Side,
+    holds_name: bool,
+    holds_chair: bool,
+    part: f64,
+    dice: u64,
+}
+
+/// The resource that a name is.
+fn resource(name: Name) -> Resource {
+    name | 1 << 63
+}
+
+impl Council {
+    /// A process that starts now.
+    pub fn new(settings: Settings, now: Micros) -> Council {
+        let Settings { me, names, bounds, nodes, seed } = settings.clone();
+        let silence = bounds.lease;
+        Council {
+            register: Register::new(me, names.clone()),
+            grantor: names.contains(me.name).then(|| Grantor::new(bounds, now)),
+            name: Holder::new(bounds, names.clone(), resource(me.name)),
+            chair: Holder::new(bounds, names.clone(), CHAIR),
+            sides: Sides::new(me.name, names, silence),
+            parts: Parts::new(nodes),
+            there: BTreeMap::new(),
+            wanted: Vec::new(),
+            began: now,
+            beat_at: now,
+            patient: 0,
+            shy: 0,
+            side: Side::Alone,
+            holds_name: false,
+            holds_chair: false,
+            part: 0.0,
+            dice: seed | 1,
+            settings,
+        }
+    }
+
+    fn beat(&self) -> Micros {
+        self.settings.bounds.lease / BEATS
+    }
+
+    /// A number below `most` (xorshift, Marsaglia, 2003).
+    fn random(&mut self, most: u64) -> u64 {
+        self.dice ^= self.dice << 13;
+        self.dice ^= self.dice >> 7;
+        self.dice ^= self.dice << 17;
+        self.dice % most.max(1)
+    }
+
+    /// When it wants to be looked at next.
+    pub fn next(&self, now: Micros) -> Micros {
+        let over = [&self.name, &self.chair].map(Holder::until).into_iter().filter(|until| *until > now);
+        over.fold(self.beat_at, Micros::min)
+    }
+
+    /// Takes in what happened, and appends what is to be done. What this node no longer holds comes first.
+    pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
+        self.look(now, out);
+        match input {
+            Input::Tick => {}
+            Input::Heard(from, wire) => self.hear(now, from, wire, out),
+            Input::There(others) => {
+                others.iter().chain([&self.settings.me]).for_each(|process| self.register.runs(*process));
+                let seen = |process: Process| (process, now);
+                self.there.extend(others.into_iter().map(seen));
+                let kept = self.settings.bounds.kept();
+                self.there.retain(|_, at| now.saturating_sub(*at) <= 2 * kept);
+            }
+            Input::Want(change) => self.want(change, out),
+        }
+        if now >= self.beat_at {
+            self.beat_at = now + self.beat() + self.random(self.beat() / 4);
+            self.work(now, out);
+        }
+        self.look(now, out);
+    }
+
+    /// How it stands.
+    pub fn standing(&self, now: Micros) -> Standing {
+        Standing {
+            view: self.register.view().cloned(),
+            side: self.sides.side(now),
+            name_for: self.name.until().saturating_sub(now),
+            chair: self.chair.holds(now),
+            part: self.part,
+        }
+    }
+
+    /// Whether this node holds its name now.
+    pub fn holds_name(&self, now: Micros) -> bool {
+        self.name.holds(now)
+    }
+
+    /// Finds what has changed with time alone.
+    fn look(&mut self, now: Micros, out: &mut Vec<Output>) {
+        let (name, chair) = (self.name.holds(now), self.chair.holds(now));
+        if std::mem::replace(&mut self.holds_name, name) != name {
+            out.push(Output::Name(name));
+        }
+        if std::mem::replace(&mut self.holds_chair, chair) != chair {
+            out.push(Output::Chair(chair));
+        }
+        let side = self.sides.side(now);
+        if std::mem::replace(&mut self.side, side) != side {
+            out.push(Output::Side(side));
+        }
+        let part = self.parts.update(now, self.members_with(name), self.settings.nodes);
+        if std::mem::replace(&mut self.part, part) != part {
+            out.push(Output::Part(part));
+        }
+    }
+
+    /// How many members share the work, if this process is one that may take a whole part.
+    fn members_with(&self, name: bool) -> Option<usize> {
+        let view = self.register.view().filter(|view| name && !self.register.is_over(view))?;
+        let me = self.settings.me;
+        (view.members.get(&me.name) == Some(&me.instance)).then_some(view.members.len())
+    }
+
+    fn known(&self) -> (Ballot, u64) {
+        self.register.view().map_or_else(Default::default, |view| (view.generation, view.epoch))
+    }
+
+    fn to_electors(&self, wire: &Wire, out: &mut Vec<Output>) {
+        out.extend(self.settings.names.iter().map(|name| Output::Send(name, wire.clone())));
+    }
+
+    fn say(messages: Vec<(Name, Message)>, out: &mut Vec<Output>) {
+        out.extend(messages.into_iter().map(|(to, message)| Output::Send(to, Wire::Register(message))));
+    }
+
+    fn hear(&mut self, now: Micros, from: Process, wire: Wire, out: &mut Vec<Output>) {
+        let answers = matches!(wire, Wire::Answer(_) | Wire::Here(..) | Wire::Register(_));
+        // Only an answer shows that the way is open in both directions.
+        if answers {
+            self.sides.heard(now, from.name);
+        }
+        match wire {
+            Wire::Register(message) => {
+                let mut say = Vec::new();
+                let decided = self.register.hear(from, message, &mut say);
+                Council::say(say, out);
+                if let Some(view) = decided {
+                    // All others hear it from who is asked, or ask for it.
+                    self.wanted.retain(|change| !is_done(change, &view));
+                    self.patient = now;
+                    out.push(Output::Decided(view));
+                }
+            }
+            Wire::Ask(ask) => {
+                if let Some(grantor) = &mut self.grantor {
+                    let answer = grantor.hear(now, from, ask);
+                    out.push(Output::Send(from.name, Wire::Answer(answer)));
+                }
+            }
+            Wire::Answer(answer) => {
+                self.name.hear(from, answer);
+                self.chair.hear(from, answer);
+                if answer.resource == CHAIR && !answer.granted && !self.chair.holds(now) {
+                    self.shy = now + self.beat() + self.random(2 * self.beat());
+                }
+            }
+            Wire::Hello(generation, epoch) => {
+                let (known, at) = self.known();
+                out.push(Output::Send(from.name, Wire::Here(known, at)));
+                let Some(view) = self.register.view() else { return };
+                let older = if generation == known { epoch < at } else { !self.register.is_over(view) };
+                if older {
+                    let told = Message::Decided(self.register.ballot(), view.clone());
+                    out.push(Output::Send(from.name, Wire::Register(told)));
+                }
+            }
+            Wire::Here(..) => {}
+            Wire::Want(change) => self.want(change, out),
+        }
+    }
+
+    /// Kept until it is decided; the chair proposes it.
+    fn want(&mut self, change: Change, out: &mut Vec<Output>) {
+        if self.wanted.len() >= WANTED_MOST || self.wanted.contains(&change) {
+            return;
+        }
+        self.wanted.push(change.clone());
+        self.to_electors(&Wire::Want(change), out);
+    }
+
+    fn work(&mut self, now: Micros, out: &mut Vec<Output>) {
+        let (generation, epoch) = self.known();
+        self.to_electors(&Wire::Hello(generation, epoch), out);
+        let ask = self.name.ask(now);
+        self.to_electors(&Wire::Ask(ask), out);
+        let Some(grantor) = &self.grantor else { return };
+        if grantor.grants(now) {
+            self.register.waited();
+        }
+        if now >= self.shy {
+            let ask = self.chair.ask(now);
+            self.to_electors(&Wire::Ask(ask), out);
+        }
+        if self.chair.holds(now) && now >= self.patient {
+            self.propose(now, out);
+        }
+    }
+
+    /// What the chair has to have decided: first that all which are there are members, then what others want.
+    fn propose(&mut self, now: Micros, out: &mut Vec<Output>) {
+        // What can decide nothing any more is passed over, and founded anew.
+        let change = match self.register.view().filter(|view| !self.register.is_over(view)) {
+            None => None,
+            Some(view) => {
+                match self.membership(now, &view.members).or_else(|| self.wanted.first().cloned()) {
+                    Some(change) => Some(change),
+                    None => return,
+                }
+            }
+        };
+        self.patient = now + 2 * self.beat();
+        let mut say = Vec::new();
+        self.register.propose(change, &mut say);
+        Council::say(say, out);
+    }
+
+    fn membership(&self, now: Micros, members: &Electors) -> Option<Change> {
+        let bounds = self.settings.bounds;
+        let lately = |at: &Micros| now.saturating_sub(*at) <= self.beat();
+        let there = self.there.iter().filter(|(_, at)| lately(at)).map(|(process, _)| *process);
+        let me = self.settings.me;
+        let mut there = there.chain([me]).filter(|p| members.get(&p.name) != Some(&p.instance));
+        if let Some(new) = there.next() {
+            // One of its name before it may hold that still: it is let in once that is over, or this one says so.
+            let old = members.get(&new.name).map(|instance| Process { name: new.name, instance: *instance });
+            let over = old.is_none_or(|old| self.gone(now, old) >= bounds.lease);
+            if over {
+                return Some(Change::Admit(new));
+            }
+        }
+        // Its lease is over on everyone's clock.
+        let gone = |(name, instance): (&Name, &u64)| {
+            let process = Process { name: *name, instance: *instance };
+            (process != me && self.gone(now, process) > bounds.kept()).then_some(process)
+        };
+        members.iter().find_map(gone).map(Change::Remove)
+    }
+
+    /// For how long a process was not there, as far as this one can know. Who still has its name from this elector is.
+    fn gone(&self, now: Micros, process: Process) -> Micros {
+        let held = self.grantor.as_ref().and_then(|grantor| grantor.holder(now, resource(process.name)));
+        match held == Some(process) {
+            true => 0,
+            false => now.saturating_sub(self.there.get(&process).copied().unwrap_or(self.began)),
+        }
+    }
+}
+
+fn is_done(change: &Change, view: &View) -> bool {
+    match change {
+        Change::Admit(p) => view.members.get(&p.name) == Some(&p.instance),
+        Change::Remove(p) => view.members.get(&p.name) != Some(&p.instance),
+        Change::Set(key, value) => view.facts.get(key) == Some(value),
+        Change::Clear(key) => !view.facts.contains_key(key),
+    }
+}
--- a/crates/view/src/lib.rs
+++ b/crates/view/src/lib.rs
@@ -11,20 +11,26 @@
 //!   consensus, Ongaro, 2014).
 //! - `lease`: who holds what, until when, on whose clock (Gray and Cheriton, 1989, from a majority).
 //! - `side`: on which side of a cut a node is.
+//! - `parts`: what part of the fleet's limits a node takes by its lease.
+//! - `council`: all of these on one rhythm, as a node runs them.
 //!
 //! `docs/view-design.md` has the options weighed and what is proven of them.
 
+mod council;
 mod lease;
+mod parts;
 mod process;
 mod register;
 mod side;
 mod view;
 
+pub use council::{Council, Input, Output, Settings, Standing, Wire};
 pub use lease::{Answer, Ask, Bounds, Grantor, Holder, Resource};
+pub use parts::{FLOOR, MOST, Parts};
 pub use process::{Electors, Instance, Name, Names, Process};
 pub use register::{Accepted, Ballot, Message, Register};
 pub use side::{Side, Sides};
-pub use view::{Change, Generation, View};
+pub use view::{Change, Generation, MEMBERS_MOST, View};
 
 /// A point in time, or a span of it, in microseconds.
 pub type Micros = u64;
--- a/crates/view/src/process.rs
+++ b/crates/view/src/process.rs
@@ -46,6 +46,14 @@
         self.0.len() / 2 + 1
     }
 
+    /// Whether electors can decide nothing any more: so many of their names are known to be borne by other processes, or
+    /// by none of them, that what is left is no majority.
+    pub fn are_gone<'a>(&self, electors: &Electors, running: impl IntoIterator<Item = &'a Process>) -> bool {
+        let other = |p: &&Process| self.contains(p.name) && electors.get(&p.name) != Some(&p.instance);
+        let names: BTreeSet<Name> = running.into_iter().filter(other).map(|process| process.name).collect();
+        self.0.len() - names.len() < self.majority()
+    }
+
     /// Whether those that voted are a majority of names, counting only processes that are electors.
     pub fn decide<'a>(&self, electors: &Electors, voted: impl IntoIterator<Item = &'a Process>) -> bool {
         let counts = |p: &&Process| self.contains(p.name) && electors.get(&p.name) == Some(&p.instance);
--- a/crates/view/src/register.rs
+++ b/crates/view/src/register.rs
@@ -4,17 +4,19 @@
 //!
 //! *Restarts from nothing.* Votes are counted by process, not by name. One that starts is no elector until a view that
 //! the others have decided says so; what its name has promised before is never counted again, so that nobody votes
-//! twice for having forgotten. Where electors differ between a view and the one it follows from, a majority of both has
+//! twice for having forgotten; and it has to accept that view itself, so that nobody is counted on who does not know
+//! it. Where electors differ between a view and the one it follows from, a majority of both has
 //! to accept it, and as long as it is not known to be decided, a majority of both has to promise.
 //!
 //! *Founding.* Only processes that know of no view and have run for longer than any lease lasts may found one, as a
-//! majority of the names. A majority of the names that has forgotten leaves an older generation without one, for good.
+//! majority of the names; all that found it have to accept it. A majority of names borne by other processes leaves an
+//! older generation without one, for good: it is passed over then, and whoever held it takes the new one.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
-use crate::process::{Electors, Names, Process};
+use crate::process::{Electors, Instance, Name, Names, Process};
 use crate::view::{Change, View};
 
 /// Orders proposals; of two of one round, by who made them.
@@ -78,6 +80,10 @@
     promised: Ballot,
     accepted: Option<Accepted>,
     decided: Option<View>,
+    /// In which ballot that was.
+    ballot: Ballot,
+    /// Which process bears a name now, as far as is known.
+    running: BTreeMap<Name, Instance>,
     proposal: Option<Proposal>,
 }
 
@@ -85,7 +91,17 @@
     /// A process that starts and knows nothing.
     pub fn new(me: Process, names: Names) -> Register {
         let promised = Ballot::default();
-        Register { me, names, waited: false, promised, accepted: None, decided: None, proposal: None }
+        Register {
+            me,
+            names,
+            waited: false,
+            promised,
+            accepted: None,
+            decided: None,
+            ballot: promised,
+            running: BTreeMap::new(),
+            proposal: None,
+        }
     }
 
     /// This process has run for longer than any lease lasts: it may found a view.
@@ -93,11 +109,31 @@
         self.waited = true;
     }
 
+    /// This process bears its name now: there was none of that name later.
+    pub fn runs(&mut self, process: Process) {
+        if self.names.contains(process.name) {
+            self.running.insert(process.name, process.instance);
+        }
+    }
+
+    /// Whether a generation can decide nothing any more, by the processes that are known to run.
+    pub fn is_over(&self, view: &View) -> bool {
+        let running =
+            self.running.iter().map(|(name, instance)| Process { name: *name, instance: *instance });
+        let running: Vec<Process> = running.collect();
+        self.names.are_gone(&view.electors, &running)
+    }
+
     /// The newest view that it knows to be decided.
     pub fn view(&self) -> Option<&View> {
         self.decided.as_ref()
     }
 
+    /// The ballot in which it has accepted, or learned, the view that it holds.
+    pub fn ballot(&self) -> Ballot {
+        self.ballot
+    }
+
     /// Whether it has a ballot under way.
     pub fn proposes(&self) -> bool {
         self.proposal.is_some()
@@ -167,9 +203,10 @@
         };
         let Phase::Preparing(promises) = &mut proposal.phase else { return };
         promises.insert(from, accepted);
-        let newest = promises.values().flatten().max_by_key(|accepted| accepted.ballot);
+        let lives = |known: &&Accepted| !self.names.are_gone(&known.view.electors, promises.keys());
+        let newest = promises.values().flatten().filter(lives).max_by_key(|accepted| accepted.ballot);
         let Some(newest) = newest else {
-            // Nobody knows a view.
+            // Nobody knows a view that could still decide.
             let electors: Electors = promises.keys().map(|p| (p.name, p.instance)).collect();
             if self.names.decide(&electors, promises.keys()) {
                 let view = View::found(ballot, electors);
@@ -184,10 +221,8 @@
         if !by_own || !by_before {
             return;
         }
-        // What may have been decided is first decided for good.
-        let change = proposal.change.as_ref().filter(|_| decided);
         let is_elector = |change: &Change| matches!(change, Change::Admit(p) if self.names.contains(p.name));
-        let next = change.and_then(|change| view.next(change, is_elector(change)));
+        let next = proposal.change.as_ref().and_then(|change| view.next(change, is_elector(change)));
         let view = next.unwrap_or_else(|| view.clone());
         self.accepting(view, out);
     }
@@ -203,8 +238,8 @@
         let proposal = self.proposal.as_mut().filter(|proposal| proposal.ballot == ballot)?;
         let Phase::Accepting { view, votes } = &mut proposal.phase else { return None };
         votes.insert(from);
-        let decided = self.names.decide(&view.electors, &*votes) && self.names.decide(&view.before, &*votes);
-        if !decided {
+        let by_all = self.names.decide(&view.electors, &*votes) && self.names.decide(&view.before, &*votes);
+        if !by_all || !view.newcomers().all(|process| votes.contains(&process)) {
             return None;
         }
         let view = view.clone();
@@ -224,14 +259,16 @@
             }
             _ => {}
         }
-        let known = self.decided.as_ref();
-        let new = known.is_none_or(|known| known.generation != view.generation || known.epoch < view.epoch);
-        // A generation that was founded later is a later one at whoever hears of it: the older can decide no more.
-        let later = known.is_none_or(|known| known.generation <= view.generation);
-        if !new || !later {
+        let later = match &self.decided {
+            None => true,
+            Some(known) if known.generation == view.generation => known.epoch < view.epoch,
+            Some(known) => self.is_over(known) && !self.is_over(&view),
+        };
+        if !later {
             return None;
         }
         self.decided = Some(view.clone());
+        self.ballot = ballot;
         Some(view)
     }
 }
--- a/crates/view/src/view.rs
+++ b/crates/view/src/view.rs
@@ -7,12 +7,10 @@
 use crate::process::{Electors, Process};
 use crate::register::Ballot;
 
-/// Facts that a view holds at most, and the bytes of a key and a value.
+/// Bytes of all facts of a view: with its members it has to fit one packet.
 const FACTS_MOST: usize = 256;
-const KEY_MOST: usize = 64;
-const VALUE_MOST: usize = 256;
 /// Members that a view holds at most.
-const MEMBERS_MOST: usize = 4096;
+pub const MEMBERS_MOST: usize = 16;
 
 /// Views that follow from one founding. There is a second founding only once a majority of the first one's electors
 /// is gone for good, so that it can decide nothing any more.
@@ -62,6 +60,13 @@
         }
     }
 
+    /// Who has to accept it in any case, besides a majority: whoever votes for the first time. Who is counted on knows it.
+    pub(crate) fn newcomers(&self) -> impl Iterator<Item = Process> + '_ {
+        let new =
+            |(name, instance): &(&u64, &u64)| self.epoch == 1 || self.before.get(name) != Some(instance);
+        self.electors.iter().filter(new).map(|(name, instance)| Process { name: *name, instance: *instance })
+    }
+
     /// The view that follows by a change; nothing if it changes nothing, or there is no room for it.
     pub fn next(&self, change: &Change, is_elector: bool) -> Option<View> {
         let mut next = self.clone();
@@ -76,13 +81,13 @@
                 next.members.remove(&process.name);
             }
             Change::Remove(_) => {}
-            Change::Set(key, value) if key.len() <= KEY_MOST && value.len() <= VALUE_MOST => {
+            Change::Set(key, value) => {
                 next.facts.insert(key.clone(), value.clone());
             }
-            Change::Set(..) => {}
             Change::Clear(key) => drop(next.facts.remove(key)),
         }
-        let fits = next.facts.len() <= FACTS_MOST && next.members.len() <= MEMBERS_MOST;
+        let facts: usize = next.facts.iter().map(|(key, value)| key.len() + value.len() + 2).sum();
+        let fits = facts <= FACTS_MOST && next.members.len() <= MEMBERS_MOST;
         if !fits || next == *self {
             return None;
         }
--- a/crates/view/tests/views.rs
+++ b/crates/view/tests/views.rs
@@ -22,6 +22,8 @@
     TakenForDecided,
     /// A change of electors asks the new ones alone.
     NotJoint,
+    /// A process that is admitted counts as if it had accepted that.
+    UnknownToNewcomer,
     /// One node is configured with other names than the rest.
     OtherNames,
 }
@@ -197,11 +199,26 @@
                 let me = process(&next, at);
                 let message = next.asks[at].clone()?;
                 let mut answers = Vec::new();
+                // Whom it reaches, it knows.
+                for other in (0..NAMES.len()).filter(|other| some & 1 << other != 0) {
+                    let runs = process(&next, other);
+                    next.processes[at].runs(runs);
+                }
                 for other in (0..NAMES.len()).filter(|other| some & 1 << other != 0) {
                     let said = self.deliver(&mut next, me, message.clone(), other);
                     let from = process(&next, other);
                     answers.extend(said.into_iter().map(|answer| (from, answer)));
                 }
+                if let (Mistake::UnknownToNewcomer, Message::Accept(ballot, view)) = (self.mistake, &message)
+                {
+                    let new = view
+                        .electors
+                        .iter()
+                        .filter(|(name, instance)| view.before.get(name) != Some(instance));
+                    let process =
+                        |(name, instance): (&Name, &u64)| Process { name: *name, instance: *instance };
+                    answers.extend(new.map(process).map(|process| (process, Message::Accepts(*ballot))));
+                }
                 for (from, answer) in answers {
                     self.deliver(&mut next, from, answer, at);
                 }
@@ -345,6 +362,7 @@
         Mistake::AcceptedNotTold,
         Mistake::TakenForDecided,
         Mistake::NotJoint,
+        Mistake::UnknownToNewcomer,
         Mistake::OtherNames,
     ] {
         let found = by_dice(mistake, 0..40_000, 60);
