--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -7,6 +7,7 @@
 mod bodies;
 mod children;
 mod cost;
+mod fleet;
 mod gossip;
 mod load;
 mod memory;
@@ -36,6 +37,8 @@
     Bodies(bodies::Options),
     /// Gossip among up to a thousand nodes in memory: how long until all know, how often wrongly, at what cost.
     Gossip(gossip::Options),
+    /// Time lines of faults on real processes, under load: rules, agreement, parts; a table and a plot.
+    Fleet(fleet::Options),
     /// A proxy to stand beside; it prints its address.
     #[command(hide = true)]
     Peer(load::Peer),
@@ -60,6 +63,7 @@
         Command::Memory(options) => memory::run(&options),
         Command::Bodies(options) => bodies::run(&options),
         Command::Gossip(options) => gossip::run_all(&options),
+        Command::Fleet(options) => fleet::run(&options),
         Command::Peer(peer) => load::peer(&peer),
         Command::Generate(options) => load::generate(&options),
         Command::Stand => load::stand(),
--- a/crates/testkit/src/rig/mod.rs
+++ b/crates/testkit/src/rig/mod.rs
@@ -30,6 +30,8 @@
 
 /// Nothing that is waited for takes this long; only a failing test sees it.
 const WITHIN: Duration = Duration::from_secs(30);
+/// How long a node may take to answer its operators; one that stands still does not.
+const ASK_WITHIN: Duration = Duration::from_millis(1000);
 /// Between the last request to a node that ends and its SIGTERM: what was written by then has come.
 const SETTLE: Duration = Duration::from_millis(30);
 
@@ -78,6 +80,17 @@
     Some(Listed { zone: zone.to_owned(), cell, ready: true, started_ms: 0 })
 }
 
+/// What a node tells its operators at this door; nothing if it does not answer with 200.
+pub fn ask(door: SocketAddr, what: &str) -> Option<String> {
+    let mut stream = TcpStream::connect_timeout(&door, ASK_WITHIN).ok()?;
+    stream.set_read_timeout(Some(ASK_WITHIN)).ok()?;
+    write!(stream, "GET /admin/{what} HTTP/1.1\r\nHost: n\r\nConnection: close\r\n\r\n").ok()?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).ok()?;
+    let (head, body) = answer.split_once("\r\n\r\n")?;
+    (head.split(' ').nth(1) == Some("200")).then(|| body.to_owned())
+}
+
 struct Process {
     child: Option<Child>,
     open: Open,
@@ -307,13 +320,7 @@
 
     /// What a node tells its operators; nothing if it does not answer with 200.
     pub fn ask(&self, node: usize, what: &str) -> Option<String> {
-        let mut stream = TcpStream::connect(self.door(node)).ok()?;
-        stream.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
-        write!(stream, "GET /admin/{what} HTTP/1.1\r\nHost: n\r\nConnection: close\r\n\r\n").ok()?;
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).ok()?;
-        let (head, body) = answer.split_once("\r\n\r\n")?;
-        (head.split(' ').nth(1) == Some("200")).then(|| body.to_owned())
+        ask(self.door(node), what)
     }
 
     /// How many others a node holds to be there.
--- a/crates/view/src/council.rs
+++ b/crates/view/src/council.rs
@@ -253,6 +253,9 @@
             self.sides.heard(now, from.name);
         }
         match wire {
+            // Views are the electors' alone, and who is a member is not for others to say.
+            Wire::Register(_) if !self.settings.names.contains(from.name) => {}
+            Wire::Want(Change::Admit(_) | Change::Remove(_)) => {}
             Wire::Register(message) => {
                 let mut say = Vec::new();
                 let decided = self.register.hear(from, message, &mut say);
