--- a/crates/view/tests/council.rs
+++ b/crates/view/tests/council.rs
@@ -72,7 +72,7 @@
             for at in 0..NAMES.len() {
                 let process =
                     |other: usize| Process { name: NAMES[other], instance: seed * 31 + NAMES[other] };
-                if self.now % 200_000 == 0 {
+                if self.now.is_multiple_of(200_000) {
                     let there = (0..NAMES.len()).filter(|other| !(self.cut)(*other, at) && *other != at);
                     self.tell(at, Input::There(there.map(process).collect()), seed);
                 } else {
