Gossip: who has just started knocks at seeds on, so that no islands are left for ten seconds

Read from the code, not traced: two knocks for three seeds, of which one may be the node itself, and none for 10 s once anybody is known. Three knocks again, and one every 1.5 to 3 s in the first 30 s.

--- a/crates/gossip/src/gossip/mod.rs
+++ b/crates/gossip/src/gossip/mod.rs
@@ -51,7 +51,7 @@
 /// Members that a node which is let in is told of, chosen at random: whom it asks on.
 const INTRODUCED: usize = 3;
 /// Seeds that are asked at once to be let in.
-const KNOCKS: usize = 2;
+const KNOCKS: usize = 3;
 /// The longest wait between two tries to join, while alone and later.
 const JOIN_MOST: (Micros, Micros) = (3_000_000, 10_000_000);
 /// A gap between two looks, in periods, that means that this process stood still.
@@ -351,7 +351,13 @@
     /// Knocks at the seeds while nobody is there, and now and then at those that were.
     fn join(&mut self) {
         let alone = self.members.present().next().is_none();
-        self.join_wait = if alone { (2 * self.join_wait).min(JOIN_MOST.0) } else { JOIN_MOST.1 };
+        // Some that started together may know each other and nobody else.
+        let new = self.now.saturating_sub(self.began) < LEARNS;
+        self.join_wait = match (alone, new) {
+            (true, _) => (2 * self.join_wait).min(JOIN_MOST.0),
+            (false, true) => JOIN_MOST.0,
+            (false, false) => JOIN_MOST.1,
+        };
         self.join_at = self.now + self.join_wait / 2 + self.random.u64(..self.join_wait / 2);
         let gone = |m: &Member| !matches!(m.standing, Standing::Alive | Standing::Suspect);
         let gone: Vec<MemberId> =
