Read again: names come from gossip's ring as it is, one guard for sources that send by themselves

The gossip thread read the ring file a second time at its start and kept that copy for names in the log, which a SIGHUP did not renew: gossip is asked for names. Whether a source is asked at all was worked out in the feed and again at the engine's end of it: the feed alone looks. A look at the name's lease that nobody used is gone.

--- a/crates/dunelink/src/feeding.rs
+++ b/crates/dunelink/src/feeding.rs
@@ -47,7 +47,6 @@
 /// An engine and its servers, as a roster feeds them.
 pub(crate) struct ToEngine {
     reader: Reader,
-    asked: bool,
     servers: Rc<Servers>,
     engine: Mailbox,
     /// Told when the module wants to be told of changes.
@@ -61,8 +60,7 @@
         engine: Mailbox,
         wanted: Rc<Notify>,
     ) -> ToEngine {
-        let asked = config.settings().discovery != cherryusher::Discovery::Pushed;
-        ToEngine { reader: Reader::new(config), asked, servers, engine, wanted }
+        ToEngine { reader: Reader::new(config), servers, engine, wanted }
     }
 }
 
@@ -82,11 +80,8 @@
         self.servers.heed(ready);
     }
 
-    /// One that sends by itself has its own way back.
     fn failed(&self) {
-        if self.asked {
-            self.engine.send(Happening::Module(Event::DiscoveryFailed));
-        }
+        self.engine.send(Happening::Module(Event::DiscoveryFailed));
     }
 
     fn wanted(&self) -> Pin<Box<dyn Future<Output = ()> + '_>> {
--- a/crates/dunelink/src/fleet/gossip.rs
+++ b/crates/dunelink/src/fleet/gossip.rs
@@ -8,7 +8,7 @@
 
 use cherryusher::{Event, ServerId, Sighting};
 use dunelink_gossip::{
-    Figures, Gossip, Input, KeyRing, MemberView, Micros, Note, Output, PACKET_MOST, Settings, SuspicionView,
+    Figures, Gossip, Input, MemberView, Micros, Note, Output, PACKET_MOST, Settings, SuspicionView,
 };
 use dunelink_view::Standing;
 use tokio::net::UdpSocket;
@@ -57,8 +57,6 @@
     socket: std::net::UdpSocket,
     gossip: Gossip,
     deciding: Option<Deciding>,
-    /// For the names that are logged.
-    ring: KeyRing,
     /// This node's place among all names.
     place: u32,
     engines: Vec<Mailbox>,
@@ -98,19 +96,9 @@
             .ok_or_else(|| ConfigError::whole("gossip.ring: expected this node's name and key"))?;
         let (asks, asked) = mpsc::channel(ASKS);
         let deciding = Deciding::new(config, gossip.process(), 0);
-        let (ring, _) = wanted.keys(&config.name)?;
         let place = config.fleet.rank;
-        let gossiper = Gossiper {
-            deciding,
-            ring,
-            place,
-            config: config.clone(),
-            socket,
-            gossip,
-            engines,
-            asks: asked,
-            began,
-        };
+        let gossiper =
+            Gossiper { deciding, place, config: config.clone(), socket, gossip, engines, asks: asked, began };
         Ok(Some((gossiper, asks)))
     }
 
@@ -173,9 +161,8 @@
     /// Does what gossip and the council want, to the last word that the one has for the other.
     fn settle(&mut self, out: &mut Vec<Output>, socket: &UdpSocket) {
         let now = self.now();
-        let Gossiper { deciding, gossip, ring, .. } = self;
-        let deeds =
-            deciding.as_mut().map_or(Vec::new(), |deciding| deciding.tick(now, || gossip.there(), ring));
+        let Gossiper { deciding, gossip, .. } = self;
+        let deeds = deciding.as_mut().map_or(Vec::new(), |deciding| deciding.tick(now, gossip));
         self.carry_out(deeds, out);
         while !out.is_empty() {
             for output in std::mem::take(out) {
@@ -183,9 +170,9 @@
                     self.act(output, socket);
                     continue;
                 };
-                let Gossiper { deciding, ring, .. } = self;
+                let Gossiper { deciding, gossip, .. } = self;
                 let Some(deciding) = deciding else { continue };
-                let deeds = deciding.hear(now, (*from, *instance), bytes, ring);
+                let deeds = deciding.hear(now, (*from, *instance), bytes, gossip);
                 self.carry_out(deeds, out);
             }
         }
--- a/crates/dunelink/src/fleet/view.rs
+++ b/crates/dunelink/src/fleet/view.rs
@@ -1,7 +1,7 @@
 //! What the fleet decides, as this node takes part in it: the council's clock, its words on gossip's packets, and what
 //! the engines and operators are told.
 
-use dunelink_gossip::{CARRIED_MOST, KeyRing, MemberId};
+use dunelink_gossip::{CARRIED_MOST, Gossip, MemberId};
 use dunelink_view::{
     Bounds, Council, Input, Micros, Names, Output, Process, Settings, Side, Standing, View, Wire,
 };
@@ -52,20 +52,15 @@
         self.council.standing(now)
     }
 
-    /// Time has passed; `there` are the processes that gossip holds to be there.
-    pub(super) fn tick(
-        &mut self,
-        now: Micros,
-        there: impl FnOnce() -> Vec<(MemberId, u64)>,
-        ring: &KeyRing,
-    ) -> Vec<Deed> {
+    /// Time has passed.
+    pub(super) fn tick(&mut self, now: Micros, gossip: &Gossip) -> Vec<Deed> {
         let mut inputs = vec![Input::Tick];
         if now.saturating_sub(self.heard_at) >= self.silence {
             self.heard_at = now;
-            let there = there().into_iter().map(|(id, instance)| Process { name: id.0, instance });
+            let there = gossip.there().into_iter().map(|(id, instance)| Process { name: id.0, instance });
             inputs.push(Input::There(there.collect()));
         }
-        self.work(now, inputs, ring)
+        self.work(now, inputs, gossip)
     }
 
     /// A process has said something; what can't be read says nothing.
@@ -74,14 +69,14 @@
         now: Micros,
         (from, instance): (MemberId, u64),
         bytes: &[u8],
-        ring: &KeyRing,
+        gossip: &Gossip,
     ) -> Vec<Deed> {
         let Ok(wires) = postcard::from_bytes::<Vec<Wire>>(bytes) else { return Vec::new() };
         let from = Process { name: from.0, instance };
-        self.work(now, wires.into_iter().map(|wire| Input::Heard(from, wire)).collect(), ring)
+        self.work(now, wires.into_iter().map(|wire| Input::Heard(from, wire)).collect(), gossip)
     }
 
-    fn work(&mut self, now: Micros, mut inputs: Vec<Input>, ring: &KeyRing) -> Vec<Deed> {
+    fn work(&mut self, now: Micros, mut inputs: Vec<Input>, gossip: &Gossip) -> Vec<Deed> {
         let (mut deeds, mut out) = (Vec::new(), Vec::new());
         let mut words: Vec<(u64, Vec<Wire>)> = Vec::new();
         while !inputs.is_empty() {
@@ -99,7 +94,7 @@
                         None => words.push((name, vec![wire])),
                     },
                     Output::Part(part) => deeds.push(Deed::Part(part)),
-                    Output::Decided(view) => deeds.push(Deed::Log(told(&view, ring))),
+                    Output::Decided(view) => deeds.push(Deed::Log(told(&view, gossip))),
                     Output::Side(side) => deeds.push(Deed::Log(format!("side={}", side_name(side)))),
                     Output::Name(held) => {
                         deeds.push(Deed::Log(format!("name held={held} {}", self.epoch(now))))
@@ -147,8 +142,8 @@
     }
 }
 
-fn told(view: &View, ring: &KeyRing) -> String {
-    let name = |name: &u64| ring.name(MemberId(*name)).unwrap_or("?").to_owned();
+fn told(view: &View, gossip: &Gossip) -> String {
+    let name = |name: &u64| gossip.name(MemberId(*name));
     let names = |of: &mut dyn Iterator<Item = &u64>| of.map(name).collect::<Vec<_>>().join(",");
     format!(
         "view decided epoch={}.{} members={} electors={}",
--- a/crates/dunelink/src/roster/mod.rs
+++ b/crates/dunelink/src/roster/mod.rs
@@ -123,7 +123,10 @@
 
     /// The source failed, for now. Where it is asked, the decision module says when to ask again.
     pub fn failed(&self) {
-        self.to.failed();
+        // One that sends by itself has its own way back.
+        if self.asked {
+            self.to.failed();
+        }
     }
 
     /// Whether the source sends nothing by itself and is asked when the decision module says so.
--- a/crates/gossip/src/gossip/mod.rs
+++ b/crates/gossip/src/gossip/mod.rs
@@ -240,7 +240,8 @@
         words.into_iter().map(view).collect()
     }
 
-    fn name(&self, id: MemberId) -> String {
+    /// A member's name, by the ring as it is now; empty for who is not in it.
+    pub fn name(&self, id: MemberId) -> String {
         self.ring.name(id).unwrap_or_default().to_owned()
     }
 
--- a/crates/view/src/council.rs
+++ b/crates/view/src/council.rs
@@ -203,11 +203,6 @@
         }
     }
 
-    /// Whether this node holds its name now.
-    pub fn holds_name(&self, now: Micros) -> bool {
-        self.name.holds(now)
-    }
-
     /// Finds what has changed with time alone.
     fn look(&mut self, now: Micros, out: &mut Vec<Output>) {
         let (name, chair) = (self.name.holds(now), self.chair.holds(now));
