--- a/crates/dunelink/src/attempt.rs
+++ b/crates/dunelink/src/attempt.rs
@@ -110,6 +110,7 @@
     /// One attempt, to its end.
     pub(crate) async fn attempt(self: &Rc<Self>, outgoing: &Outgoing, server: ServerId) -> Attempted {
         let begun = Cell::new(false);
+        self.tries(server);
         tokio::select! {
             biased;
             ended = self.send(outgoing, server, &begun) => ended,
--- a/crates/dunelink/src/config/gossip.rs
+++ b/crates/dunelink/src/config/gossip.rs
@@ -42,7 +42,7 @@
 /// assert_eq!((gossip.ceiling, gossip.address()), (16 * 1024, gossip.listen));
 /// # Ok::<(), Box<dyn std::error::Error>>(())
 /// ```
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Gossip {
     /// Where it listens, UDP.
@@ -72,6 +72,10 @@
     /// By how many millionths a clock may be fast or slow.
     #[serde(default = "drift")]
     pub drift: u32,
+    /// The part of the fleet, and of its zone, that has to be ready without a node which is worse off than the others, so
+    /// that it says that it is not ready. Without this no node ever does.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub step_aside: Option<f64>,
 }
 
 fn ceiling() -> u32 {
@@ -120,7 +124,11 @@
         names.dedup();
         want(names.len() == count, "electors", "expected each name once")?;
         want((LEASES.0..=LEASES.1).contains(&self.lease), "lease", "expected 1s to 60s")?;
-        want(self.drift <= DRIFT_MOST, "drift", "expected at most 10000 millionths")
+        want(self.drift <= DRIFT_MOST, "drift", "expected at most 10000 millionths")?;
+        let part = self.step_aside.is_none_or(|part| (0.0..=1.0).contains(&part));
+        want(part, "step_aside", "expected a part from 0 to 1")?;
+        let decided = self.step_aside.is_none() || count > 0;
+        want(decided, "step_aside", "expected electors: without them no node can be the only one")
     }
 
     /// Reads the keys that it names.
--- a/crates/dunelink/src/config/mod.rs
+++ b/crates/dunelink/src/config/mod.rs
@@ -61,6 +61,9 @@
     /// Where the daemon answers its operators. The library has no listener and passes it over.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub control: Option<SocketAddr>,
+    /// How the daemon writes its log. The library's events go to whoever subscribes to them.
+    #[serde(skip_serializing_if = "is_default")]
+    pub log: LogForm,
     /// For random numbers, hexadecimal; drawn from the clock and the name if absent.
     #[serde(skip_serializing_if = "Option::is_none", with = "text::hex")]
     pub seed: Option<u64>,
@@ -223,6 +226,17 @@
     Ok,
 }
 
+/// The form of a log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LogForm {
+    /// A line for people.
+    #[default]
+    Text,
+    /// A JSON object a line.
+    Json,
+}
+
 fn is_default<T: Default + PartialEq>(value: &T) -> bool {
     *value == T::default()
 }
@@ -233,6 +247,7 @@
             name: "dunelink".into(),
             listen: None,
             control: None,
+            log: LogForm::default(),
             seed: None,
             over_share_worth: 1.0,
             limits: Limits::default(),
--- a/crates/dunelink/src/config/platform.rs
+++ b/crates/dunelink/src/config/platform.rs
@@ -288,6 +288,7 @@
             name: self.name,
             listen: Some(self.listen),
             control: self.control,
+            log: super::LogForm::default(),
             seed: u64::from_str_radix(&self.seed, 16).ok(),
             over_share_worth: s.over_share_worth.unwrap_or(1.0),
             // A request has a connection of its own, so that descriptors bound requests too.
--- a/crates/dunelink/src/counts.rs
+++ b/crates/dunelink/src/counts.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
 
 /// How requests ended since the start. Each that was taken ends up in one of `served`, `refused`, `failed` and
 /// `left`.
@@ -121,6 +122,9 @@
     invalid: AtomicU64,
     /// Whether the list's source has told anything since the start.
     listed: AtomicBool,
+    /// Since when the source is not heard, in milliseconds from `began` on and one; 0 while it is.
+    list_lost: AtomicU64,
+    began: Instant,
 }
 
 fn one_more(count: &AtomicU64) {
@@ -149,12 +153,28 @@
             left: AtomicU64::default(),
             invalid: AtomicU64::default(),
             listed: AtomicBool::default(),
+            list_lost: AtomicU64::default(),
+            began: Instant::now(),
         }
     }
 
     /// The list's source has told something.
     pub(crate) fn heard_list(&self) {
         self.listed.store(true, Ordering::Release);
+        self.list_lost.store(0, Ordering::Relaxed);
+    }
+
+    /// The list's source is not heard any more.
+    pub(crate) fn lost_list(&self) {
+        let now = self.began.elapsed().as_millis() as u64 + 1;
+        let _ = self.list_lost.compare_exchange(0, now, Ordering::Relaxed, Ordering::Relaxed);
+    }
+
+    /// For how long the list's source has not been heard; nothing if it never was.
+    pub(crate) fn list_silent(&self) -> Option<Duration> {
+        let since = self.list_lost.load(Ordering::Relaxed);
+        let lost = || self.began.elapsed().saturating_sub(Duration::from_millis(since - 1));
+        self.has_list().then(|| if since == 0 { Duration::ZERO } else { lost() })
     }
 
     pub(crate) fn has_list(&self) -> bool {
--- a/crates/dunelink/src/engine.rs
+++ b/crates/dunelink/src/engine.rs
@@ -12,6 +12,7 @@
     Action, AttemptNo, Balancer, Ended, Event, Micros, Outcome, Request, RequestId, ServerId, Sighting,
     Upload,
 };
+use dunelink_reach::ZoneReach;
 use hyper::Response;
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::task::AbortHandle;
@@ -46,6 +47,8 @@
     Look(oneshot::Sender<Snapshot>),
     /// Other nodes are to be told what this one has seen of servers.
     Sight(oneshot::Sender<Vec<Sighting>>),
+    /// Other nodes are to be told how servers answer this one.
+    Reach(oneshot::Sender<Vec<ZoneReach>>),
     /// The process is out of descriptors.
     Evict,
     /// Nothing more will be taken: the engine ends when all is answered, or at this time.
@@ -267,6 +270,7 @@
             }
             Happening::Look(ask) => drop(ask.send(self.look())),
             Happening::Sight(ask) => drop(ask.send(self.balancer.sightings(self.now))),
+            Happening::Reach(ask) => drop(ask.send(self.servers.reach())),
             Happening::Evict => drop(self.servers.evict()),
             Happening::Shutdown(at) => self.ends = Some(self.ends.map_or(at, |before| before.min(at))),
             Happening::Ended(id, attempt, outcome, response) => {
--- a/crates/dunelink/src/feeding.rs
+++ b/crates/dunelink/src/feeding.rs
@@ -84,6 +84,10 @@
         self.engine.send(Happening::Module(Event::DiscoveryFailed));
     }
 
+    fn lost(&self) {
+        self.servers.tally.lost_list();
+    }
+
     fn wanted(&self) -> Pin<Box<dyn Future<Output = ()> + '_>> {
         Box::pin(self.wanted.notified())
     }
--- a/crates/dunelink/src/fleet/gossip.rs
+++ b/crates/dunelink/src/fleet/gossip.rs
@@ -1,27 +1,37 @@
 //! Gossip over UDP: a thread with the socket and the clock, round the state machine of `dunelink-gossip`. What it hears
 //! goes to the engines as events of the decision module, which alone decides what that does.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use cherryusher::{Event, ServerId, Sighting};
 use dunelink_gossip::{
-    Figures, Gossip, Input, MemberView, Micros, Note, Output, PACKET_MOST, Settings, SuspicionView,
+    Figures, Gossip, Input, MemberId, MemberView, Micros, Output, PACKET_MOST, Settings, SuspicionView,
 };
-use dunelink_view::Standing;
+use dunelink_reach::ZoneReach;
+use dunelink_view::{Evictions, Held, Name, Process};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until, timeout};
 
-use super::view::{Deciding, Deed};
+use super::deed::Deed;
+use super::events::Teller;
+use super::reach::Reaching;
+use super::status::{FleetView, status};
+use super::view::{Deciding, epoch_of};
+use super::words::{self, Words};
 use crate::config::{Config, ConfigError};
+use crate::counts::Tally;
 use crate::engine::{Happening, Mailbox};
 use crate::thread::on_thread;
 
 /// How often engines are asked what they have seen.
 const LOOK: Duration = Duration::from_millis(200);
+/// How often they are asked how servers answer.
+const REACH: Duration = Duration::from_secs(1);
 /// How long an engine is waited for; one that stands still has nothing to say.
 const LOOK_WITHIN: Duration = Duration::from_millis(100);
 /// Questions that may wait.
@@ -37,7 +47,7 @@
     /// What was counted since the start.
     pub figures: Figures,
     /// How this node stands with what the fleet decides, where the configuration names electors.
-    pub fleet: Option<Standing>,
+    pub fleet: Option<FleetView>,
 }
 
 /// What owners of the node want of it.
@@ -45,6 +55,9 @@
     Look(oneshot::Sender<GossipView>),
     /// The keys are to be read again.
     Keys(oneshot::Sender<Result<usize, ConfigError>>),
+    /// An operator wants a node put out for so many seconds, with a reason, or let in again. Told whether that can be
+    /// decided; that it is shows in a view.
+    Put(String, Option<(u64, String)>, oneshot::Sender<Result<(), String>>),
     /// The node goes; told once others have been told.
     Leave(oneshot::Sender<()>),
 }
@@ -57,6 +70,8 @@
     socket: std::net::UdpSocket,
     gossip: Gossip,
     deciding: Option<Deciding>,
+    reaching: Option<Reaching>,
+    reach_at: Instant,
     /// This node's place among all names.
     place: u32,
     engines: Vec<Mailbox>,
@@ -68,7 +83,8 @@
     /// Reads keys and takes the address; nothing if the configuration wants no gossip.
     pub(crate) fn new(
         config: &Config,
-        engines: Vec<Mailbox>,
+        (engines, tallies): (Vec<Mailbox>, Vec<Arc<Tally>>),
+        aside: Arc<AtomicBool>,
     ) -> Result<Option<(Gossiper, Asks)>, ConfigError> {
         let Some(wanted) = &config.gossip else { return Ok(None) };
         let (ring, secret) = wanted.keys(&config.name)?;
@@ -96,9 +112,20 @@
             .ok_or_else(|| ConfigError::whole("gossip.ring: expected this node's name and key"))?;
         let (asks, asked) = mpsc::channel(ASKS);
         let deciding = Deciding::new(config, gossip.process(), 0);
-        let place = config.fleet.rank;
-        let gossiper =
-            Gossiper { deciding, place, config: config.clone(), socket, gossip, engines, asks: asked, began };
+        let reaching =
+            deciding.as_ref().map(|deciding| Reaching::new(config, deciding.me(), tallies, aside, 0));
+        let gossiper = Gossiper {
+            deciding,
+            reaching,
+            reach_at: began,
+            place: config.fleet.rank,
+            config: config.clone(),
+            socket,
+            gossip,
+            engines,
+            asks: asked,
+            began,
+        };
         Ok(Some((gossiper, asks)))
     }
 
@@ -116,7 +143,7 @@
         on_thread("dunelink gossip".into(), move || async move {
             let name = self.config.name.clone();
             if let Err(error) = self.run().await {
-                eprintln!("dunelink: {name}: gossip has ended: {error}");
+                tracing::error!(target: "gossip", node = name, "gossip has ended: {error}");
             }
         })
     }
@@ -136,55 +163,109 @@
         loop {
             let now = self.now();
             let decides = self.deciding.as_ref().map_or(Micros::MAX, |deciding| deciding.next(now));
-            let next = self.began + Duration::from_micros(self.gossip.next().min(decides));
+            let reaches = self.reaching.as_ref().map_or(Micros::MAX, Reaching::next);
+            let next = self.gossip.next().min(decides).min(reaches.max(now + 1_000));
+            let next = self.began + Duration::from_micros(next);
             tokio::select! {
                 // An error is what came back of a packet that was sent: its member does not answer then.
                 received = socket.recv_from(&mut bytes) => if let Ok((length, from)) = received {
+                    self.woke(next);
                     let now = self.now();
                     self.gossip.handle(now, Input::Packet(from, &bytes[..length]), &mut out);
                 },
                 () = sleep_until(next) => {
+                    self.woke(next);
                     let now = self.now();
                     self.gossip.handle(now, Input::Tick, &mut out);
                 }
-                _ = look.tick() => {
-                    let Some(seen) = self.look().await else { return Ok(()) };
-                    let now = self.now();
-                    self.gossip.handle(now, Input::Sightings(seen), &mut out);
-                }
+                _ = look.tick() => if self.look(&mut out).await.is_none() {
+                    return Ok(());
+                },
                 Some(ask) = self.asks.recv() => self.answer(ask, &socket, &mut out).await,
             }
             self.settle(&mut out, &socket);
         }
     }
 
-    /// Does what gossip and the council want, to the last word that the one has for the other.
+    /// It wanted to be looked at then, at the latest.
+    fn woke(&mut self, wanted: Instant) {
+        self.reaching.iter_mut().for_each(|reaching| reaching.late(wanted.elapsed()));
+    }
+
+    /// Does what gossip and the others want, to the last word that one has for another.
     fn settle(&mut self, out: &mut Vec<Output>, socket: &UdpSocket) {
         let now = self.now();
-        let Gossiper { deciding, gossip, .. } = self;
-        let deeds = deciding.as_mut().map_or(Vec::new(), |deciding| deciding.tick(now, gossip));
+        let Gossiper { deciding, gossip, reaching, .. } = self;
+        let mut deeds = deciding.as_mut().map_or(Vec::new(), |deciding| deciding.tick(now, gossip));
+        deeds.extend(reaching.iter_mut().flat_map(|reaching| reaching.tick(now, gossip)));
         self.carry_out(deeds, out);
         while !out.is_empty() {
             for output in std::mem::take(out) {
-                let Output::Carried(from, instance, bytes) = &output else {
-                    self.act(output, socket);
-                    continue;
-                };
-                let Gossiper { deciding, gossip, .. } = self;
-                let Some(deciding) = deciding else { continue };
-                let deeds = deciding.hear(now, (*from, *instance), bytes, gossip);
-                self.carry_out(deeds, out);
+                match output {
+                    Output::Carried(from, instance, bytes) => {
+                        let deeds = self.hear(Process { name: from.0, instance }, &bytes);
+                        self.carry_out(deeds, out);
+                    }
+                    output => self.act(output, socket),
+                }
             }
         }
     }
 
-    fn carry_out(&mut self, deeds: Vec<Deed>, out: &mut Vec<Output>) {
+    /// What another node's subsystems say to this one's.
+    fn hear(&mut self, from: Process, bytes: &[u8]) -> Vec<Deed> {
         let now = self.now();
-        for deed in deeds {
-            match deed {
-                Deed::Carry(to, bytes) => self.gossip.handle(now, Input::Carry(to, bytes), out),
-                Deed::Part(part) => self.tell_fleet((1.0 / part).ceil() as u32),
-                Deed::Log(what) => eprintln!("dunelink: {}: {what}", self.config.name),
+        let Gossiper { deciding, gossip, reaching, .. } = self;
+        match (words::read(bytes), deciding, reaching) {
+            (Some(Words::Council(wires)), Some(deciding), _) => deciding.hear(now, from, wires),
+            (Some(Words::Row(row)), _, Some(reaching)) => reaching.heard(now, from, row, gossip),
+            _ => Vec::new(),
+        }
+    }
+
+    /// Does what is wanted, and what follows from that.
+    fn carry_out(&mut self, mut deeds: Vec<Deed>, out: &mut Vec<Output>) {
+        let now = self.now();
+        while !deeds.is_empty() {
+            for deed in std::mem::take(&mut deeds) {
+                let standing = self.deciding.as_ref().map(|deciding| deciding.standing(now));
+                let epoch = epoch_of(standing.and_then(|standing| standing.view).as_ref());
+                let Gossiper { deciding, gossip, reaching, config, .. } = self;
+                let teller = Teller { node: &config.name, gossip };
+                match deed {
+                    Deed::Carry(to, bytes) => gossip.handle(now, Input::Carry(to, bytes), out),
+                    Deed::Part(part) => {
+                        teller.part(part, &epoch);
+                        self.tell_fleet((1.0 / part).ceil() as u32);
+                    }
+                    Deed::Decided(view, before) => {
+                        teller.decided(&view, before.as_deref());
+                        let members: Vec<Name> = view.members.into_keys().collect();
+                        let reaching = reaching.iter_mut();
+                        deeds.extend(
+                            reaching.flat_map(|reaching| reaching.members(now, members.clone(), gossip)),
+                        );
+                    }
+                    Deed::Side(side, unheard) => teller.side(side, &unheard, &epoch),
+                    Deed::Lease(what, held, ago, epoch) => {
+                        teller.lease(what, held, ago, &epoch);
+                        if what == Held::Aside {
+                            let reaching = reaching.iter_mut();
+                            deeds.extend(
+                                reaching.flat_map(|reaching| reaching.may_step_aside(now, held, gossip)),
+                            );
+                        }
+                    }
+                    Deed::Dropped(change) => teller.dropped(&change),
+                    Deed::Stance(stance, before) => teller.stance(&stance, &before, &epoch),
+                    Deed::WantsAside(wants) => {
+                        let wants = dunelink_view::Input::Aside(wants);
+                        deeds.extend(
+                            deciding.iter_mut().flat_map(|deciding| deciding.want(now, wants.clone())),
+                        );
+                    }
+                    Deed::Ready(ready, stance) => teller.ready(ready, &stance, &epoch),
+                }
             }
         }
     }
@@ -216,44 +297,70 @@
                 }
             }
             Output::Carried(..) => {}
-            Output::Note(note) => self.log(&note),
+            Output::Note(note) => Teller { node: &self.config.name, gossip: &self.gossip }.note(&note),
         }
     }
 
-    fn log(&self, note: &Note) {
-        let name = &self.config.name;
-        match note {
-            Note::Up(member) => eprintln!("dunelink: {name}: {member} is there"),
-            Note::Down(member) => eprintln!("dunelink: {name}: {member} does not answer any more"),
-            Note::NameShared => eprintln!("dunelink: {name}: another process goes by this name"),
-            Note::NoSense(member) => {
-                eprintln!(
-                    "dunelink: {name}: {member} tells ages that can't be; its word on servers is not heard"
-                );
-            }
-            Note::StoodStill(span) => {
-                eprintln!("dunelink: {name}: this process stood still for {} ms", span / 1000);
-            }
-        }
-    }
-
-    /// What the engines have seen, all shards together; nothing once they have ended.
-    async fn look(&self) -> Option<Vec<Sighting>> {
-        let ask = |engine: &Mailbox| {
-            let (ask, told) = oneshot::channel();
-            engine.send(Happening::Sight(ask)).then_some(told)
+    /// Asks all engines something; nothing once they have ended. One that stands still has nothing to say.
+    async fn ask_engines<T>(&self, ask: impl Fn(oneshot::Sender<T>) -> Happening) -> Option<Vec<T>> {
+        let send = |engine: &Mailbox| {
+            let (tell, told) = oneshot::channel();
+            engine.send(ask(tell)).then_some(told)
         };
-        let asked: Vec<_> = self.engines.iter().filter_map(ask).collect();
+        let asked: Vec<_> = self.engines.iter().filter_map(send).collect();
         if asked.is_empty() {
             return None;
         }
-        let mut seen = Vec::new();
+        let mut answers = Vec::new();
         for told in asked {
-            if let Ok(Ok(more)) = timeout(LOOK_WITHIN, told).await {
-                seen.extend(more);
-            }
+            answers.extend(timeout(LOOK_WITHIN, told).await.ok().and_then(Result::ok));
+        }
+        Some(answers)
+    }
+
+    /// What the engines have seen, all shards together; nothing once they have ended.
+    async fn look(&mut self, out: &mut Vec<Output>) -> Option<()> {
+        let began = Instant::now();
+        let seen = self.ask_engines(Happening::Sight).await?;
+        if self.reaching.is_some() && self.reach_at.elapsed() >= REACH {
+            self.reach_at = Instant::now();
+            let zones = self.ask_engines(Happening::Reach).await?;
+            let now = self.now();
+            let Gossiper { gossip, reaching, .. } = self;
+            let deeds = reaching.iter_mut().flat_map(|reaching| {
+                reaching.late(began.elapsed());
+                reaching.seen(now, by_zone(&zones), gossip)
+            });
+            let deeds = deeds.collect();
+            self.carry_out(deeds, out);
         }
-        Some(together(seen))
+        let now = self.now();
+        self.gossip.handle(now, Input::Sightings(together(seen.into_iter().flatten())), out);
+        Some(())
+    }
+
+    fn status(&self, now: Micros) -> Option<FleetView> {
+        let (deciding, reaching) = (self.deciding.as_ref()?, self.reaching.as_ref()?);
+        let reach = (reaching.matrix(), reaching.stance());
+        Some(status(now, &self.config.name, &deciding.standing(now), reach, &self.gossip))
+    }
+
+    /// Has a node put out or let in, if that can be decided.
+    fn put(&mut self, name: &str, how: Option<(u64, String)>, out: &mut Vec<Output>) -> Result<(), String> {
+        let id = MemberId::of(name);
+        let deciding = self.deciding.as_mut().ok_or("this node's configuration names no electors")?;
+        if self.gossip.name(id).is_empty() {
+            return Err("expected a name in the ring".into());
+        }
+        let change = match how {
+            Some((seconds, reason)) => Evictions::out(id.0, seconds, &reason),
+            None => Evictions::back(id.0),
+        };
+        deciding.may(&change).map_err(|refusal| refusal.to_string())?;
+        let now = self.began.elapsed().as_micros() as Micros;
+        let deeds = deciding.want(now, dunelink_view::Input::Want(change));
+        self.carry_out(deeds, out);
+        Ok(())
     }
 
     async fn answer(&mut self, ask: Ask, socket: &UdpSocket, out: &mut Vec<Output>) {
@@ -265,7 +372,7 @@
                     members: self.gossip.members(),
                     suspicions: self.gossip.suspicions(),
                     figures: self.gossip.figures(),
-                    fleet: self.deciding.as_ref().map(|deciding| deciding.standing(now)),
+                    fleet: self.status(now),
                 };
                 let _ = tell.send(view);
             }
@@ -277,6 +384,9 @@
                     names
                 }));
             }
+            Ask::Put(name, how, tell) => {
+                let _ = tell.send(self.put(&name, how, out).map_err(|why| format!("{name}: {why}")));
+            }
             Ask::Leave(tell) => {
                 // It may well be back in a moment; if not, its part goes to the others after a minute.
                 let now = self.now();
@@ -289,7 +399,7 @@
 }
 
 /// What all shards have seen, each by as many requests as it rests on.
-fn together(seen: Vec<Sighting>) -> Vec<Sighting> {
+fn together(seen: impl Iterator<Item = Sighting>) -> Vec<Sighting> {
     let mut whole: HashMap<ServerId, Sighting> = HashMap::new();
     for one in seen {
         whole
@@ -307,6 +417,19 @@
     whole.into_values().collect()
 }
 
+/// What all shards have seen of servers, by zone. Each server is tried by all of them.
+fn by_zone(seen: &[Vec<ZoneReach>]) -> Vec<ZoneReach> {
+    let mut zones: BTreeMap<&str, ZoneReach> = BTreeMap::new();
+    for reach in seen.iter().flatten() {
+        let sum = zones
+            .entry(&reach.zone)
+            .or_insert_with(|| ZoneReach { zone: reach.zone.clone(), ..Default::default() });
+        sum.answer = sum.answer.saturating_add(reach.answer);
+        sum.silent = sum.silent.saturating_add(reach.silent);
+    }
+    zones.into_values().collect()
+}
+
 /// Asks, and waits for what comes back; nothing if there is no gossip or it has ended.
 pub(crate) async fn ask<T>(asks: Option<&Asks>, make: impl FnOnce(oneshot::Sender<T>) -> Ask) -> Option<T> {
     let (tell, told) = oneshot::channel();
--- a/crates/dunelink/src/fleet/view.rs
+++ b/crates/dunelink/src/fleet/view.rs
@@ -3,27 +3,28 @@
 
 use dunelink_gossip::{CARRIED_MOST, Gossip, MemberId};
 use dunelink_view::{
-    Bounds, Council, Input, Micros, Names, Output, Process, Settings, Side, Standing, View, Wire,
+    Bounds, Change, Council, Input, Micros, Names, Output, Process, Refusal, Settings, Side, Standing, View,
+    Wire,
 };
 
+use super::deed::Deed;
+use super::words;
 use crate::config::Config;
 
-/// What is to be done for the council.
-pub(super) enum Deed {
-    /// Have these bytes carried to a name.
-    Carry(MemberId, Vec<u8>),
-    /// All engines together take this part of what the fleet may.
-    Part(f64),
-    /// For the log: one line for each change.
-    Log(String),
-}
-
-/// A node's council, with what it has said to itself and not heard yet.
+/// A node's council.
 pub(super) struct Deciding {
     council: Council,
     me: Process,
+    names: Names,
     silence: Micros,
     heard_at: Micros,
+    /// The newest view that others were told of.
+    known: Option<Box<View>>,
+}
+
+/// A view's number, as logs and operators name it.
+pub(super) fn epoch_of(view: Option<&View>) -> String {
+    view.map_or("none".into(), |view| format!("{}.{}", view.generation.round, view.epoch))
 }
 
 impl Deciding {
@@ -32,14 +33,21 @@
         let wanted = config.gossip.as_ref().filter(|gossip| !gossip.electors.is_empty())?;
         let me = Process { name: name.0, instance };
         let lease = wanted.lease.as_micros() as Micros;
+        let names = Names::new(wanted.electors.iter().map(|name| MemberId::of(name).0));
         let settings = Settings {
             me,
-            names: Names::new(wanted.electors.iter().map(|name| MemberId::of(name).0)),
+            names: names.clone(),
             bounds: Bounds { lease, drift: u64::from(wanted.drift) },
             nodes: config.fleet.nodes as usize,
             seed: instance,
         };
-        Some(Deciding { council: Council::new(settings, now), me, silence: lease / 10, heard_at: 0 })
+        let council = Council::new(settings, now);
+        Some(Deciding { council, me, names, silence: lease / 10, heard_at: 0, known: None })
+    }
+
+    /// Its process.
+    pub(super) fn me(&self) -> Process {
+        self.me
     }
 
     /// When it wants to be looked at next.
@@ -52,6 +60,11 @@
         self.council.standing(now)
     }
 
+    /// Whether something can be decided.
+    pub(super) fn may(&self, change: &Change) -> Result<(), Refusal> {
+        self.council.may(change)
+    }
+
     /// Time has passed.
     pub(super) fn tick(&mut self, now: Micros, gossip: &Gossip) -> Vec<Deed> {
         let mut inputs = vec![Input::Tick];
@@ -60,25 +73,22 @@
             let there = gossip.there().into_iter().map(|(id, instance)| Process { name: id.0, instance });
             inputs.push(Input::There(there.collect()));
         }
-        self.work(now, inputs, gossip)
+        self.work(now, inputs)
     }
 
-    /// A process has said something; what can't be read says nothing.
-    pub(super) fn hear(
-        &mut self,
-        now: Micros,
-        (from, instance): (MemberId, u64),
-        bytes: &[u8],
-        gossip: &Gossip,
-    ) -> Vec<Deed> {
-        let Ok(wires) = postcard::from_bytes::<Vec<Wire>>(bytes) else { return Vec::new() };
-        let from = Process { name: from.0, instance };
-        self.work(now, wires.into_iter().map(|wire| Input::Heard(from, wire)).collect(), gossip)
+    /// A process has said something.
+    pub(super) fn hear(&mut self, now: Micros, from: Process, wires: Vec<Wire>) -> Vec<Deed> {
+        self.work(now, wires.into_iter().map(|wire| Input::Heard(from, wire)).collect())
     }
 
-    fn work(&mut self, now: Micros, mut inputs: Vec<Input>, gossip: &Gossip) -> Vec<Deed> {
+    /// An operator wants something, or this node does.
+    pub(super) fn want(&mut self, now: Micros, input: Input) -> Vec<Deed> {
+        self.work(now, vec![input])
+    }
+
+    fn work(&mut self, now: Micros, mut inputs: Vec<Input>) -> Vec<Deed> {
         let (mut deeds, mut out) = (Vec::new(), Vec::new());
-        let mut words: Vec<(u64, Vec<Wire>)> = Vec::new();
+        let mut said: Vec<(u64, Vec<Wire>)> = Vec::new();
         while !inputs.is_empty() {
             for input in inputs.drain(..) {
                 self.council.handle(now, input, &mut out);
@@ -89,67 +99,56 @@
                     Output::Send(name, wire) if name == self.me.name => {
                         inputs.push(Input::Heard(self.me, wire))
                     }
-                    Output::Send(name, wire) => match words.iter_mut().find(|(to, _)| *to == name) {
-                        Some((_, words)) => words.push(wire),
-                        None => words.push((name, vec![wire])),
+                    Output::Send(name, wire) => match said.iter_mut().find(|(to, _)| *to == name) {
+                        Some((_, wires)) => wires.push(wire),
+                        None => said.push((name, vec![wire])),
                     },
                     Output::Part(part) => deeds.push(Deed::Part(part)),
-                    Output::Decided(view) => deeds.push(Deed::Log(told(&view, gossip))),
-                    Output::Side(side) => deeds.push(Deed::Log(format!("side={}", side_name(side)))),
-                    Output::Name(held) => {
-                        deeds.push(Deed::Log(format!("name held={held} {}", self.epoch(now))))
+                    Output::Decided(view) => {
+                        let view = Box::new(view);
+                        let before = self.known.replace(view.clone());
+                        deeds.push(Deed::Decided(view, before));
                     }
-                    Output::Chair(held) => {
-                        deeds.push(Deed::Log(format!("chair held={held} {}", self.epoch(now))))
+                    Output::Side(side) => {
+                        let heard = self.council.standing(now).heard;
+                        let unheard = self.names.iter().filter(|name| !heard.contains(name)).collect();
+                        deeds.push(Deed::Side(side, unheard));
                     }
+                    Output::Lease(what, held, ago) => {
+                        let epoch = epoch_of(self.council.standing(now).view.as_ref());
+                        deeds.push(Deed::Lease(what, held, ago, epoch));
+                    }
+                    Output::Dropped(change) => deeds.push(Deed::Dropped(change)),
                 }
             }
         }
-        for (to, wires) in words {
+        for (to, wires) in said {
             deeds.extend(packets(wires).into_iter().map(|bytes| Deed::Carry(MemberId(to), bytes)));
         }
         deeds
     }
-
-    fn epoch(&self, now: Micros) -> String {
-        let view = self.council.standing(now).view;
-        view.map_or("epoch=none".into(), |view| format!("epoch={}.{}", view.generation.round, view.epoch))
-    }
 }
 
 /// As few packets as they fit.
 fn packets(wires: Vec<Wire>) -> Vec<Vec<u8>> {
-    let size = |wires: &[Wire]| postcard::to_stdvec(wires).unwrap_or_default();
     let (mut packets, mut batch) = (Vec::new(), Vec::new());
     for wire in wires {
         batch.push(wire);
-        if size(&batch).len() > CARRIED_MOST && batch.len() > 1 {
+        if words::council(&batch).len() > CARRIED_MOST && batch.len() > 1 {
             let last = batch.split_off(batch.len() - 1);
-            packets.push(size(&batch));
+            packets.push(words::council(&batch));
             batch = last;
         }
     }
-    packets.push(size(&batch));
+    packets.push(words::council(&batch));
     packets
 }
 
 /// A side, for people.
-pub fn side_name(side: Side) -> &'static str {
+pub(super) fn side_name(side: Side) -> &'static str {
     match side {
         Side::Majority => "majority",
         Side::Minority => "minority",
         Side::Alone => "alone",
     }
 }
-
-fn told(view: &View, gossip: &Gossip) -> String {
-    let name = |name: &u64| gossip.name(MemberId(*name));
-    let names = |of: &mut dyn Iterator<Item = &u64>| of.map(name).collect::<Vec<_>>().join(",");
-    format!(
-        "view decided epoch={}.{} members={} electors={}",
-        view.generation.round,
-        view.epoch,
-        names(&mut view.members.keys()),
-        names(&mut view.electors.keys())
-    )
-}
--- a/crates/dunelink/src/lib.rs
+++ b/crates/dunelink/src/lib.rs
@@ -81,11 +81,13 @@
 pub use dunelink_gossip as gossiping;
 /// What a GraphQL request is, and what the node says of it.
 pub use dunelink_graphql as graphql;
+/// Who reaches whom.
+pub use dunelink_reach as reaching;
 /// What the fleet decides as one.
 pub use dunelink_view as deciding;
 pub use entries::{Server, ServerState, Update};
 pub use error::{BodyError, BoxError, CallError, Closed, Invalid, StartError};
-pub use fleet::{GossipView, Gossiper, side_name};
+pub use fleet::{FleetView, GossipView, Gossiper, NodeView, OutView};
 pub use intake::ext;
 pub use node::{Builder, Finished, Handle, Node, Parts, Received, Shard, Source};
 pub use snapshot::{ServerView, Snapshot};
--- a/crates/dunelink/src/node/handle.rs
+++ b/crates/dunelink/src/node/handle.rs
@@ -67,6 +67,8 @@
     pub(super) transfers: Arc<Semaphore>,
     /// Whether it takes nothing more.
     pub(super) closing: AtomicBool,
+    /// Whether it says that it is not ready, as it is worse off than the fleet.
+    pub(super) aside: Arc<AtomicBool>,
 }
 
 impl Handle {
@@ -234,9 +236,15 @@
         self.shared.places.clone()
     }
 
-    /// Whether there is any server to send to, for every shard.
+    /// Whether there is any server to send to, for every shard, and the node has not stepped aside: one that is worse
+    /// off than the fleet may, where the configuration says so. It serves whoever asks it all the same.
     pub fn is_ready(&self) -> bool {
-        self.engines().iter().all(|engine| engine.any_ready.load(Ordering::Acquire))
+        !self.is_aside() && self.engines().iter().all(|engine| engine.any_ready.load(Ordering::Acquire))
+    }
+
+    /// Whether the node says that it is not ready, as it is worse off than the fleet.
+    pub fn is_aside(&self) -> bool {
+        self.shared.aside.load(Ordering::Acquire)
     }
 
     /// Whether the list's source has told anything since the start, to every shard. Before that the node goes by the
@@ -308,6 +316,18 @@
         ask(self.shared.gossip.as_ref(), Ask::Look).await
     }
 
+    /// Has the fleet put a node out for so many seconds (at most a week, for a reason of at most 40 bytes), or let one in
+    /// again. That it has been decided shows in [`GossipView::fleet`].
+    ///
+    /// # Errors
+    ///
+    /// There is no gossip, or it can't be decided: why not.
+    pub async fn put_out(&self, name: &str, how: Option<(u64, String)>) -> Result<(), String> {
+        let put = |tell| Ask::Put(name.to_owned(), how, tell);
+        let told = ask(self.shared.gossip.as_ref(), put).await;
+        told.unwrap_or_else(|| Err("this node does not gossip".into()))
+    }
+
     /// Reads the keys of gossip again and tells how many names there are; nothing where there is no gossip.
     ///
     /// # Errors
--- a/crates/dunelink/src/node/shards.rs
+++ b/crates/dunelink/src/node/shards.rs
@@ -171,7 +171,9 @@
     }
     let ended = engines.iter().map(|engine| engine.ended.clone()).collect();
     let mailboxes = engines.iter().map(|engine: &Arc<Engine>| engine.mailbox.clone()).collect();
-    let (gossip, asks) = Gossiper::new(&config, mailboxes)?.unzip();
+    let tallies = engines.iter().map(|engine: &Arc<Engine>| engine.tally.clone()).collect();
+    let aside = Arc::new(AtomicBool::new(false));
+    let (gossip, asks) = Gossiper::new(&config, (mailboxes, tallies), aside.clone())?.unzip();
     let shared = Shared {
         engines,
         gossip: asks,
@@ -183,6 +185,7 @@
         transfers: transfers.clone(),
         places: Arc::new(Semaphore::new(config.limits.requests)),
         closing: AtomicBool::new(false),
+        aside,
     };
     let handle = Handle { shared: Arc::new(shared), home: None };
     let shard = |(number, engineering)| Shard { engineering, handle: handle.at_home(number) };
--- a/crates/dunelink/src/roster/hub.rs
+++ b/crates/dunelink/src/roster/hub.rs
@@ -44,12 +44,14 @@
     whole: bool,
     changed: bool,
     failed: bool,
+    lost: bool,
     rev: u64,
     servers: HashMap<String, Server>,
 }
 
 impl Pending {
     fn add(&mut self, update: &Update) {
+        self.lost = false;
         if update.whole {
             self.servers.clear();
             self.whole = true;
@@ -65,11 +67,12 @@
         }
     }
 
-    fn take(&mut self) -> (Option<Update>, bool) {
+    /// What there is to tell, whether the source failed, and whether it is not heard.
+    fn take(&mut self) -> (Option<Update>, bool, bool) {
         let taken = std::mem::take(self);
         let servers = taken.servers.into_values().collect();
         let update = taken.changed.then_some(Update { rev: taken.rev, whole: taken.whole, servers });
-        (update, taken.failed)
+        (update, taken.failed, taken.lost)
     }
 }
 
@@ -149,6 +152,13 @@
         }
     }
 
+    fn lost(&self) {
+        for slot in &self.0.slots {
+            slot.pending.lock().unwrap_or_else(PoisonError::into_inner).lost = true;
+            slot.news.notify_one();
+        }
+    }
+
     fn wanted(&self) -> Pin<Box<dyn Future<Output = ()> + '_>> {
         Box::pin(self.0.wanted.notified())
     }
@@ -168,12 +178,14 @@
             loop {
                 tokio::select! {
                     () = slot.news.notified() => {
-                        let (update, failed) = slot.pending.lock().unwrap_or_else(PoisonError::into_inner).take();
+                        let (update, failed, lost) = slot.pending.lock().unwrap_or_else(PoisonError::into_inner).take();
                         if let Some(update) = update {
                             feed.update(&update);
                         }
                         if failed {
                             feed.failed();
+                        } else if lost {
+                            feed.lost();
                         }
                     }
                     () = feed.wanted(), if feed.is_asked() => self.hub.wanted.notify_one(),
@@ -198,7 +210,7 @@
     }
 
     fn pending(hub: &Hub, shard: usize) -> (Option<Update>, bool) {
-        let (update, failed) = hub.0.slots[shard].pending.lock().unwrap().take();
+        let (update, failed, _) = hub.0.slots[shard].pending.lock().unwrap().take();
         let sorted = update.map(|mut update| {
             update.servers.sort_by(|a, b| a.uid.cmp(&b.uid));
             update
--- a/crates/dunelink/src/roster/mod.rs
+++ b/crates/dunelink/src/roster/mod.rs
@@ -75,6 +75,9 @@
     /// The source failed, for now.
     fn failed(&self);
 
+    /// The source is not heard, however it works, until the next update.
+    fn lost(&self);
+
     /// Waits until the source should be asked.
     fn wanted(&self) -> Pin<Box<dyn Future<Output = ()> + '_>>;
 }
@@ -123,12 +126,18 @@
 
     /// The source failed, for now. Where it is asked, the decision module says when to ask again.
     pub fn failed(&self) {
+        self.to.lost();
         // One that sends by itself has its own way back.
         if self.asked {
             self.to.failed();
         }
     }
 
+    /// The source is not heard.
+    pub(crate) fn lost(&self) {
+        self.to.lost();
+    }
+
     /// Whether the source sends nothing by itself and is asked when the decision module says so.
     pub fn is_asked(&self) -> bool {
         self.asked
@@ -146,8 +155,8 @@
         self.random.f64()
     }
 
-    /// One line on standard error, with the node's name. Meant for what changes, not for what repeats.
+    /// One event, with the node's name. Meant for what changes, not for what repeats.
     pub fn log(&self, what: fmt::Arguments<'_>) {
-        eprintln!("dunelink: {}: {what}", self.name);
+        tracing::info!(target: "roster", "{}: {what}", self.name);
     }
 }
--- a/crates/dunelink/src/servers.rs
+++ b/crates/dunelink/src/servers.rs
@@ -1,7 +1,7 @@
 //! The servers' side: who they are, the idle connections to them, and one attempt at a time on each.
 
 use std::cell::{Cell, OnceCell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use cherryusher::{Micros, Outcome, ServerEntry, ServerId, ServerState};
+use dunelink_reach::ZoneReach;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -38,6 +39,8 @@
 const WARY: Duration = Duration::from_secs(10);
 /// A server that answers nothing for this long may have vanished.
 const SILENT: Duration = Duration::from_secs(1);
+/// One that answered within this time answers.
+const ANSWERS: Duration = Duration::from_secs(5);
 /// A server that gives nothing more of a long answer for this long, while its reader waits, is cut off.
 const GIVES_WITHIN: Duration = Duration::from_secs(10);
 /// How long a connection may take to show that nothing comes behind its answer.
@@ -63,8 +66,13 @@
     endpoint: SocketAddr,
     started: Micros,
     ready: bool,
+    zone: Arc<str>,
     /// When it last answered.
     heard: Instant,
+    /// Whether it ever did.
+    answered: bool,
+    /// Since when it has answered none of the attempts that were made, if there were any.
+    unanswered: Option<Instant>,
     /// The freshest last.
     idle: Vec<Connection>,
 }
@@ -108,6 +116,8 @@
     /// Answers that are being passed on, and who waits until none are.
     passing: Cell<usize>,
     passed: Notify,
+    /// Whether it is kept how servers answer.
+    reach: bool,
 }
 
 impl Servers {
@@ -134,6 +144,7 @@
             idle_most: config.fleet.keepalive.mul_f64(IDLE_PART),
             ready: OnceCell::new(),
             wary_until: Cell::new(None),
+            reach: config.gossip.as_ref().is_some_and(|gossip| !gossip.electors.is_empty()),
         }
     }
 
@@ -206,11 +217,20 @@
     ) {
         let mut members = self.members.borrow_mut();
         members.values_mut().filter(|_| whole).for_each(|m| m.ready = false);
-        for (entry, Server { uid, endpoint, .. }) in list {
+        for (entry, Server { uid, endpoint, zone, .. }) in list {
             let (ready, endpoint) = (entry.state == ServerState::Ready, *endpoint);
             let (started, heard) = (entry.ready_at, Instant::now());
-            let fresh =
-                || Member { uid: uid.as_str().into(), endpoint, started, ready, heard, idle: Vec::new() };
+            let fresh = || Member {
+                uid: uid.as_str().into(),
+                endpoint,
+                started,
+                ready,
+                zone: zone.as_str().into(),
+                heard,
+                answered: false,
+                unanswered: None,
+                idle: Vec::new(),
+            };
             let member = members.entry(entry.id).or_insert_with(fresh);
             // A machine that vanished and is back has forgotten its connections, and they say nothing of it.
             if member.endpoint != endpoint || member.started != started {
@@ -276,9 +296,33 @@
     pub(crate) fn heard(&self, server: ServerId) {
         if let Some(member) = self.members.borrow_mut().get_mut(&server) {
             member.heard = Instant::now();
+            (member.answered, member.unanswered) = (true, None);
         }
     }
 
+    /// Notes that an attempt at a server is made, where other nodes want to know how servers answer this one.
+    pub(crate) fn tries(&self, server: ServerId) {
+        if self.reach
+            && let Some(member) = self.members.borrow_mut().get_mut(&server)
+        {
+            member.unanswered.get_or_insert_with(Instant::now);
+        }
+    }
+
+    /// How servers answer, by zone. One that was not tried lately is not among them.
+    pub(crate) fn reach(&self) -> Vec<ZoneReach> {
+        let mut zones: BTreeMap<Arc<str>, ZoneReach> = BTreeMap::new();
+        for member in self.members.borrow().values() {
+            let silent = member.unanswered.is_some_and(|since| since.elapsed() >= SILENT);
+            let answers = member.answered && !silent && member.heard.elapsed() <= ANSWERS;
+            let zone = zones.entry(member.zone.clone()).or_default();
+            zone.silent = zone.silent.saturating_add(silent.into());
+            zone.answer = zone.answer.saturating_add(answers.into());
+        }
+        let named = |(zone, reach): (Arc<str>, ZoneReach)| ZoneReach { zone: zone.to_string(), ..reach };
+        zones.into_iter().map(named).collect()
+    }
+
     /// Closes a server's idle connections if it has answered nothing since `sent`, some time ago.
     pub(crate) fn doubt(&self, server: ServerId, sent: Instant) {
         if let Some(member) = self.members.borrow_mut().get_mut(&server)
--- a/crates/dunelinkd/src/door.rs
+++ b/crates/dunelinkd/src/door.rs
@@ -25,9 +25,14 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::gossip;
 use crate::listen::NO_SOCKETS;
+use crate::{fleet, gossip};
 
+/// What can be looked at, and what is changed.
+const LOOKS: [&str; 5] =
+    ["/admin/health", "/admin/stats", "/admin/members", "/admin/suspicions", "/admin/fleet"];
+const EVICT: &str = "/admin/fleet/evict";
+const CHANGES: [&str; 2] = [EVICT, "/admin/fleet/restore"];
 /// Callers at once. Beyond that the one that has been silent for longest makes room.
 const CALLERS: usize = 16;
 /// What the door takes of the process's descriptors: callers, its listener, and its runtime's.
@@ -73,7 +78,7 @@
             LocalSet::new().block_on(&runtime, async move {
                 match tokio::net::TcpListener::from_std(listener) {
                     Ok(listener) => Rc::new(self).answer(listener).await,
-                    Err(error) => eprintln!("dunelink: control: {error}"),
+                    Err(error) => tracing::error!(target: "node", "control: {error}"),
                 }
             });
         })?;
@@ -117,26 +122,39 @@
     }
 
     async fn respond(&self, request: &Request<Incoming>) -> Response<AnswerBody> {
-        let paths = ["/admin/health", "/admin/stats", "/admin/members", "/admin/suspicions", "/admin/fleet"];
-        if !paths.contains(&request.uri().path()) {
+        let path = request.uri().path();
+        let changes = CHANGES.contains(&path);
+        if !changes && !LOOKS.contains(&path) {
             return plain(StatusCode::NOT_FOUND, "no such call\n");
         }
-        if request.method() != Method::GET && request.method() != Method::HEAD {
-            let mut response = plain(StatusCode::METHOD_NOT_ALLOWED, "GET only\n");
-            response.headers_mut().insert(header::ALLOW, header::HeaderValue::from_static("GET, HEAD"));
+        let (allowed, allow) = match changes {
+            true => (request.method() == Method::POST, "POST"),
+            false => (request.method() == Method::GET || request.method() == Method::HEAD, "GET, HEAD"),
+        };
+        if !allowed {
+            let mut response = plain(StatusCode::METHOD_NOT_ALLOWED, format!("{allow} only\n"));
+            response.headers_mut().insert(header::ALLOW, header::HeaderValue::from_static(allow));
             return response;
         }
         if !request.body().is_end_stream() {
             return plain(StatusCode::BAD_REQUEST, "a call has no body\n");
         }
-        match request.uri().path() {
-            "/admin/health" if self.serving.load(Ordering::Acquire) => plain(StatusCode::OK, "serving\n"),
+        let query = request.uri().query().unwrap_or_default();
+        match path {
+            path if changes => self.put(path, query).await,
+            "/admin/health" if self.serving.load(Ordering::Acquire) && !self.node.is_aside() => {
+                plain(StatusCode::OK, "serving\n")
+            }
             "/admin/health" => plain(StatusCode::SERVICE_UNAVAILABLE, "not serving\n"),
             "/admin/stats" => plain(StatusCode::OK, self.figures().await),
             path => match timeout(LOOK_WITHIN, self.node.gossip()).await.ok().flatten() {
                 None => plain(StatusCode::NOT_FOUND, "this node does not gossip\n"),
-                Some(view) if path == "/admin/fleet" => match gossip::fleet(&view) {
-                    Some(text) => plain(StatusCode::OK, text),
+                Some(view) if path == "/admin/fleet" => match view.fleet {
+                    // What is made of numbers and strings can be written.
+                    Some(view) if query == "json" => {
+                        plain(StatusCode::OK, serde_json::to_string(&view).unwrap_or_default() + "\n")
+                    }
+                    Some(view) => plain(StatusCode::OK, fleet::text(&view)),
                     None => plain(StatusCode::NOT_FOUND, "this node's configuration names no electors\n"),
                 },
                 Some(view) if path == "/admin/members" => plain(StatusCode::OK, gossip::members(&view)),
@@ -149,6 +167,29 @@
         }
     }
 
+    /// Has a node put out of the fleet, or let in again.
+    async fn put(&self, path: &str, query: &str) -> Response<AnswerBody> {
+        let (mut name, mut seconds, mut reason) = (String::new(), None, String::new());
+        for (key, value) in url::form_urlencoded::parse(query.as_bytes()) {
+            match &*key {
+                "name" => name = value.into_owned(),
+                "seconds" => seconds = value.parse().ok(),
+                "reason" => reason = value.into_owned(),
+                _ => return plain(StatusCode::BAD_REQUEST, "expected name, seconds and reason\n"),
+            }
+        }
+        let how = match (path == EVICT, seconds) {
+            (false, _) => None,
+            (true, Some(seconds)) => Some((seconds, reason)),
+            (true, None) => return plain(StatusCode::BAD_REQUEST, "seconds: expected a number\n"),
+        };
+        match timeout(LOOK_WITHIN, self.node.put_out(&name, how)).await {
+            Ok(Ok(())) => plain(StatusCode::ACCEPTED, "it will be decided\n"),
+            Ok(Err(why)) => plain(StatusCode::CONFLICT, format!("{why}\n")),
+            Err(_) => plain(StatusCode::SERVICE_UNAVAILABLE, "the node is busy; ask again\n"),
+        }
+    }
+
     /// Counts are read as they are; what only the engine knows is asked of it, but not waited for without end.
     async fn figures(&self) -> String {
         if let Ok(Ok(now)) = timeout(LOOK_WITHIN, self.node.snapshot()).await {
--- a/crates/dunelinkd/src/gossip.rs
+++ b/crates/dunelinkd/src/gossip.rs
@@ -9,8 +9,8 @@
 
 use anyhow::{Context, bail};
 use clap::{Args, Subcommand};
-use dunelink::gossiping::{MemberId, Secret};
-use dunelink::{GossipView, Snapshot, side_name};
+use dunelink::gossiping::Secret;
+use dunelink::{GossipView, Snapshot};
 
 /// How long a node may take to answer its operators.
 const ANSWER_WITHIN: Duration = Duration::from_secs(5);
@@ -22,14 +22,7 @@
 pub(crate) struct Asked {
     /// The address that `control` in its configuration names.
     #[arg(long, value_name = "ADDRESS")]
-    control: SocketAddr,
-}
-
-/// What operators ask of the fleet as a whole.
-#[derive(Subcommand)]
-pub(crate) enum FleetCommand {
-    /// What the fleet has decided, on which side of a cut a node is, and what it holds.
-    Status(Asked),
+    pub(crate) control: SocketAddr,
 }
 
 /// What operators do with the keys of gossip.
@@ -65,19 +58,23 @@
 
 /// Prints what a running node says of this.
 pub(crate) fn ask(asked: &Asked, what: &str) -> anyhow::Result<()> {
-    let to = asked.control;
+    print!("{}", call(asked.control, "GET", what)?);
+    Ok(())
+}
+
+/// What a running node answers to a call of its operators.
+pub(crate) fn call(to: SocketAddr, method: &str, what: &str) -> anyhow::Result<String> {
     let mut stream =
         TcpStream::connect_timeout(&to, ANSWER_WITHIN).with_context(|| format!("{to}: nobody answers"))?;
     stream.set_read_timeout(Some(ANSWER_WITHIN))?;
-    write!(stream, "GET /admin/{what} HTTP/1.1\r\nHost: {to}\r\nConnection: close\r\n\r\n")?;
+    write!(stream, "{method} /admin/{what} HTTP/1.1\r\nHost: {to}\r\nConnection: close\r\n\r\n")?;
     let mut answer = String::new();
     stream.take(ANSWER_MOST).read_to_string(&mut answer).with_context(|| format!("{to}: no whole answer"))?;
     let (head, body) = answer.split_once("\r\n\r\n").with_context(|| format!("{to}: no whole answer"))?;
     match head.split(' ').nth(1) {
-        Some("200") => print!("{body}"),
+        Some("200" | "202") => Ok(body.to_owned()),
         _ => bail!("{to}: {}", body.trim()),
     }
-    Ok(())
 }
 
 /// A line for each member, and one for what was counted.
@@ -130,24 +127,3 @@
     }
     text
 }
-
-/// How this node stands with what the fleet decides: a line of its own, and one for each member of the view.
-pub(crate) fn fleet(view: &GossipView) -> Option<String> {
-    let standing = view.fleet.as_ref()?;
-    let epoch = standing.view.as_ref().map(|view| format!("{}.{}", view.generation.round, view.epoch));
-    let mut text = format!(
-        "side={} epoch={} name_for={}ms chair={} part={:.3}\n",
-        side_name(standing.side),
-        epoch.as_deref().unwrap_or("none"),
-        standing.name_for / 1000,
-        standing.chair,
-        standing.part
-    );
-    for (name, instance) in standing.view.iter().flat_map(|view| &view.members) {
-        let known = view.members.iter().find(|member| MemberId::of(&member.name).0 == *name);
-        let elects = standing.view.as_ref().is_some_and(|view| view.electors.get(name) == Some(instance));
-        // Writing to a string can't fail.
-        let _ = writeln!(text, "{} elector={elects}", known.map_or("(this node)", |member| &member.name));
-    }
-    Some(text)
-}
--- a/crates/dunelinkd/src/main.rs
+++ b/crates/dunelinkd/src/main.rs
@@ -5,10 +5,12 @@
 mod dealer;
 mod demo;
 mod door;
+mod fleet;
 mod gossip;
 mod graphql;
 mod lab;
 mod listen;
+mod log;
 mod passing;
 mod serve;
 mod shards;
@@ -47,7 +49,7 @@
     Members(gossip::Asked),
     /// The fleet as a whole.
     #[command(subcommand)]
-    Fleet(gossip::FleetCommand),
+    Fleet(fleet::Command),
     /// The servers that other nodes suspect, and who does, as a running node sees it.
     Suspicions(gossip::Asked),
     /// Try settings and policies on a model of clients, servers, lists and networks.
@@ -63,6 +65,9 @@
     /// that GW_CONFIG names.
     #[arg(long, value_name = "FILE")]
     config: Option<PathBuf>,
+    /// How the log is written, ahead of what the configuration says.
+    #[arg(long, value_name = "FORM")]
+    log: Option<log::Form>,
 }
 
 #[derive(Args)]
@@ -83,14 +88,14 @@
 
 fn main() -> ExitCode {
     let done = match Line::parse().command {
-        None => Source::find(None).and_then(serve::serve),
-        Some(Command::Run(run)) => Source::find(run.config).and_then(serve::serve),
+        None => Source::find(None).and_then(|source| serve::serve(source, None)),
+        Some(Command::Run(run)) => Source::find(run.config).and_then(|source| serve::serve(source, run.log)),
         Some(Command::Check(Check { file })) => check(file),
         Some(Command::Graphql(command)) => graphql::run(command),
         Some(Command::Gossip(command)) => gossip::run(command),
         Some(Command::Members(asked)) => gossip::ask(&asked, "members"),
         Some(Command::Suspicions(asked)) => gossip::ask(&asked, "suspicions"),
-        Some(Command::Fleet(gossip::FleetCommand::Status(asked))) => gossip::ask(&asked, "fleet"),
+        Some(Command::Fleet(command)) => fleet::run(command),
         Some(Command::Lab(command)) => lab::start(&command),
         Some(Command::Demo(options)) => demo::run(&options),
     };
--- a/crates/dunelinkd/src/serve.rs
+++ b/crates/dunelinkd/src/serve.rs
@@ -15,10 +15,12 @@
 use tokio::sync::Notify;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, timeout};
+use tracing::{error, info, warn};
 
 use crate::clients::Clients;
 use crate::door::{self, Door};
 use crate::listen::{LAST_ANSWERS, Listening, listen};
+use crate::log;
 use crate::shards::Shards;
 
 /// For how long after SIGTERM connections are taken in: new ones come for up to 0.4 s.
@@ -71,14 +73,15 @@
     }
 }
 
-async fn run(source: Source) -> anyhow::Result<()> {
+async fn run(source: Source, form: Option<log::Form>) -> anyhow::Result<()> {
     // From the first moment: unhandled, both signals end the process.
     let (hang_up, mut terminate) = (signal(SignalKind::hangup())?, signal(SignalKind::terminate())?);
     let mut config = source.read()?;
+    log::begin(form.unwrap_or(config.log.into()));
     let address =
         config.listen.with_context(|| format!("{}: listen: expected an address", source.path().display()))?;
     let Listening { listener, shared } = listen(address).await?;
-    eprintln!("dunelink: {} listens on {}", config.name, listener.local_addr()?);
+    info!(target: "node", "{} listens on {}", config.name, listener.local_addr()?);
     let control = control(&config)?;
     if control.is_some() {
         config.limits.sockets = config.limits.sockets.saturating_sub(door::DESCRIPTORS);
@@ -94,13 +97,14 @@
     }
     let Parts { node, mut shards, source: list, gossip, .. } = builder.split()?;
     if let Some(gossip) = gossip {
-        eprintln!("dunelink: {} gossips on {}", config.name, gossip.address()?);
+        info!(target: "fleet", node = config.name, "starts");
+        info!(target: "node", "{} gossips on {}", config.name, gossip.address()?);
         gossip.start()?;
     }
     let serving = Arc::new(AtomicBool::new(false));
     if let Some(control) = control {
         let door = Door::new(node.handle().clone(), serving.clone()).open(control)?;
-        eprintln!("dunelink: {} answers its operators on {door}", config.name);
+        info!(target: "node", "{} answers its operators on {door}", config.name);
     }
     let ready = spawn_local(ready(node.handle().clone(), shared, serving.clone()));
     spawn_local(reread(source, hang_up, mover, node.handle().clone()));
@@ -110,7 +114,7 @@
         let mut shards = Shards::start(shards, node.handle(), listener, ready, shared)?;
         terminate.recv().await;
         serving.store(false, Ordering::Release);
-        eprintln!("dunelink: {} is leaving", config.name);
+        info!(target: "node", "{} is leaving", config.name);
         leave_gossip(node.handle());
         shards.leave();
         // What is not accepted is another process's to take, where there is one. Connections that are there are left to
@@ -140,7 +144,7 @@
 
     terminate.recv().await;
     serving.store(false, Ordering::Release);
-    eprintln!("dunelink: {} is leaving", config.name);
+    info!(target: "node", "{} is leaving", config.name);
     leave_gossip(node.handle());
     clients.leave();
     if shared {
@@ -188,8 +192,9 @@
 
 /// The last line of the log.
 fn farewell(config: &Config, counts: Counts) {
-    eprintln!(
-        "dunelink: {} has ended: {} served, {} refused, {} failed, {} left",
+    info!(
+        target: "node",
+        "{} has ended: {} served, {} refused, {} failed, {} left",
         config.name, counts.served, counts.refused, counts.failed, counts.left
     );
 }
@@ -200,31 +205,31 @@
     while hang_up.recv().await.is_some() {
         let path = source.path().display();
         match node.reread_keys().await {
-            Some(Ok(names)) => eprintln!("dunelink: gossip keys read anew; {names} names are known"),
-            Some(Err(error)) => eprintln!("dunelink: {error}; the keys stay as they were"),
+            Some(Ok(names)) => info!(target: "node", "gossip keys read anew; {names} names are known"),
+            Some(Err(error)) => error!(target: "node", "{error}; the keys stay as they were"),
             None => {}
         }
         if node.graphql_path().is_some() {
             match node.reread_documents() {
-                Ok(count) => eprintln!("dunelink: {path} read anew; {count} GraphQL documents are known"),
-                Err(error) => eprintln!("dunelink: {error}; the documents stay as they were"),
+                Ok(count) => info!(target: "node", "{path} read anew; {count} GraphQL documents are known"),
+                Err(error) => error!(target: "node", "{error}; the documents stay as they were"),
             }
         }
         match (source.read(), &mover) {
             (Ok(Config { roster: RosterConfig::Watch { address, .. }, .. }), Some(mover)) => {
-                eprintln!("dunelink: {path} read anew; discovery is at {address}");
+                info!(target: "node", "{path} read anew; discovery is at {address}");
                 mover.move_to(address);
             }
             (Ok(_), _) => {
-                eprintln!("dunelink: {path}: only discovery's address and GraphQL documents can move")
+                warn!(target: "node", "{path}: only discovery's address and GraphQL documents can move")
             }
-            (Err(error), _) => eprintln!("dunelink: {error}; the configuration stays as it was"),
+            (Err(error), _) => error!(target: "node", "{error}; the configuration stays as it was"),
         }
     }
 }
 
 /// Serves until SIGTERM.
-pub(crate) fn serve(source: Source) -> anyhow::Result<()> {
+pub(crate) fn serve(source: Source, form: Option<log::Form>) -> anyhow::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, run(source))
+    LocalSet::new().block_on(&runtime, run(source, form))
 }
--- a/crates/dunelinkd/tests/fleet/main.rs
+++ b/crates/dunelinkd/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! Several processes with faults between them, on the rig: what the fleet promises, held against all that was seen.
 
+mod half;
 mod rules;
 mod views;
 
--- a/crates/view/src/council.rs
+++ b/crates/view/src/council.rs
@@ -6,15 +6,18 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Micros;
+use crate::evict::{Evictions, Refusal};
 use crate::lease::{Answer, Ask, Bounds, Grantor, Holder, Resource};
 use crate::parts::Parts;
-use crate::process::{Electors, Name, Names, Process};
+use crate::process::{Name, Names, Process};
 use crate::register::{Ballot, Message, Register};
 use crate::side::{Side, Sides};
 use crate::view::{Change, View};
 
 /// The resource that lets an elector propose: it spares duels, nothing rests on it.
 const CHAIR: Resource = 0;
+/// The resource that lets a node say that it is not ready: one at a time does.
+const ASIDE: Resource = 1;
 /// Beats in a lease.
 const BEATS: u64 = 4;
 /// Changes that wait for the chair at most.
@@ -61,8 +64,21 @@
     Heard(Process, Wire),
     /// The other processes that are there, as far as this node knows by itself.
     There(Vec<Process>),
-    /// An operator wants something decided.
+    /// An operator wants something decided; [`Council::may`] says before whether it can be.
     Want(Change),
+    /// This node wants to step aside, or does not any more.
+    Aside(bool),
+}
+
+/// What a node may hold alone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Held {
+    /// Its name, and with it its part of what the fleet may.
+    Name,
+    /// The right to propose views.
+    Chair,
+    /// The right to say that it is not ready.
+    Aside,
 }
 
 /// What is to be done, or was found.
@@ -74,10 +90,10 @@
     Decided(View),
     /// This node is on another side of a cut than before.
     Side(Side),
-    /// This node holds its name, or no longer does.
-    Name(bool),
-    /// This node is the one that proposes, or no longer is.
-    Chair(bool),
+    /// This node holds something from now on, or has not held it for some time: it may have stood still since.
+    Lease(Held, bool, Micros),
+    /// What was wanted can't be decided: it would change nothing, or there is no room for it.
+    Dropped(Change),
     /// What part of the fleet's limits this node takes from now on.
     Part(f64),
 }
@@ -93,6 +109,10 @@
     pub name_for: Micros,
     /// Whether it proposes.
     pub chair: bool,
+    /// Whether it is the one that may say that it is not ready.
+    pub aside: bool,
+    /// The electors that it has heard lately, itself among them if it is one.
+    pub heard: Vec<Name>,
     /// What part of the fleet's limits it takes.
     pub part: f64,
 }
@@ -104,6 +124,9 @@
     grantor: Option<Grantor>,
     name: Holder,
     chair: Holder,
+    aside: Holder,
+    wants_aside: bool,
+    evictions: Evictions,
     sides: Sides,
     parts: Parts,
     there: BTreeMap<Process, Micros>,
@@ -113,9 +136,10 @@
     /// Until when a ballot that is under way is left alone, and the chair is left to another.
     patient: Micros,
     shy: Micros,
+    shy_aside: Micros,
     side: Side,
-    holds_name: bool,
-    holds_chair: bool,
+    /// Whether it held its name, the chair and the right to step aside when it last looked.
+    holds: [bool; 3],
     part: f64,
     dice: u64,
 }
@@ -135,6 +159,9 @@
             grantor: names.contains(me.name).then(|| Grantor::new(bounds, now)),
             name: Holder::new(bounds, names.clone(), resource(me.name)),
             chair: Holder::new(bounds, names.clone(), CHAIR),
+            aside: Holder::new(bounds, names.clone(), ASIDE),
+            wants_aside: false,
+            evictions: Evictions::default(),
             sides: Sides::new(me.name, names, silence),
             parts: Parts::new(nodes),
             there: BTreeMap::new(),
@@ -143,9 +170,9 @@
             beat_at: now,
             patient: 0,
             shy: 0,
+            shy_aside: 0,
             side: Side::Alone,
-            holds_name: false,
-            holds_chair: false,
+            holds: [false; 3],
             part: 0.0,
             dice: seed | 1,
             settings,
@@ -166,7 +193,7 @@
 
     /// When it wants to be looked at next.
     pub fn next(&self, now: Micros) -> Micros {
-        let over = [&self.name, &self.chair].map(Holder::until).into_iter().filter(|until| *until > now);
+        let over = self.held().map(|(_, holder)| holder.until()).into_iter().filter(|until| *until > now);
         over.fold(self.beat_at, Micros::min)
     }
 
@@ -184,6 +211,7 @@
                 self.there.retain(|_, at| now.saturating_sub(*at) <= 2 * kept);
             }
             Input::Want(change) => self.want(change, out),
+            Input::Aside(wanted) => self.step_aside(now, wanted, out),
         }
         if now >= self.beat_at {
             self.beat_at = now + self.beat() + self.random(self.beat() / 4);
@@ -199,18 +227,47 @@
             side: self.sides.side(now),
             name_for: self.name.until().saturating_sub(now),
             chair: self.chair.holds(now),
+            aside: self.aside.holds(now),
+            heard: self.sides.electors(now).collect(),
             part: self.part,
         }
     }
 
+    fn held(&self) -> [(Held, &Holder); 3] {
+        [(Held::Name, &self.name), (Held::Chair, &self.chair), (Held::Aside, &self.aside)]
+    }
+
+    /// Whether something can be decided, as far as this node knows.
+    ///
+    /// # Errors
+    ///
+    /// Why not.
+    pub fn may(&self, change: &Change) -> Result<(), Refusal> {
+        let view = self.register.view().ok_or(Refusal::NoView)?;
+        if !self.settings.names.contains(self.settings.me.name) && Evictions::is_one(change) {
+            return Err(Refusal::NoElector);
+        }
+        Evictions::may(change, view, &self.settings.names, self.settings.nodes)
+    }
+
+    /// Takes the right to step aside while it is wanted, and gives it back at once.
+    fn step_aside(&mut self, now: Micros, wanted: bool, out: &mut Vec<Output>) {
+        if std::mem::replace(&mut self.wants_aside, wanted) && !wanted {
+            let ask = self.aside.release(now);
+            self.to_electors(&Wire::Ask(ask), out);
+        }
+    }
+
     /// Finds what has changed with time alone.
     fn look(&mut self, now: Micros, out: &mut Vec<Output>) {
-        let (name, chair) = (self.name.holds(now), self.chair.holds(now));
-        if std::mem::replace(&mut self.holds_name, name) != name {
-            out.push(Output::Name(name));
-        }
-        if std::mem::replace(&mut self.holds_chair, chair) != chair {
-            out.push(Output::Chair(chair));
+        let held = self.held().map(|(what, holder)| (what, holder.holds(now), holder.until()));
+        let name = held[0].1;
+        for (before, (what, holds, until)) in self.holds.iter_mut().zip(held) {
+            if std::mem::replace(before, holds) != holds {
+                // What was given back ends now.
+                let ago = if holds || until == 0 { 0 } else { now.saturating_sub(until) };
+                out.push(Output::Lease(what, holds, ago));
+            }
         }
         let side = self.sides.side(now);
         if std::mem::replace(&mut self.side, side) != side {
@@ -251,6 +308,8 @@
             // Views are the electors' alone, and who is a member is not for others to say.
             Wire::Register(_) if !self.settings.names.contains(from.name) => {}
             Wire::Want(Change::Admit(_) | Change::Remove(_)) => {}
+            // Nor who is out: that is for the operators at electors.
+            Wire::Want(change) if Evictions::is_one(&change) && !self.settings.names.contains(from.name) => {}
             Wire::Register(message) => {
                 let mut say = Vec::new();
                 let decided = self.register.hear(from, message, &mut say);
@@ -259,6 +318,7 @@
                     // All others hear it from who is asked, or ask for it.
                     self.wanted.retain(|change| !is_done(change, &view));
                     self.patient = now;
+                    self.evictions.see(now, &view);
                     out.push(Output::Decided(view));
                 }
             }
@@ -271,12 +331,9 @@
             Wire::Answer(answer) => {
                 self.name.hear(from, answer);
                 self.chair.hear(from, answer);
-                let refused = answer.resource == CHAIR && !answer.granted && now >= self.shy;
-                if refused && !self.chair.holds(now) {
-                    // What some have granted is given back: kept by several, nobody would have a majority for a lease.
-                    let ask = self.chair.release(now);
-                    self.to_electors(&Wire::Ask(ask), out);
-                    self.shy = now + self.beat() / 4 + self.random(2 * self.beat());
+                self.aside.hear(from, answer);
+                if !answer.granted {
+                    self.give_back(now, answer.resource, out);
                 }
             }
             Wire::Hello(generation, epoch) => {
@@ -294,6 +351,24 @@
         }
     }
 
+    /// Another has what this node asked for, or asks for it too: what some electors have granted is given back. Kept by
+    /// several, nobody would have a majority for a lease.
+    fn give_back(&mut self, now: Micros, resource: Resource, out: &mut Vec<Output>) {
+        let shy = now + self.beat() / 4 + self.random(2 * self.beat());
+        let (holder, until) = match resource {
+            CHAIR => (&mut self.chair, &mut self.shy),
+            ASIDE if self.wants_aside => (&mut self.aside, &mut self.shy_aside),
+            _ => return,
+        };
+        // What was given back is refused, too.
+        if now < *until || holder.holds(now) {
+            return;
+        }
+        *until = shy;
+        let ask = holder.release(now);
+        self.to_electors(&Wire::Ask(ask), out);
+    }
+
     /// Kept until it is decided; the chair proposes it.
     fn want(&mut self, change: Change, out: &mut Vec<Output>) {
         if self.wanted.len() >= WANTED_MOST || self.wanted.contains(&change) {
@@ -308,6 +383,10 @@
         self.to_electors(&Wire::Hello(generation, epoch), out);
         let ask = self.name.ask(now);
         self.to_electors(&Wire::Ask(ask), out);
+        if self.wants_aside && now >= self.shy_aside {
+            let ask = self.aside.ask(now);
+            self.to_electors(&Wire::Ask(ask), out);
+        }
         let Some(grantor) = &self.grantor else { return };
         if grantor.grants(now) {
             self.register.waited();
@@ -327,7 +406,17 @@
         let change = match self.register.view().filter(|view| !self.register.is_over(view)) {
             None => None,
             Some(view) => {
-                match self.membership(now, &view.members).or_else(|| self.wanted.first().cloned()) {
+                let (view, names) = (view.clone(), &self.settings.names);
+                let is_elector =
+                    |change: &Change| matches!(change, Change::Admit(p) if names.contains(p.name));
+                // What can't be decided must not be in the way of what can.
+                let useless = |change: &mut Change| {
+                    view.next(change, is_elector(change)).is_none()
+                        || Evictions::may(change, &view, names, self.settings.nodes).is_err()
+                };
+                out.extend(self.wanted.extract_if(.., useless).map(Output::Dropped));
+                let wanted = || self.evictions.over(now, &view).or_else(|| self.wanted.first().cloned());
+                match self.membership(now, &view).or_else(wanted) {
                     Some(change) => Some(change),
                     None => return,
                 }
@@ -339,12 +428,17 @@
         Council::say(say, out);
     }
 
-    fn membership(&self, now: Micros, members: &Electors) -> Option<Change> {
-        let bounds = self.settings.bounds;
+    fn membership(&self, now: Micros, view: &View) -> Option<Change> {
+        let (bounds, members) = (self.settings.bounds, &view.members);
+        let out = |name: Name| Evictions::has(view, name);
+        if let Some((name, instance)) = members.iter().find(|(name, _)| out(**name)) {
+            return Some(Change::Remove(Process { name: *name, instance: *instance }));
+        }
         let lately = |at: &Micros| now.saturating_sub(*at) <= self.beat();
         let there = self.there.iter().filter(|(_, at)| lately(at)).map(|(process, _)| *process);
         let me = self.settings.me;
-        let mut there = there.chain([me]).filter(|p| members.get(&p.name) != Some(&p.instance));
+        let is_new = |p: &Process| members.get(&p.name) != Some(&p.instance) && !out(p.name);
+        let mut there = there.chain([me]).filter(is_new);
         if let Some(new) = there.next() {
             // One of its name before it may hold that still: it is let in once that is over, or this one says so.
             let old = members.get(&new.name).map(|instance| Process { name: new.name, instance: *instance });
--- a/crates/view/src/lib.rs
+++ b/crates/view/src/lib.rs
@@ -12,11 +12,13 @@
 //! - `lease`: who holds what, until when, on whose clock (Gray and Cheriton, 1989, from a majority).
 //! - `side`: on which side of a cut a node is.
 //! - `parts`: what part of the fleet's limits a node takes by its lease.
+//! - `evict`: nodes that operators have put out of the fleet for a time.
 //! - `council`: all of these on one rhythm, as a node runs them.
 //!
 //! `docs/view-design.md` has the options weighed and what is proven of them.
 
 mod council;
+mod evict;
 mod lease;
 mod parts;
 mod process;
@@ -24,13 +26,14 @@
 mod side;
 mod view;
 
-pub use council::{Council, Input, Output, Settings, Standing, Wire};
+pub use council::{Council, Held, Input, Output, Settings, Standing, Wire};
+pub use evict::{Evictions, REASON_MOST, Refusal, SECONDS_MOST};
 pub use lease::{Answer, Ask, Bounds, Grantor, Holder, Resource};
 pub use parts::{FLOOR, MOST, Parts};
 pub use process::{Electors, Instance, Name, Names, Process};
 pub use register::{Accepted, Ballot, Message, Register};
 pub use side::{Side, Sides};
-pub use view::{Change, Generation, MEMBERS_MOST, View};
+pub use view::{Change, Generation, MEMBERS_MOST, Step, View};
 
 /// A point in time, or a span of it, in microseconds.
 pub type Micros = u64;
--- a/crates/view/src/side.rs
+++ b/crates/view/src/side.rs
@@ -39,15 +39,22 @@
         self.heard.retain(|_, at| now.saturating_sub(*at) <= silence);
     }
 
+    fn lately(&self, now: Micros, at: Micros) -> bool {
+        now.saturating_sub(at) <= self.silence
+    }
+
+    /// The electors that it has heard lately, itself among them if it is one.
+    pub fn electors(&self, now: Micros) -> impl Iterator<Item = Name> + '_ {
+        let heard = move |name: &Name| self.heard.get(name).is_some_and(|at| self.lately(now, *at));
+        self.names.iter().filter(move |name| *name == self.me || heard(name))
+    }
+
     /// Where this node is now.
     pub fn side(&self, now: Micros) -> Side {
-        let lately = |at: &Micros| now.saturating_sub(*at) <= self.silence;
-        let electors =
-            self.names.iter().filter(|name| *name == self.me || self.heard.get(name).is_some_and(lately));
-        if electors.count() >= self.names.majority() {
+        if self.electors(now).count() >= self.names.majority() {
             return Side::Majority;
         }
-        match self.heard.iter().any(|(name, at)| *name != self.me && lately(at)) {
+        match self.heard.iter().any(|(name, at)| *name != self.me && self.lately(now, *at)) {
             true => Side::Minority,
             false => Side::Alone,
         }
--- a/crates/view/src/view.rs
+++ b/crates/view/src/view.rs
@@ -47,7 +47,39 @@
     Clear(String),
 }
 
+/// What led from one view to another.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// It is the first that is known, or of another generation.
+    Found,
+    /// A process came in.
+    Came(Process),
+    /// A process went out.
+    Went(Process),
+    /// A fact holds from now on, or holds otherwise.
+    Set(String),
+    /// A fact does not hold any more.
+    Cleared(String),
+}
+
 impl View {
+    /// What is new since another view; several steps, if views between were missed.
+    pub fn since(&self, before: Option<&View>) -> Vec<Step> {
+        let Some(before) = before.filter(|before| before.generation == self.generation) else {
+            return vec![Step::Found];
+        };
+        let not_in = |one: &Electors, other: &Electors| -> Vec<Process> {
+            let new = one.iter().filter(|(name, instance)| other.get(name) != Some(instance));
+            new.map(|(name, instance)| Process { name: *name, instance: *instance }).collect()
+        };
+        let came = not_in(&self.members, &before.members).into_iter().map(Step::Came);
+        let went = not_in(&before.members, &self.members).into_iter().map(Step::Went);
+        let set = self.facts.iter().filter(|(key, value)| before.facts.get(*key) != Some(value));
+        let cleared = before.facts.keys().filter(|key| !self.facts.contains_key(*key));
+        let set = set.map(|(key, _)| Step::Set(key.clone()));
+        came.chain(went).chain(set).chain(cleared.map(|key| Step::Cleared(key.clone()))).collect()
+    }
+
     /// The first view of a generation.
     pub(crate) fn found(generation: Generation, electors: Electors) -> View {
         View {
