--- a/crates/dunelink/src/fleet/view.rs
+++ b/crates/dunelink/src/fleet/view.rs
@@ -22,9 +22,11 @@
     known: Option<Box<View>>,
 }
 
-/// A view's number, as logs and operators name it.
+/// A view's number, as logs and operators name it: its founding, which is told by its round and its founder's process,
+/// and its epoch in that.
 pub(super) fn epoch_of(view: Option<&View>) -> String {
-    view.map_or("none".into(), |view| format!("{}.{}", view.generation.round, view.epoch))
+    let Some(View { generation, epoch, .. }) = view else { return "none".into() };
+    format!("{}-{:04x}.{epoch}", generation.round, generation.by.instance as u16)
 }
 
 impl Deciding {
--- a/crates/dunelinkd/tests/fleet/main.rs
+++ b/crates/dunelinkd/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Several processes with faults between them, on the rig: what the fleet promises, held against all that was seen.
 
 mod half;
+mod hard;
 mod rules;
 mod views;
 
--- a/crates/gossip/src/gossip/hear.rs
+++ b/crates/gossip/src/gossip/hear.rs
@@ -44,6 +44,12 @@
             return self.twin(instance, &packet);
         }
         if !for_me {
+            // Who knocks is told of to those that knock next: its statement is its own and counts whenever it came.
+            if let (Message::Join, [own]) = (&packet.body.message, &packet.body.news[..])
+                && own.signed.statement.author == from
+            {
+                self.take(own, true);
+            }
             self.figures.replayed += u64::from(!matches!(packet.body.message, Message::Join));
             // It is told which process this is. The answer is shorter than what asks for it.
             if !matches!(packet.body.message, Message::Welcome) {
@@ -73,11 +79,15 @@
         let more = !matches!(packet.body.message, Message::Given { more: false });
         let new = packet.body.news.iter().filter(|carried| self.take(carried, !given)).count();
         if given {
-            self.eager = if new > 0 { EAGERLY } else { self.eager.saturating_sub(1) };
+            self.round = (true, self.round.1 || new > 0);
+            if more {
+                // There is more of that part: whoever is asked next gives others of it.
+                self.sync_from = self.asked_from;
+            }
             // As much is compared as there seems to be a packet's worth missing of.
             self.sums = match more {
                 true => (self.sums / 2).max(SUMS_LEAST),
-                false if new < FEW => (2 * self.sums).min(SUMS_MOST),
+                false if new < FEW => (2 * self.sums).min(SUMS_SENT),
                 false => self.sums,
             };
         }
@@ -131,8 +141,9 @@
             return false;
         }
         self.news.settled(author);
-        // One that answers an accusation is news to all, however it was heard. Where all is new, it is asked for.
-        if is_news && !self.news.is_crowded() || before == Some(Standing::Suspect) {
+        // One that answers an accusation is news to all, however it was heard. Where all is new, it is asked for, and who
+        // has just begun has nothing that others would not have.
+        if is_news && !self.news.is_crowded() && !self.learns() || before == Some(Standing::Suspect) {
             self.news.heat(author);
         }
         if before != Some(Standing::Alive) && standing(&self.members) == Some(Standing::Alive) {
--- a/crates/gossip/src/gossip/mod.rs
+++ b/crates/gossip/src/gossip/mod.rs
@@ -4,7 +4,7 @@
 mod tell;
 mod types;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
 use cherryusher::Sighting;
@@ -17,7 +17,7 @@
 use crate::news::{CROWDED, News, tellings};
 use crate::packet::{
     ACCUSATIONS_MOST, Accusation, Body, Carried, Header, Message, NAMED_MOST, PACKET_MOST, Packet, SUMS_FROM,
-    SUMS_MOST, Signed, Stance, Statement, Suspicion, Unreadable, VERSION, VERSION_LEAST, millis, parse,
+    SUMS_SENT, Signed, Stance, Statement, Suspicion, Unreadable, VERSION, VERSION_LEAST, millis, parse,
 };
 use crate::places::{Fleet, Places};
 use crate::probe::{Prober, Step};
@@ -38,7 +38,7 @@
 const EAGER: (Micros, Micros) = (20_000, 60_000);
 /// It asks while so much of what is for news is left: others' questions come first.
 const ASKS_FROM: f64 = 0.6;
-/// How many answers with nothing new end that.
+/// How many times round all that is known with nothing new end that.
 const EAGERLY: u8 = 2;
 /// Members of which sums are sent at least, while much is missing.
 const SUMS_LEAST: usize = 32;
@@ -52,6 +52,8 @@
 const INTRODUCED: usize = 3;
 /// Seeds that are asked at once to be let in.
 const KNOCKS: usize = 3;
+/// The longest wait between two tries of a process that has just begun and knows nobody.
+const JOIN_NEW: Micros = 500_000;
 /// The longest wait between two tries to join, while alone and later.
 const JOIN_MOST: (Micros, Micros) = (3_000_000, 10_000_000);
 /// A gap between two looks, in periods, that means that this process stood still.
@@ -63,6 +65,10 @@
 const FOR_NEWS: f64 = 0.6;
 /// What a packet with nothing but news takes beside them, at most, with the headers of UDP and IP.
 const FRAME: usize = 200;
+/// Packets that wait to be carried at most, for how long, and how often they are looked at.
+const CARRIED_KEPT: usize = 64;
+const CARRIED_LATE: Micros = 500_000;
+const CARRIED_AGAIN: Micros = 5_000;
 /// The least time between two statements that answer an accusation.
 const REFUTE: Micros = 200_000;
 /// The least time between two notes of one kind.
@@ -96,7 +102,10 @@
     round_at: Micros,
     sync_at: Micros,
     sync_from: MemberId,
-    /// How many more answers with nothing new it takes until it asks less often.
+    asked_from: MemberId,
+    /// Whether there were answers since it last began with the first part of the ring, and anything new in them.
+    round: (bool, bool),
+    /// How many more times round with nothing new it takes until it asks less often.
     eager: u8,
     /// Of how many members it then sends sums.
     sums: usize,
@@ -105,6 +114,8 @@
     random: fastrand::Rng,
     figures: Figures,
     out: Vec<Output>,
+    /// What is to be carried, and since when it waits.
+    carried: VecDeque<(Micros, MemberId, Vec<u8>)>,
 }
 
 impl Gossip {
@@ -127,6 +138,7 @@
             suspicions: Vec::new(),
         };
         let period = settings.period.max(1);
+        let random_start = random.u64(..);
         Some(Gossip {
             own: Signed::new(statement, &secret),
             prober: Prober::new(period, now + random.u64(..period)),
@@ -155,12 +167,16 @@
             notes: Default::default(),
             twins: 0,
             round_at: now,
-            sync_from: MemberId(0),
+            // Not all compare the same part first.
+            sync_from: MemberId(random_start),
+            asked_from: MemberId(random_start),
+            round: (false, false),
             eager: EAGERLY,
             sums: SUMS_LEAST,
             join_wait: ROUND,
             figures: Figures::default(),
             out: Vec::new(),
+            carried: VecDeque::new(),
         })
     }
 
@@ -181,7 +197,11 @@
             Input::Sightings(seen) => self.saw(seen),
             Input::Carry(to, bytes) => {
                 if bytes.len() <= CARRIED_MOST && self.knows_sums(to) {
-                    self.tell(to, Message::Carried(bytes), false, false);
+                    if self.carried.len() >= CARRIED_KEPT {
+                        self.carried.pop_front();
+                        self.figures.kept_back += 1;
+                    }
+                    self.carried.push_back((self.now, to, bytes));
                 }
             }
             Input::Keys(ring, secret) => self.change_keys(ring, secret),
@@ -195,8 +215,9 @@
     pub fn next(&self) -> Micros {
         let round = if self.has_news() { self.round_at } else { Micros::MAX };
         let least = self.now + 1000;
+        let carried = if self.carried.is_empty() { Micros::MAX } else { self.now + CARRIED_AGAIN };
         let probe = if self.learns() { Micros::MAX } else { self.prober.next() };
-        round.min(self.sync_at).min(self.join_at).min(probe).max(least).min(self.now + ROUND)
+        round.min(carried).min(self.sync_at).min(self.join_at).min(probe).max(least).min(self.now + ROUND)
     }
 
     /// What was counted.
@@ -257,7 +278,28 @@
         self.note(0, id, Note::Up(self.name(id)));
     }
 
+    /// Hands on what is carried as the ceiling has room. Several packets for each of many members come at once, more
+    /// than may go at once; what got lost for that would be asked for again, and lost again.
+    fn carry(&mut self) {
+        while let Some((at, _, bytes)) = self.carried.front() {
+            let (size, late) = (bytes.len() + FRAME, self.now.saturating_sub(*at) > CARRIED_LATE);
+            let now = self.now;
+            let spare = self.for_probes.left(now) - self.for_probes.depth() / 2.0;
+            let room = self.for_news.left(now).max(spare) >= size as f64;
+            if !late && !room {
+                return;
+            }
+            let Some((_, to, bytes)) = self.carried.pop_front() else { return };
+            if late {
+                self.figures.kept_back += 1;
+            } else {
+                self.tell(to, Message::Carried(bytes), false, false);
+            }
+        }
+    }
+
     fn work(&mut self) {
+        self.carry();
         for id in self.members.expire(self.now, self.settings.period) {
             self.news.settled(id);
             self.note(1, id, Note::Down(self.name(id)));
@@ -355,7 +397,8 @@
         // Some that started together may know each other and nobody else.
         let new = self.now.saturating_sub(self.began) < LEARNS;
         self.join_wait = match (alone, new) {
-            (true, _) => (2 * self.join_wait).min(JOIN_MOST.0),
+            (true, true) => (2 * self.join_wait).min(JOIN_NEW),
+            (true, false) => (2 * self.join_wait).min(JOIN_MOST.0),
             (false, true) => JOIN_MOST.0,
             (false, false) => JOIN_MOST.1,
         };
@@ -410,9 +453,15 @@
         let most = match (sums, self.eager) {
             (false, _) => NAMED_MOST,
             (true, 1..) => self.sums,
-            (true, 0) => SUMS_MOST,
+            (true, 0) => SUMS_SENT,
         };
         let from = self.sync_from;
+        if from == MemberId(0) {
+            // Once round: parts of the ring of which all is known say nothing of the others.
+            let (answered, new) = std::mem::take(&mut self.round);
+            self.eager = if new { EAGERLY } else { self.eager.saturating_sub(answered.into()) };
+        }
+        self.asked_from = from;
         let mut known: Vec<&Signed> =
             self.members.all.range(from..).map(|(_, m)| &m.signed).take(most).collect();
         let whole = known.len() < most;
@@ -476,6 +525,35 @@
     use super::*;
     use crate::sim::Net;
 
+    /// What is asked for most at once still fits a packet, whatever sums come to.
+    #[test]
+    fn the_longest_question_fits_a_packet() {
+        let net = Net::new(2, 3, |_, _| {});
+        let gossip = Gossip::new(
+            Settings {
+                name: "n0".into(),
+                address: "[2001:db8::ffff:ffff:ffff:ffff]:65535".parse().unwrap(),
+                seeds: Vec::new(),
+                period: 1,
+                ceiling: 16_384,
+                nodes: 2,
+                seed: u64::MAX,
+                number: u64::MAX - 1,
+            },
+            net.ring(),
+            net.secret(0),
+            0,
+        );
+        let mut gossip = gossip.unwrap();
+        let header = gossip.header(VERSION, u64::MAX);
+        let most = MemberId(u64::MAX);
+        let message =
+            Message::Sums { from: most, to: most, salt: u64::MAX, known: vec![u16::MAX; SUMS_SENT] };
+        let news = vec![Carried { held_ms: u32::MAX, signed: gossip.own.clone() }];
+        let packet = Packet { header, body: Body { message, accusations: Vec::new(), news } };
+        assert!(packet.seal(&net.secret(0)).is_some(), "{} bytes", packet.size());
+    }
+
     /// Another member's answer is believed only from that member, whoever hands it through.
     #[test]
     fn a_helper_can_not_praise_the_dead() {
--- a/crates/gossip/src/gossip/tell.rs
+++ b/crates/gossip/src/gossip/tell.rs
@@ -31,7 +31,7 @@
     }
 
     /// The header of the next packet, for a process that speaks up to this version.
-    fn header(&mut self, speaks: u8, to_instance: u64) -> Header {
+    pub(super) fn header(&mut self, speaks: u8, to_instance: u64) -> Header {
         self.packets += 1;
         Header {
             version: speaks.min(VERSION),
@@ -77,8 +77,13 @@
         let all_news =
             matches!(packet.body.message, Message::News | Message::Digest { .. } | Message::Want(_));
         let base = size + HEADERS;
-        // Probes and answers may take of what is for news, not the other way: who is silent is accused.
-        let fits = !all_news && self.affords((base, 0)) || self.affords((0, base));
+        // Probes and answers may take of what is for news, not the other way: who is silent is accused. What is carried
+        // takes of theirs only where much of it is left.
+        let is_carried = matches!(packet.body.message, Message::Carried(_));
+        let spare = self.for_probes.left(self.now) >= base as f64 + self.for_probes.depth() / 2.0;
+        let fits = !all_news && !is_carried && self.affords((base, 0))
+            || self.affords((0, base))
+            || is_carried && spare && self.affords((base, 0));
         if !fits {
             self.figures.kept_back += 1;
             return false;
@@ -141,7 +146,9 @@
 
     /// Sends what is known of these, as much as fits one packet and the ceiling.
     pub(super) fn give(&mut self, to: MemberId, ids: Vec<MemberId>) {
-        let mut space = (self.for_news.left(self.now) as usize).min(PACKET_MOST).saturating_sub(FRAME);
+        let left = self.for_news.left(self.now);
+        let left = if self.learns() { left.max(self.for_probes.left(self.now)) } else { left };
+        let mut space = (left as usize).min(PACKET_MOST).saturating_sub(FRAME);
         let mut news = Vec::new();
         let wanted = ids.len();
         for carried in ids.into_iter().filter_map(|id| self.carried(id)) {
@@ -162,8 +169,10 @@
         let message =
             if speaks >= SUMS_FROM { Message::Given { more: news.len() < wanted } } else { Message::News };
         let body = Body { message, accusations: Vec::new(), news };
+        // Who asks nobody whether it is there yet has the part for that to give.
         if let Some(bytes) = (Packet { header, body }).seal(&self.secret)
-            && self.affords((0, bytes.len() + HEADERS))
+            && (self.affords((0, bytes.len() + HEADERS))
+                || self.learns() && self.affords((bytes.len() + HEADERS, 0)))
         {
             self.send(address, bytes);
         }
--- a/crates/gossip/src/packet.rs
+++ b/crates/gossip/src/packet.rs
@@ -23,6 +23,8 @@
 pub(crate) const NAMED_MOST: usize = 40;
 /// Members of which one packet may hold a sum.
 pub(crate) const SUMS_MOST: usize = 400;
+/// Sums that are sent at once: three bytes each at most, beside the author's own statement.
+pub(crate) const SUMS_SENT: usize = 300;
 /// The lowest version that knows sums and what is given by them.
 pub(crate) const SUMS_FROM: u8 = 2;
 /// Strength is told in so many steps.
--- a/crates/reach/src/health.rs
+++ b/crates/reach/src/health.rs
@@ -3,7 +3,7 @@
 
 use crate::matrix::{Matrix, Stance};
 use crate::row::{Lately, Row, ZONES_MOST, ZoneReach, cut};
-use crate::{BEAT, Micros, Name, Process};
+use crate::{BEAT, Micros, Name, Process, beat};
 
 /// A stance counts once it has lasted for so long.
 const LASTS: Micros = 2 * BEAT;
@@ -126,7 +126,7 @@
             Input::Aside(held) => self.may = held,
         }
         if now >= self.beat_at {
-            self.beat_at = now + BEAT;
+            self.beat_at = now + beat(self.matrix.members().len());
             self.look(now, out);
         }
         self.settle(now, out);
--- a/crates/reach/src/lib.rs
+++ b/crates/reach/src/lib.rs
@@ -21,7 +21,15 @@
 
 pub use dunelink_view::{Micros, Name, Process};
 
-/// How often a node tells its row.
+/// How often a node tells its row in a small fleet.
 pub const BEAT: Micros = 1_000_000;
-/// A node whose row has not come for so long is not heard: two may get lost.
-pub const SILENCE: Micros = 3 * BEAT + BEAT / 2;
+/// Members to each of whom a row goes once a beat. In a larger fleet rows come less often, so that what all rows take of
+/// a node's ceiling stays the same.
+const TOLD: usize = 8;
+/// A node whose row has not come for so many half beats is not heard: two rows may get lost.
+const SILENCE: Micros = 7;
+
+/// How often a node tells its row in a fleet of so many members.
+pub fn beat(members: usize) -> Micros {
+    BEAT * members.div_ceil(TOLD).max(1) as Micros
+}
--- a/crates/reach/src/matrix.rs
+++ b/crates/reach/src/matrix.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 
 use crate::row::Row;
-use crate::{Micros, Name, Process, SILENCE};
+use crate::{Micros, Name, Process, SILENCE, beat};
 
 /// The part of a node's servers that is silent, at one that does not reach them and at others that do; and servers
 /// that it must have tried.
@@ -82,7 +82,7 @@
 }
 
 fn part(of: u32, rest: u32) -> f64 {
-    f64::from(of) / f64::from((of + rest).max(1))
+    f64::from(of) / (f64::from(of) + f64::from(rest)).max(1.0)
 }
 
 impl Matrix {
@@ -121,7 +121,8 @@
 
     /// The others' rows that came lately.
     pub fn fresh(&self, now: Micros) -> impl Iterator<Item = (Name, &Row)> {
-        let fresh = move |at: Micros| now.saturating_sub(at) <= SILENCE;
+        let silence = beat(self.members.len()) * SILENCE / 2;
+        let fresh = move |at: Micros| now.saturating_sub(at) <= silence;
         self.rows.iter().filter(move |(_, (_, at, _))| fresh(*at)).map(|(name, (.., row))| (*name, row))
     }
 
@@ -185,10 +186,10 @@
             return Stance::NoServers(zone);
         }
         let fails = |row: &Row| part(row.failed, row.served);
-        let ended: Vec<f64> =
-            rows.iter().filter(|r| r.served + r.failed >= ENDED_LEAST).map(|r| fails(r)).collect();
+        let enough = |row: &Row| row.served.saturating_add(row.failed) >= ENDED_LEAST;
+        let ended: Vec<f64> = rows.iter().filter(|row| enough(row)).map(|r| fails(r)).collect();
         let more = median(ended).is_some_and(|others| fails(row) > others + FAILS);
-        if row.served + row.failed >= ENDED_LEAST && more {
+        if enough(row) && more {
             return Stance::Fails;
         }
         let hear_it = rows.iter().filter(|row| row.list_ms.is_some_and(|ms| ms <= LIST_MS.1)).count();
--- a/crates/view/src/council.rs
+++ b/crates/view/src/council.rs
@@ -307,7 +307,7 @@
         match wire {
             // Views are the electors' alone, and who is a member is not for others to say.
             Wire::Register(_) if !self.settings.names.contains(from.name) => {}
-            Wire::Want(Change::Admit(_) | Change::Remove(_)) => {}
+            Wire::Want(Change::Admit(_) | Change::Remove(_) | Change::Move(..)) => {}
             // Nor who is out: that is for the operators at electors.
             Wire::Want(change) if Evictions::is_one(&change) && !self.settings.names.contains(from.name) => {}
             Wire::Register(message) => {
@@ -320,6 +320,10 @@
                     self.patient = now;
                     self.evictions.see(now, &view);
                     out.push(Output::Decided(view));
+                    // Many come back at once when a cut heals: what is left to decide waits for no beat.
+                    if self.chair.holds(now) && self.grantor.is_some() {
+                        self.propose(now, out);
+                    }
                 }
             }
             Wire::Ask(ask) => {
@@ -428,31 +432,37 @@
         Council::say(say, out);
     }
 
+    /// Who is there comes in, who is gone or out goes; all at once that changes nothing of who votes, else one.
     fn membership(&self, now: Micros, view: &View) -> Option<Change> {
         let (bounds, members) = (self.settings.bounds, &view.members);
-        let out = |name: Name| Evictions::has(view, name);
-        if let Some((name, instance)) = members.iter().find(|(name, _)| out(**name)) {
-            return Some(Change::Remove(Process { name: *name, instance: *instance }));
-        }
+        let me = self.settings.me;
         let lately = |at: &Micros| now.saturating_sub(*at) <= self.beat();
         let there = self.there.iter().filter(|(_, at)| lately(at)).map(|(process, _)| *process);
-        let me = self.settings.me;
-        let is_new = |p: &Process| members.get(&p.name) != Some(&p.instance) && !out(p.name);
-        let mut there = there.chain([me]).filter(is_new);
-        if let Some(new) = there.next() {
-            // One of its name before it may hold that still: it is let in once that is over, or this one says so.
+        // One of its name before it may hold that still: it is let in once that is over, or this one says so.
+        let over = |new: &Process| {
             let old = members.get(&new.name).map(|instance| Process { name: new.name, instance: *instance });
-            let over = old.is_none_or(|old| self.gone(now, old) >= bounds.lease);
-            if over {
-                return Some(Change::Admit(new));
-            }
-        }
+            old.is_none_or(|old| self.gone(now, old) >= bounds.lease)
+        };
+        let new = |p: &Process| {
+            members.get(&p.name) != Some(&p.instance) && !Evictions::has(view, p.name) && over(p)
+        };
+        let votes = |p: &Process| {
+            self.settings.names.contains(p.name) && view.electors.get(&p.name) != Some(&p.instance)
+        };
+        let (voters, come): (Vec<Process>, Vec<Process>) = there.chain([me]).filter(new).partition(votes);
         // Its lease is over on everyone's clock.
-        let gone = |(name, instance): (&Name, &u64)| {
-            let process = Process { name: *name, instance: *instance };
-            (process != me && self.gone(now, process) > bounds.kept()).then_some(process)
+        let gone = |process: &Process| {
+            Evictions::has(view, process.name)
+                || *process != me
+                    && self.gone(now, *process) > bounds.kept()
+                    && !come.iter().any(|new| new.name == process.name)
         };
-        members.iter().find_map(gone).map(Change::Remove)
+        let here = members.iter().map(|(name, instance)| Process { name: *name, instance: *instance });
+        let go: Vec<Process> = here.filter(gone).collect();
+        if come.is_empty() && go.is_empty() {
+            return voters.first().copied().map(Change::Admit);
+        }
+        Some(Change::Move(come, go))
     }
 
     /// For how long a process was not there, as far as this one can know. Who still has its name from this elector is.
@@ -471,5 +481,9 @@
         Change::Remove(p) => view.members.get(&p.name) != Some(&p.instance),
         Change::Set(key, value) => view.facts.get(key) == Some(value),
         Change::Clear(key) => !view.facts.contains_key(key),
+        Change::Move(come, go) => {
+            let has = |p: &Process| view.members.get(&p.name) == Some(&p.instance);
+            come.iter().all(has) && !go.iter().any(has)
+        }
     }
 }
--- a/crates/view/src/view.rs
+++ b/crates/view/src/view.rs
@@ -45,6 +45,8 @@
     Set(String, String),
     /// It does not hold any more.
     Clear(String),
+    /// These processes come in, and those go out, none of which changes who votes: so many at a time can.
+    Move(Vec<Process>, Vec<Process>),
 }
 
 /// What led from one view to another.
@@ -117,6 +119,12 @@
                 next.facts.insert(key.clone(), value.clone());
             }
             Change::Clear(key) => drop(next.facts.remove(key)),
+            Change::Move(come, go) => {
+                let gone = |process: &&Process| self.members.get(&process.name) == Some(&process.instance);
+                let go: Vec<u64> = go.iter().filter(gone).map(|process| process.name).collect();
+                next.members.retain(|name, _| !go.contains(name));
+                next.members.extend(come.iter().map(|process| (process.name, process.instance)));
+            }
         }
         let facts: usize = next.facts.iter().map(|(key, value)| key.len() + value.len() + 2).sum();
         let fits = facts <= FACTS_MOST && next.members.len() <= MEMBERS_MOST;
--- a/crates/view/tests/council.rs
+++ b/crates/view/tests/council.rs
@@ -205,3 +205,30 @@
     assert_eq!(after.since(Some(&before)), [Step::Went(process), Step::Set("out 5".into())]);
     assert_eq!(before.since(Some(&after)), [Step::Came(process), Step::Cleared("out 5".into())]);
 }
+
+#[test]
+fn many_come_and_go_by_one_view_that_changes_nothing_of_who_votes() {
+    let seed = 4;
+    let mut net = Net::new(seed);
+    net.run(7 * S, seed);
+    let before = net.councils[0].standing(net.now).view.unwrap();
+    let process = |name: u64| Process { name, instance: 77 };
+    let gone = |name: u64| Process { name, instance: before.members[&name] };
+    let after =
+        before.next(&Change::Move(vec![process(8), process(9)], vec![gone(4), process(5)]), false).unwrap();
+    // What names another process than the one that is a member takes nobody out.
+    assert_eq!(after.members.keys().copied().collect::<Vec<_>>(), [1, 2, 3, 5, 8, 9]);
+    assert_eq!(
+        (&after.electors, &after.before, after.epoch),
+        (&before.electors, &before.electors, before.epoch + 1)
+    );
+    // Two that were cut off come back by one.
+    net.cut = Box::new(|from, to| (from < 2) != (to < 2));
+    net.run(6 * S, seed);
+    let few = net.councils[3].standing(net.now).view.unwrap();
+    assert_eq!(few.members.len(), 3);
+    net.cut = Box::new(|_, _| false);
+    net.run(3 * S, seed);
+    let all = net.councils[3].standing(net.now).view.unwrap();
+    assert_eq!((all.members.len(), all.epoch), (5, few.epoch + 1));
+}
