--- a/crates/reach/tests/stances.rs
+++ b/crates/reach/tests/stances.rs
@@ -243,3 +243,20 @@
         prop_assert_eq!(postcard::from_bytes::<Row>(&bytes).ok(), Some(row));
     }
 }
+
+#[test]
+fn what_fuzzing_kept_is_taken_in_without_harm() {
+    let kept = testkit::corpus("fleet_words");
+    let mut rows = 0;
+    for bytes in kept.iter().filter(|bytes| !bytes.is_empty()) {
+        let from = Process { name: u64::from(bytes[0] % 5), instance: 1 };
+        let Ok(row) = postcard::from_bytes::<Row>(&bytes[1..]) else { continue };
+        rows += 1;
+        let mut net = Net::new(&ZONES, 0.5);
+        net.run(3);
+        net.nodes[0].handle(net.now, Input::Heard(from, row), &mut Vec::new());
+        net.run(15);
+        assert!(net.nodes[0].is_ready());
+    }
+    assert!(rows > 0, "some of them are rows");
+}
--- a/crates/timeline/tests/stories.rs
+++ b/crates/timeline/tests/stories.rs
@@ -103,3 +103,14 @@
         prop_assert!(times.is_sorted());
     }
 }
+
+#[test]
+fn what_fuzzing_kept_is_read_without_harm() {
+    let kept = testkit::corpus("log_line");
+    assert!(!kept.is_empty());
+    for bytes in kept {
+        let text = String::from_utf8_lossy(&bytes);
+        let log = Log::read("x", text.lines());
+        assert_eq!(merge(&[log.clone(), log], true).moved[0], Some(0));
+    }
+}
--- a/crates/view/tests/council.rs
+++ b/crates/view/tests/council.rs
@@ -232,3 +232,26 @@
     let all = net.councils[3].standing(net.now).view.unwrap();
     assert_eq!((all.members.len(), all.epoch), (5, few.epoch + 1));
 }
+
+#[test]
+fn what_fuzzing_kept_makes_a_council_hold_nothing() {
+    let bounds = Bounds { lease: 2 * S, drift: 500 };
+    let mut words = 0;
+    for bytes in testkit::corpus("fleet_words").iter().filter(|bytes| !bytes.is_empty()) {
+        let from = Process { name: u64::from(bytes[0] % 5), instance: u64::from(bytes[0] / 5) };
+        let Ok(wires) = postcard::from_bytes::<Vec<dunelink_view::Wire>>(&bytes[1..]) else { continue };
+        let me = Process { name: 1, instance: 7 };
+        let mut council =
+            Council::new(Settings { me, names: Names::new([1, 2, 3]), bounds, nodes: 5, seed: 9 }, 0);
+        let (mut now, mut out) = (3 * S, Vec::new());
+        for wire in wires {
+            words += 1;
+            council.handle(now, Input::Heard(from, wire), &mut out);
+            now += S / 10;
+            council.handle(now, Input::Tick, &mut out);
+        }
+        let standing = council.standing(now);
+        assert!(!standing.chair && standing.name_for == 0 && standing.part <= 1.0);
+    }
+    assert!(words > 0, "some of them are words");
+}
