--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -9,6 +9,7 @@
 mod cost;
 mod fleet;
 mod gossip;
+mod lines;
 mod load;
 mod memory;
 mod servers;
@@ -39,6 +40,8 @@
     Gossip(gossip::Options),
     /// Time lines of faults on real processes, under load: rules, agreement, parts; a table and a plot.
     Fleet(fleet::Options),
+    /// Time lines of faults on gossip and councils in memory: promises held at every step; a table.
+    Lines(lines::Options),
     /// A proxy to stand beside; it prints its address.
     #[command(hide = true)]
     Peer(load::Peer),
@@ -64,6 +67,7 @@
         Command::Bodies(options) => bodies::run(&options),
         Command::Gossip(options) => gossip::run_all(&options),
         Command::Fleet(options) => fleet::run(&options),
+        Command::Lines(options) => lines::run(&options),
         Command::Peer(peer) => load::peer(&peer),
         Command::Generate(options) => load::generate(&options),
         Command::Stand => load::stand(),
--- a/crates/dunelinkd/tests/fleet/hard.rs
+++ b/crates/dunelinkd/tests/fleet/hard.rs
@@ -1,9 +1,12 @@
 //! Hard cases, each by itself: what all nodes take together stays within its bound at every look, nothing is held by
 //! two, the rules hold, and all agree soon after healing.
 
+use std::io::{BufRead, BufReader};
+use std::process::{Command, Stdio};
+
 use dunelink_timeline::{Log, merge};
 
-use super::views::{LEASE, agree, all, deciding, sum, whole};
+use super::views::{ALL, LEASE, agree, all, deciding, sum, whole};
 use super::*;
 
 /// What is done to the fleet: each fault, and how long after the one before.
@@ -133,3 +136,71 @@
 fn nine_nodes_whose_electors_are_cut_off_from_the_rest() {
     play(9, &[(0.0, cut(&[&[0, 1, 2], &[3, 4], &[5, 6, 7, 8]]))], 10.0);
 }
+
+#[test]
+#[ignore = "a minute for each few"]
+fn a_node_that_stands_still_again_and_again_is_named_and_steps_aside() {
+    let mut plan = deciding(5);
+    plan.gossip.push_str("\nstep_aside = 0.5");
+    let mut rig = Rig::new(plan);
+    whole(&rig, &ALL, 5);
+    rig.load(&load(1));
+    let mut named = false;
+    for _ in 0..20 {
+        rig.cause(Fault::Pause(2));
+        std::thread::sleep(seconds(0.3));
+        rig.cause(Fault::Wake(2));
+        std::thread::sleep(seconds(0.7));
+        let told = rig.ask(4, "fleet").unwrap_or_default();
+        named |= told.lines().any(|line| line.starts_with("n2 ") && line.contains("stance=\"stalls\""));
+        if named && rig.ask(2, "health").is_none() {
+            break;
+        }
+    }
+    assert!(named, "{}", rig.story());
+    assert!(rig.ask(2, "health").is_none(), "{}", rig.story());
+    rig.wait("it to be ready again", || rig.ask(2, "health").is_some());
+    kept(&mut rig, &rules());
+}
+
+/// The second has the first one's name and secret, at other addresses.
+#[test]
+#[ignore = "a minute for each few"]
+fn two_processes_with_one_name_never_hold_it_both() {
+    let mut rig = Rig::new(deciding(5));
+    whole(&rig, &ALL, 5);
+    rig.load_at(0..4, &load(1));
+    let ip = rig.address(4).ip();
+    let (gossip, front) = rig.place(4);
+    let path = rig.config(4);
+    let text = std::fs::read_to_string(&path).unwrap();
+    let text = [(rig.address(4).to_string(), 18_080), (rig.door(4).to_string(), 18_443)]
+        .iter()
+        .chain([(gossip.to_string(), 17_946), (front.to_string(), 17_946)].iter())
+        .fold(text, |text, (from, port)| text.replace(&format!("\"{from}\""), &format!("\"{ip}:{port}\"")));
+    // Its seeds are the others' relays as before.
+    let second = path.with_file_name("second.toml");
+    std::fs::write(&second, text).unwrap();
+    let mut program = Command::new(env!("CARGO_BIN_EXE_dunelink"));
+    program.args(["run", "--config"]).arg(&second).stdout(Stdio::null()).stderr(Stdio::piped());
+    let mut child = program.spawn().unwrap();
+    let told = BufReader::new(child.stderr.take().unwrap());
+    let told = std::thread::spawn(move || told.lines().map_while(Result::ok).collect::<Vec<String>>());
+    let mut most = 0.0_f64;
+    for _ in 0..100 {
+        most = most.max(sum(&all(&rig, &ALL)));
+        std::thread::sleep(seconds(0.1));
+    }
+    child.kill().unwrap();
+    child.wait().unwrap();
+    let second = told.join().unwrap();
+    let first = rig.record.log(4);
+    let shared = |log: &[String]| log.iter().any(|line| line.contains("another process goes by this name"));
+    assert!(shared(&first) || shared(&second), "{second:#?}\n{}", rig.story());
+    let log = |lines: &[String]| Log::read("?", lines.iter().map(String::as_str));
+    let doubts = merge(&[log(&first), log(&second)], false).doubts;
+    println!("two of one name: parts of the others and the first {most:.3}; {doubts:?}");
+    assert!(doubts.is_empty() && most <= 1.1 + 1e-6, "{doubts:?} {most}");
+    rig.wait("one view of all", || agree(&rig, &ALL, 5));
+    kept(&mut rig, &rules());
+}
--- a/crates/gossip/src/sim.rs
+++ b/crates/gossip/src/sim.rs
@@ -6,7 +6,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use crate::limits::HEADERS;
-use crate::{Fleet, Gossip, Input, KeyRing, Micros, Note, Output, Secret, Settings, Sighting};
+use crate::{Fleet, Gossip, Input, KeyRing, MemberId, Micros, Note, Output, Secret, Settings, Sighting};
 
 /// How often nodes look at their servers.
 const LOOK: Micros = 200_000;
@@ -71,6 +71,8 @@
     pub now: Micros,
     /// All packets that were sent, if wanted: from, to, bytes.
     pub tap: Option<Vec<(usize, usize, Vec<u8>)>>,
+    /// What nodes had carried to each other and nobody has taken up yet: to whom, from which process, bytes.
+    pub carried: Vec<(usize, MemberId, u64, Vec<u8>)>,
     settings: Box<dyn Fn(usize) -> Settings>,
     ring: String,
     secrets: Vec<[u8; 32]>,
@@ -127,6 +129,7 @@
             cut: Box::new(|_, _| false),
             now: 1_000_000,
             tap: None,
+            carried: Vec::new(),
             settings: Box::new(settings),
             secrets,
             queue: BinaryHeap::new(),
@@ -239,7 +242,7 @@
                 Output::Doubts(doubts) => {
                     self.nodes[node].doubts = doubts.into_iter().map(|d| (d.server, d.doubt)).collect();
                 }
-                Output::Carried(..) => {}
+                Output::Carried(from, instance, bytes) => self.carried.push((node, from, instance, bytes)),
                 Output::Fleet(fleet) => self.nodes[node].fleet = Some(fleet),
                 Output::Note(note) => self.nodes[node].notes.push((self.now, note)),
             }
--- a/crates/lab/src/experiment/mod.rs
+++ b/crates/lab/src/experiment/mod.rs
@@ -93,6 +93,10 @@
     pub retry_after: Duration,
     /// How many servers a node of the `subset` policy keeps to.
     pub subset: usize,
+    /// Whether they gossip: who is there, and which servers they suspect.
+    pub gossip: bool,
+    /// The most bytes of that which a node sends in any second.
+    pub gossip_ceiling: u32,
 }
 
 /// The clients of all nodes.
@@ -257,6 +261,8 @@
             pool_min: 4,
             retry_after: Duration::ZERO,
             subset: 20,
+            gossip: false,
+            gossip_ceiling: 16 * 1024,
         }
     }
 }
--- a/crates/lab/src/experiment/shapes.rs
+++ b/crates/lab/src/experiment/shapes.rs
@@ -115,6 +115,8 @@
     Drain,
     /// Nodes (`nodes`) can't reach servers.
     Partition,
+    /// Nodes (`nodes`) can't reach the other nodes, nor these them.
+    Cut,
     /// Nodes (`nodes`) hear nothing of the list.
     Silence,
     /// `factor` of the attempts at servers run and lose their connection.
--- a/crates/lab/src/figures.rs
+++ b/crates/lab/src/figures.rs
@@ -5,6 +5,7 @@
 
 use crate::Micros;
 use crate::rules::Breach;
+use crate::world::Talked;
 
 /// How many moments a run's time line is told in.
 pub(crate) const MOMENTS: usize = 120;
@@ -109,6 +110,8 @@
     pub used: (f64, f64, f64),
     /// Little's law at the servers: how many were there on average, and arrivals a second times the mean stay.
     pub little: (f64, f64),
+    /// What gossip came to, where nodes gossip.
+    pub talked: Option<Talked>,
     /// Events of the simulation.
     pub events: u64,
     /// The time line.
@@ -286,6 +289,7 @@
             attempts: self.attempts,
             used: rest.used,
             little: rest.little,
+            talked: rest.talked,
             events: rest.events,
             moments: self.ticks.iter().enumerate().map(told).collect(),
             classes: self.classes,
@@ -302,6 +306,7 @@
     pub(crate) cut: bool,
     pub(crate) used: (f64, f64, f64),
     pub(crate) little: (f64, f64),
+    pub(crate) talked: Option<Talked>,
     pub(crate) events: u64,
     pub(crate) broken: Vec<Breach>,
     pub(crate) breaches: u64,
--- a/crates/lab/src/report/page.rs
+++ b/crates/lab/src/report/page.rs
@@ -96,6 +96,13 @@
         figures.events,
         figures.events as f64 / figures.asked.max(1) as f64
     );
+    if let Some(talked) = figures.talked {
+        let _ = write!(
+            text,
+            "<p>Gossip: {:.0} bytes/s a node; at the end each held at least {} others to be there.</p>",
+            talked.bytes, talked.least
+        );
+    }
     if !figures.broken.is_empty() {
         *text += "<ul class=bad>";
         for breach in &figures.broken {
--- a/crates/lab/src/rivals/mod.rs
+++ b/crates/lab/src/rivals/mod.rs
@@ -7,7 +7,8 @@
 mod prequal;
 
 use cherryusher::{
-    Action, Balancer, Class, Discovery, Effect, Event, Group, ServerId, Settings, SettingsError, Tenant,
+    Action, Balancer, Class, Discovery, Effect, Event, Group, ServerId, Settings, SettingsError, Sighting,
+    Tenant,
 };
 use rand::RngCore;
 
@@ -38,12 +39,21 @@
 pub trait Policy {
     /// Takes an event and says what is to be done. Only who could not exist looks at the truth.
     fn handle(&mut self, now: Micros, event: Event, truth: &Truth<'_>, out: &mut Vec<Action>);
+
+    /// What it has seen of servers by itself, for nodes that gossip. Who has nothing to say leaves it at that.
+    fn sightings(&self, _now: Micros) -> Vec<Sighting> {
+        Vec::new()
+    }
 }
 
 impl Policy for Balancer {
     fn handle(&mut self, now: Micros, event: Event, _: &Truth<'_>, out: &mut Vec<Action>) {
         Balancer::handle(self, now, event, out);
     }
+
+    fn sightings(&self, now: Micros) -> Vec<Sighting> {
+        Balancer::sightings(self, now)
+    }
 }
 
 /// The name of a server, by its number: as far apart as names that are hashed.
--- a/crates/lab/src/world/chance.rs
+++ b/crates/lab/src/world/chance.rs
@@ -21,6 +21,8 @@
     Clients = 5,
     /// What policies draw.
     Policies = 6,
+    /// Keys of gossip.
+    Gossip = 7,
 }
 
 /// The generator of a purpose.
--- a/crates/lab/src/world/events.rs
+++ b/crates/lab/src/world/events.rs
@@ -50,6 +50,12 @@
     Warms,
     /// Servers are looked at for the picture.
     Look,
+    /// A node tells others what it sees of servers.
+    Sees(usize),
+    /// A node's gossip wants to be looked at.
+    Looks(usize),
+    /// A packet of gossip reaches a node from another.
+    Packet(usize, usize, Vec<u8>),
 }
 
 /// What a client is told.
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -6,6 +6,7 @@
 mod list;
 mod nodes;
 mod station;
+mod talk;
 mod troubles;
 pub mod truth;
 mod wants;
@@ -25,6 +26,7 @@
 use events::{Agenda, Due};
 use nodes::{Attempt, Node, Request};
 pub use station::{Make, Station, Taken};
+pub use talk::Talked;
 
 /// Simulated time begins here, far from 0: "long ago" is before it.
 pub(crate) const BEGIN: Micros = 1_000_000_000;
@@ -47,6 +49,8 @@
     /// The last number that was given to any of these.
     number: u64,
     nodes: Vec<Node>,
+    /// Gossip of each node, or none at all.
+    talks: Vec<talk::Talk>,
     stations: Vec<Station>,
     ids: HashMap<ServerId, usize>,
     troubles: Vec<troubles::Met>,
@@ -114,6 +118,7 @@
             attempts: HashMap::new(),
             number: 0,
             nodes: (0..e.nodes.count).map(|rank| Node::new(make(rank), count)).collect(),
+            talks: talk::talks(e, seed),
             stations: (0..count).map(station).collect(),
             ids: (0..count).map(|number| (rivals::server_id(number), number)).collect(),
             troubles: troubles::met(e, seed),
@@ -148,6 +153,7 @@
                 self.agenda.put(BEGIN + thinks, Due::Thought(client));
             }),
         }
+        self.begin_talk();
         self.agenda.put(BEGIN, Due::Look);
         self.agenda.put(BEGIN, Due::Warms);
     }
@@ -202,6 +208,9 @@
             Due::Starts(server) => self.starts(server),
             Due::Warms => self.warms(),
             Due::Look => self.look(),
+            Due::Sees(node) => self.sees(node),
+            Due::Looks(node) => self.looks(node),
+            Due::Packet(node, from, bytes) => self.packet(node, from, &bytes),
         }
     }
 
@@ -283,8 +292,10 @@
         let here = self.stations.iter().map(|station| station.here).sum::<f64>() / span;
         // Arrivals a second times the mean stay is the sum of stays over the span.
         let little = (here, self.stays / span);
+        let talked = self.talked();
         self.counts.figures(Rest {
             cut,
+            talked,
             used: (least, mean, most),
             little,
             events: self.events,
--- a/crates/lab/src/world/nodes.rs
+++ b/crates/lab/src/world/nodes.rs
@@ -1,6 +1,6 @@
 //! Nodes: what they are told, and what they do about it.
 
-use cherryusher::{Action, AttemptNo, Event, Outcome, ServerId};
+use cherryusher::{Action, AttemptNo, Event, Outcome, ServerId, Sighting};
 use rand::Rng;
 
 use super::events::{Due, Reply};
@@ -32,6 +32,11 @@
     pub(super) fn new(policy: Option<Box<dyn Policy>>, servers: usize) -> Node {
         Node { policy, ahead: 0, shown: 0, versions: vec![0; servers], away: vec![None; servers], silent: 0 }
     }
+
+    /// What it has seen of servers by itself.
+    pub(super) fn sightings(&self, now: Micros) -> Vec<Sighting> {
+        self.policy.as_ref().map_or(Vec::new(), |policy| policy.sightings(now))
+    }
 }
 
 /// A request, from its client's asking until nothing of it is left anywhere.
@@ -90,6 +95,13 @@
 }
 
 impl World<'_> {
+    /// What a node's clock shows now.
+    pub(super) fn clock(&mut self, node: usize) -> Micros {
+        let at = &mut self.nodes[node];
+        at.shown = at.shown.max(self.now + at.ahead);
+        at.shown
+    }
+
     /// Tells a node, and does what it says; what comes of that is told after.
     pub(super) fn tell(&mut self, node: usize, event: Event) {
         self.untold.push_back((node, event));
@@ -98,9 +110,8 @@
         }
         let mut actions = Vec::new();
         while let Some((node, event)) = self.untold.pop_front() {
-            let at = &mut self.nodes[node];
-            at.shown = at.shown.max(self.now + at.ahead);
-            let (shown, policy) = (at.shown, at.policy.take());
+            let shown = self.clock(node);
+            let policy = self.nodes[node].policy.take();
             let Some(mut policy) = policy else { continue };
             let work = micros(self.e.servers.time) as f64;
             let truth = Truth { now: self.now, stations: &self.stations, numbers: &self.ids, work };
--- a/crates/lab/src/world/troubles.rs
+++ b/crates/lab/src/world/troubles.rs
@@ -55,7 +55,7 @@
             Kind::Burst => {
                 self.burst = if begins { self.burst * factor } else { self.burst / factor.max(1e-9) }
             }
-            Kind::Partition => {}
+            Kind::Partition | Kind::Cut => {}
             Kind::Silence | Kind::Clock => {
                 for node in 0..self.nodes.len() {
                     if !self.troubles[number].nodes[node] {
--- a/crates/lab/tests/chance.rs
+++ b/crates/lab/tests/chance.rs
@@ -22,6 +22,7 @@
         Kind::Crash,
         Kind::Drain,
         Kind::Partition,
+        Kind::Cut,
         Kind::Silence,
         Kind::Resets,
         Kind::Burst,
--- a/crates/lab/tests/worlds.rs
+++ b/crates/lab/tests/worlds.rs
@@ -286,3 +286,46 @@
         assert!(told.starts_with(wanted), "{told}");
     }
 }
+
+/// Nodes of which each meets a server seldom, with servers that stall for most of the time.
+const SELDOM: &str = r#"
+    span = "14s"
+    settle = "4s"
+    nodes = { count = 16 }
+    clients = { rate = 160.0 }
+    servers = { count = 16, cores = 4, time = "50ms" }
+    classes = [{ name = "order", effect = "unsafe", aim = "300ms", deadline = "1500ms" }]
+    troubles = [{ kind = "stall", at = "5s", for = "8s", servers = { part = 0.2 } }]
+"#;
+
+#[test]
+fn nodes_that_gossip_send_less_to_servers_that_stall() {
+    let played = |more: &str| {
+        let text = format!("{SELDOM}\ncompare = [{{ policy = \"dunelink\"{more} }}]");
+        cases(&text).iter().map(played).map(|f| (f.lost, f.breaches, f.talked)).collect::<Vec<_>>()
+    };
+    let (alone, told) = (&played("")[0], &played(", set = { \"nodes.gossip\" = true }")[0]);
+    println!("alone {alone:?}, told {told:?}");
+    assert_eq!((alone.1, told.1, alone.2), (0, 0, None));
+    assert!(4 * told.0 <= 3 * alone.0, "{told:?}, {alone:?}");
+    let talked = told.2.unwrap();
+    assert!(talked.least == 15 && talked.bytes < 16_384.0, "{talked:?}");
+}
+
+#[test]
+fn nodes_that_are_cut_off_from_each_other_serve_on_and_find_each_other_again() {
+    let text = r#"
+        span = "24s"
+        nodes = { count = 8, gossip = true }
+        clients = { rate = 100.0 }
+        servers = { count = 8, cores = 4 }
+        troubles = [{ kind = "cut", at = "6s", for = "6s", nodes = { part = 0.5 } }]
+        compare = [{ policy = "dunelink" }]
+    "#;
+    let whole = played(&cases(text)[0]);
+    assert_eq!((whole.breaches, whole.talked.unwrap().least), (0, 7));
+    assert!(whole.gain() > 0.95, "{}", whole.gain());
+    // In the midst of it each side holds the other to be gone.
+    let halves = played(&cases(&text.replace("24s", "11s"))[0]);
+    assert_eq!(halves.talked.unwrap().least, 3);
+}
