A chair is no longer refused by its own promise; who comes in waits a lease for its part

One: nobody was let in, put out or decided any more while all saw all. Seen in a trace of ballots: the chair's questions were answered by all, and no view followed. At fault: Register::propose kept who had been promised last and raised the round alone; where that process is above the chair, the chair's own question is below its promise, it refuses itself and gives its ballot up, for ever. Ruled out: sizes of packets, the ceiling, joint majorities (promises were whole). The promise is the ballot now. An elector now refuses to prolong a name that is held by an older view than it has accepted, and who comes in takes the floor until every lease by a view without it is over. A liar's ballot far beyond all others is passed over.

--- a/bench/src/lines.rs
+++ b/bench/src/lines.rs
@@ -295,6 +295,9 @@
         }
         let healed = fleet.net.now;
         let agreed = fleet.run(healed + WAIT, Fleet::agree) && fleet.agree();
+        if !agreed {
+            fleet.show();
+        }
         fleet.outcome.agreed = agreed.then(|| (fleet.net.now - healed) as f64 / S as f64);
         // Operators put one out, and it comes back when its time is over.
         if agreed {
@@ -303,6 +306,7 @@
             let out = |fleet: &Fleet| fleet.decided.values().any(|view| Evictions::has(view, victim));
             let back = |fleet: &Fleet| out(fleet) && fleet.agree();
             if !fleet.run(fleet.net.now + WAIT, back) {
+                fleet.show();
                 fleet.outcome.broken.push("who was put out did not come back".into());
             }
         }
@@ -320,6 +324,31 @@
         fleet.outcome
     }
 
+    /// How all stand, for a time line that failed.
+    fn show(&self) {
+        for (at, node) in self.nodes.iter().enumerate() {
+            let Some(council) = &node.council else {
+                eprintln!("n{at} does not run");
+                continue;
+            };
+            let stands = council.standing(node.clock(self.net.now));
+            let view = stands
+                .view
+                .as_ref()
+                .map(|view| (view.generation.round, view.epoch, view.members.len(), &view.facts));
+            eprintln!(
+                "n{at} paused {} side {:?} name for {} chair {} aside {} part {} view {view:?} sees {}",
+                node.paused,
+                stands.side,
+                stands.name_for,
+                stands.chair,
+                stands.aside,
+                node.part,
+                self.net.nodes[at].gossip.as_ref().map_or(0, |gossip| gossip.there().len())
+            );
+        }
+    }
+
     fn bytes(net: &Net) -> u64 {
         net.nodes.iter().map(|node| node.bytes).sum()
     }
--- a/crates/view/src/council.rs
+++ b/crates/view/src/council.rs
@@ -28,8 +28,8 @@
 pub enum Wire {
     /// Of views.
     Register(Message),
-    /// Of leases.
-    Ask(Ask),
+    /// Of leases, and which view its author knows: who holds its name by an older one may have to take less.
+    Ask(Ask, Ballot, u64),
     /// The answer.
     Answer(Answer),
     /// Which view its author knows, as a sign of life; who knows a newer one tells it.
@@ -141,6 +141,8 @@
     /// Whether it held its name, the chair and the right to step aside when it last looked.
     holds: [bool; 3],
     part: f64,
+    /// Since when this process is a member that holds its name; 0 where it need not wait.
+    member_since: Option<Micros>,
     dice: u64,
 }
 
@@ -174,6 +176,7 @@
             side: Side::Alone,
             holds: [false; 3],
             part: 0.0,
+            member_since: None,
             dice: seed | 1,
             settings,
         }
@@ -254,7 +257,7 @@
     fn step_aside(&mut self, now: Micros, wanted: bool, out: &mut Vec<Output>) {
         if std::mem::replace(&mut self.wants_aside, wanted) && !wanted {
             let ask = self.aside.release(now);
-            self.to_electors(&Wire::Ask(ask), out);
+            self.ask_electors(ask, out);
         }
     }
 
@@ -273,17 +276,27 @@
         if std::mem::replace(&mut self.side, side) != side {
             out.push(Output::Side(side));
         }
-        let part = self.parts.update(now, self.members_with(name), self.settings.nodes);
+        let members = self.members_with(now, name);
+        let part = self.parts.update(now, members, self.settings.nodes);
         if std::mem::replace(&mut self.part, part) != part {
             out.push(Output::Part(part));
         }
     }
 
-    /// How many members share the work, if this process is one that may take a whole part.
-    fn members_with(&self, name: bool) -> Option<usize> {
-        let view = self.register.view().filter(|view| name && !self.register.is_over(view))?;
+    /// How many members share the work, if this process is one that may take a whole part: a member that holds its name,
+    /// and has for as long as others may still hold theirs by a view without it. Who founded the first view waits for
+    /// nobody: nobody was a member before.
+    fn members_with(&mut self, now: Micros, name: bool) -> Option<usize> {
         let me = self.settings.me;
-        (view.members.get(&me.name) == Some(&me.instance)).then_some(view.members.len())
+        let view = self.register.view().filter(|view| name && !self.register.is_over(view));
+        let view = view.filter(|view| view.members.get(&me.name) == Some(&me.instance));
+        let Some((members, first)) = view.map(|view| (view.members.len(), view.epoch == 1)) else {
+            self.member_since = None;
+            return None;
+        };
+        let kept = self.settings.bounds.kept();
+        let since = *self.member_since.get_or_insert(if first { 0 } else { now });
+        (since == 0 || now.saturating_sub(since) >= kept).then_some(members)
     }
 
     fn known(&self) -> (Ballot, u64) {
@@ -294,6 +307,11 @@
         out.extend(self.settings.names.iter().map(|name| Output::Send(name, wire.clone())));
     }
 
+    fn ask_electors(&self, ask: Ask, out: &mut Vec<Output>) {
+        let (generation, epoch) = self.known();
+        self.to_electors(&Wire::Ask(ask, generation, epoch), out);
+    }
+
     fn say(messages: Vec<(Name, Message)>, out: &mut Vec<Output>) {
         out.extend(messages.into_iter().map(|(to, message)| Output::Send(to, Wire::Register(message))));
     }
@@ -326,9 +344,11 @@
                     }
                 }
             }
-            Wire::Ask(ask) => {
+            Wire::Ask(ask, generation, epoch) => {
+                let old = self.is_old(from, &ask, generation, epoch);
                 if let Some(grantor) = &mut self.grantor {
-                    let answer = grantor.hear(now, from, ask);
+                    let refusal = Answer { resource: ask.resource, number: ask.number, granted: false };
+                    let answer = if old { refusal } else { grantor.hear(now, from, ask) };
                     out.push(Output::Send(from.name, Wire::Answer(answer)));
                 }
             }
@@ -370,7 +390,16 @@
         }
         *until = shy;
         let ask = holder.release(now);
-        self.to_electors(&Wire::Ask(ask), out);
+        self.ask_electors(ask, out);
+    }
+
+    /// Whether a process wants to hold its name on by a view before the newest: others may have come in since, and it
+    /// would take more than its part is now. It is told the newest, and asks again.
+    fn is_old(&self, from: Process, ask: &Ask, generation: Ballot, epoch: u64) -> bool {
+        let Some((newest, at)) = self.register.newest() else { return false };
+        let knows_none = epoch == 0;
+        let of_name = ask.resource == resource(from.name) && !ask.release;
+        of_name && !knows_none && (generation != newest || epoch < at)
     }
 
     /// Kept until it is decided; the chair proposes it.
@@ -386,10 +415,10 @@
         let (generation, epoch) = self.known();
         self.to_electors(&Wire::Hello(generation, epoch), out);
         let ask = self.name.ask(now);
-        self.to_electors(&Wire::Ask(ask), out);
+        self.ask_electors(ask, out);
         if self.wants_aside && now >= self.shy_aside {
             let ask = self.aside.ask(now);
-            self.to_electors(&Wire::Ask(ask), out);
+            self.ask_electors(ask, out);
         }
         let Some(grantor) = &self.grantor else { return };
         if grantor.grants(now) {
@@ -397,7 +426,7 @@
         }
         if now >= self.shy {
             let ask = self.chair.ask(now);
-            self.to_electors(&Wire::Ask(ask), out);
+            self.ask_electors(ask, out);
         }
         if self.chair.holds(now) && now >= self.patient {
             self.propose(now, out);
--- a/crates/view/src/register.rs
+++ b/crates/view/src/register.rs
@@ -17,7 +17,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::process::{Electors, Instance, Name, Names, Process};
-use crate::view::{Change, View};
+use crate::view::{Change, Generation, View};
 
 /// Orders proposals; of two of one round, by who made them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -39,6 +39,9 @@
     pub decided: bool,
 }
 
+/// By how much a ballot's round may be above those that were met.
+const LEAP: u64 = 1 << 32;
+
 /// What processes say to each other.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Message {
@@ -124,6 +127,16 @@
         self.names.are_gone(&view.electors, &running)
     }
 
+    /// The newest view that it has accepted, or knows: whose generation and epoch.
+    pub fn newest(&self) -> Option<(Generation, u64)> {
+        let accepted = self.accepted.as_ref().map(|accepted| (accepted.view.generation, accepted.view.epoch));
+        let decided = self.decided.as_ref().map(|view| (view.generation, view.epoch));
+        match (accepted, decided) {
+            (Some(one), Some(other)) if one.0 == other.0 => Some((one.0, one.1.max(other.1))),
+            (one, other) => other.or(one),
+        }
+    }
+
     /// The newest view that it knows to be decided.
     pub fn view(&self) -> Option<&View> {
         self.decided.as_ref()
@@ -141,8 +154,9 @@
 
     /// Begins a ballot for a change, or to finish or learn what is decided. One that is under way is given up.
     pub fn propose(&mut self, change: Option<Change>, out: &mut Vec<(u64, Message)>) {
-        let ballot = Ballot { round: self.promised.round + 1, by: self.me };
-        self.promised.round = ballot.round;
+        let ballot = Ballot { round: self.promised.round.saturating_add(1), by: self.me };
+        // Whole: with the one whom it promised last in it, who may be above this one, it would refuse itself.
+        self.promised = ballot;
         self.proposal = Some(Proposal { ballot, change, phase: Phase::Preparing(BTreeMap::new()) });
         self.to_all(&Message::Prepare(ballot), out);
     }
@@ -154,6 +168,16 @@
     /// Takes in what a process says; appends what is to be said, and to whom. A view that is newly known to be decided
     /// is returned.
     pub fn hear(&mut self, from: Process, message: Message, out: &mut Vec<(u64, Message)>) -> Option<View> {
+        let (Message::Prepare(ballot)
+        | Message::Promise(ballot, _)
+        | Message::Accept(ballot, _)
+        | Message::Accepts(ballot)
+        | Message::Refuses(ballot)
+        | Message::Decided(ballot, _)) = &message;
+        // Ballots go up by one: with a number near the end of all numbers a liar would stop all that follow.
+        if ballot.round > self.promised.round.saturating_add(LEAP) {
+            return None;
+        }
         match message {
             Message::Prepare(ballot) if self.may_vote(ballot) => {
                 self.promised = ballot;
