Views: an undecided one is finished before it is changed; who knows of none votes in none

Seen: 3 proposed a second epoch on a founding that 2, an elector of it, had not accepted; 2 knew of nothing and founded another generation with 3's next process, while 1 and 2 could still decide in the first. At fault: Register::promise changed a view that was accepted and not known to be decided, so that nobody asked those who were new in it. It is brought to its end first now, and changed by the next ballot. Who promises and has accepted nothing is no elector of anything decided, and is not counted as one.

--- a/crates/view/src/register.rs
+++ b/crates/view/src/register.rs
@@ -227,7 +227,17 @@
         };
         let Phase::Preparing(promises) = &mut proposal.phase else { return };
         promises.insert(from, accepted);
-        let lives = |known: &&Accepted| !self.names.are_gone(&known.view.electors, promises.keys());
+        // Who has accepted nothing is no elector of anything decided: all who are new in a view accept it.
+        let blank: Vec<Process> =
+            promises.iter().filter(|(_, accepted)| accepted.is_none()).map(|(process, _)| *process).collect();
+        let lives = |known: &&Accepted| {
+            let votes = |(name, instance): &(&Name, &Instance)| {
+                !blank.contains(&Process { name: **name, instance: **instance })
+            };
+            let electors =
+                known.view.electors.iter().filter(votes).map(|(name, instance)| (*name, *instance));
+            !self.names.are_gone(&electors.collect(), promises.keys())
+        };
         let newest = promises.values().flatten().filter(lives).max_by_key(|accepted| accepted.ballot);
         let Some(newest) = newest else {
             // Nobody knows a view that could still decide.
@@ -246,7 +256,10 @@
             return;
         }
         let is_elector = |change: &Change| matches!(change, Change::Admit(p) if self.names.contains(p.name));
-        let next = proposal.change.as_ref().and_then(|change| view.next(change, is_elector(change)));
+        // What is not known to be decided is brought to its end first, with all who are new in it: a view that followed it
+        // would not ask them, and one that knows of nothing could found beside it.
+        let change = proposal.change.as_ref().filter(|_| decided);
+        let next = change.and_then(|change| view.next(change, is_elector(change)));
         let view = next.unwrap_or_else(|| view.clone());
         self.accepting(view, out);
     }
