--- a/crates/view/src/register.rs
+++ b/crates/view/src/register.rs
@@ -257,8 +257,13 @@
         }
         let is_elector = |change: &Change| matches!(change, Change::Admit(p) if self.names.contains(p.name));
         // What is not known to be decided is brought to its end first, with all who are new in it: a view that followed it
-        // would not ask them, and one that knows of nothing could found beside it.
-        let change = proposal.change.as_ref().filter(|_| decided);
+        // would not ask them, and one that knows of nothing could found beside it. Those that are gone can do neither.
+        let knows_it = |p: &Process| {
+            promises.get(p).is_some_and(|accepted| accepted.as_ref().is_some_and(|known| known.view == *view))
+        };
+        let is_gone = |p: &Process| promises.keys().any(|q| q.name == p.name && q.instance != p.instance);
+        let ends = decided || view.newcomers().all(|p| knows_it(&p) || is_gone(&p));
+        let change = proposal.change.as_ref().filter(|_| ends);
         let next = change.and_then(|change| view.next(change, is_elector(change)));
         let view = next.unwrap_or_else(|| view.clone());
         self.accepting(view, out);
