--- a/crates/dunelinkd/tests/gossip/main.rs
+++ b/crates/dunelinkd/tests/gossip/main.rs
@@ -146,7 +146,7 @@
 fn a_lying_peer_takes_no_more_than_its_bound_from_a_healthy_server() {
     let mut rig = Rig::new(plan(4, 1, true));
     let id = dunelink::Server::new("s0", ([127, 0, 0, 1], 1).into()).id();
-    let until = Instant::now() + Duration::from_secs(8);
+    let until = Instant::now() + Duration::from_secs(14);
     let read = |path: PathBuf| std::fs::read_to_string(path).unwrap();
     let ring = KeyRing::parse(&read(rig.ring())).unwrap();
     let secret = Secret::parse(&read(rig.secret(4))).unwrap();
@@ -169,11 +169,12 @@
     }
     rig.load_at(0..4, &load());
     let began = rig.record.now();
-    thread::sleep(Duration::from_secs(3));
-    let part = part(&came(&rig.record.entries(), began, rig.record.now()));
+    thread::sleep(Duration::from_secs(9));
+    let came = came(&rig.record.entries(), began, rig.record.now());
     rig.rest();
-    // A quarter at most, by the bound; a third stands for chance.
-    assert!(part > 0.67, "it has {part} of what others have");
+    // A quarter at most, by the bound; a count of so many varies by its root, and three times that is not chance.
+    let (part, chance) = (part(&came), 3.0 / (came[0].max(1) as f64).sqrt());
+    assert!(came[0] > 100 && part > 0.75 * (1.0 - chance), "it has {part} of what others have: {came:?}");
     let told = seen(&rig, 0, "members");
     let credit = told.lines().find(|line| line.starts_with("n4 ")).unwrap().split("credit=").nth(1).unwrap();
     assert!(credit.parse::<f64>().unwrap() < 0.5, "own answers speak against it: {told}");
