The fleet's thread makes an epoch's text only where it is told, and clones no view for a packet

Seen on reading the change again: for each deed, carried packets first of all, the whole standing was made (a clone of the view, the electors heard) to have the epoch's text, which most deeds never used; a lease's deed bore a second copy of it, made in the same way. Change: Council::view is borrowed, the text is made where an event is told, the deed has no epoch of its own; members and wishes are moved, not cloned. Behaviour as before.

--- a/crates/dunelink/src/fleet/deed.rs
+++ b/crates/dunelink/src/fleet/deed.rs
@@ -14,8 +14,8 @@
     Decided(Box<View>, Option<Box<View>>),
     /// This node is on another side; these electors it does not hear.
     Side(Side, Vec<Name>),
-    /// It holds something, or has not for some time, under this epoch; it may have stood still since.
-    Lease(Held, bool, Micros, String),
+    /// It holds something, or has not for some time; it may have stood still since.
+    Lease(Held, bool, Micros),
     /// What was wanted can't be decided.
     Dropped(Change),
     /// It is something else than it was before.
--- a/crates/dunelink/src/fleet/gossip.rs
+++ b/crates/dunelink/src/fleet/gossip.rs
@@ -228,43 +228,38 @@
         let now = self.now();
         while !deeds.is_empty() {
             for deed in std::mem::take(&mut deeds) {
-                let standing = self.deciding.as_ref().map(|deciding| deciding.standing(now));
-                let epoch = epoch_of(standing.and_then(|standing| standing.view).as_ref());
                 let Gossiper { deciding, gossip, reaching, config, .. } = self;
                 let teller = Teller { node: &config.name, gossip };
+                let epoch = || deciding.as_ref().map_or_else(|| epoch_of(None), Deciding::epoch);
                 match deed {
+                    // By far the most frequent: nothing else is made for it.
                     Deed::Carry(to, bytes) => gossip.handle(now, Input::Carry(to, bytes), out),
                     Deed::Part(part) => {
-                        teller.part(part, &epoch);
+                        teller.part(part, &epoch());
                         self.tell_fleet((1.0 / part).ceil() as u32);
                     }
                     Deed::Decided(view, before) => {
                         teller.decided(&view, before.as_deref());
-                        let members: Vec<Name> = view.members.into_keys().collect();
-                        let reaching = reaching.iter_mut();
-                        deeds.extend(
-                            reaching.flat_map(|reaching| reaching.members(now, members.clone(), gossip)),
-                        );
+                        if let Some(reaching) = reaching {
+                            let members: Vec<Name> = view.members.into_keys().collect();
+                            deeds.extend(reaching.members(now, members, gossip));
+                        }
                     }
-                    Deed::Side(side, unheard) => teller.side(side, &unheard, &epoch),
-                    Deed::Lease(what, held, ago, epoch) => {
-                        teller.lease(what, held, ago, &epoch);
-                        if what == Held::Aside {
-                            let reaching = reaching.iter_mut();
-                            deeds.extend(
-                                reaching.flat_map(|reaching| reaching.may_step_aside(now, held, gossip)),
-                            );
+                    Deed::Side(side, unheard) => teller.side(side, &unheard, &epoch()),
+                    Deed::Lease(what, held, ago) => {
+                        teller.lease(what, held, ago, &epoch());
+                        if let (Held::Aside, Some(reaching)) = (what, reaching) {
+                            deeds.extend(reaching.may_step_aside(now, held, gossip));
                         }
                     }
                     Deed::Dropped(change) => teller.dropped(&change),
-                    Deed::Stance(stance, before) => teller.stance(&stance, &before, &epoch),
+                    Deed::Stance(stance, before) => teller.stance(&stance, &before, &epoch()),
                     Deed::WantsAside(wants) => {
-                        let wants = dunelink_view::Input::Aside(wants);
-                        deeds.extend(
-                            deciding.iter_mut().flat_map(|deciding| deciding.want(now, wants.clone())),
-                        );
+                        if let Some(deciding) = deciding {
+                            deeds.extend(deciding.want(now, dunelink_view::Input::Aside(wants)));
+                        }
                     }
-                    Deed::Ready(ready, stance) => teller.ready(ready, &stance, &epoch),
+                    Deed::Ready(ready, stance) => teller.ready(ready, &stance, &epoch()),
                 }
             }
         }
--- a/crates/dunelink/src/fleet/view.rs
+++ b/crates/dunelink/src/fleet/view.rs
@@ -62,6 +62,11 @@
         self.council.standing(now)
     }
 
+    /// The number of the newest view that it knows.
+    pub(super) fn epoch(&self) -> String {
+        epoch_of(self.council.view())
+    }
+
     /// Whether something can be decided.
     pub(super) fn may(&self, change: &Change) -> Result<(), Refusal> {
         self.council.may(change)
@@ -116,10 +121,7 @@
                         let unheard = self.names.iter().filter(|name| !heard.contains(name)).collect();
                         deeds.push(Deed::Side(side, unheard));
                     }
-                    Output::Lease(what, held, ago) => {
-                        let epoch = epoch_of(self.council.standing(now).view.as_ref());
-                        deeds.push(Deed::Lease(what, held, ago, epoch));
-                    }
+                    Output::Lease(what, held, ago) => deeds.push(Deed::Lease(what, held, ago)),
                     Output::Dropped(change) => deeds.push(Deed::Dropped(change)),
                 }
             }
--- a/crates/view/src/council.rs
+++ b/crates/view/src/council.rs
@@ -223,6 +223,11 @@
         self.look(now, out);
     }
 
+    /// The newest view that it knows.
+    pub fn view(&self) -> Option<&View> {
+        self.register.view()
+    }
+
     /// How it stands.
     pub fn standing(&self, now: Micros) -> Standing {
         Standing {
