Every attempt passes one gate last, before its first byte: wanted, in its window, server there

Cause: the module checks the window when it decides; the attempt then waits for a connection, up to connect_timeout (0.3 s there), and was written when that came up (attempt.rs, loop of send). By the same gap a request went out for a client that had left where attempts may not be cancelled (allowed.cancelling = false), since the client's leaving was known to the engine alone (engine.rs, one.rs).

Now Action::Send says until when its first byte may leave, Outgoing knows whether it is over (from the front's thread, at once), and Servers::may_begin asks all of it, with the deadline and the list, after every wait. What does not pass ends as NotSent, which proves that it never ran; its new connection serves the next.

--- a/crates/cherryusher/src/api.rs
+++ b/crates/cherryusher/src/api.rs
@@ -366,6 +366,9 @@
         request: RequestId,
         /// Where to.
         server: ServerId,
+        /// Until when its first byte may leave, by the clock of events: an earlier attempt may have run, and its
+        /// deduplication window closes then. One that could not begin by then ends as [`Outcome::NotSent`].
+        until: Option<Micros>,
     },
     /// Final answer: turned away, and harmless to try again.
     Refuse {
--- a/crates/cherryusher/src/policy/attempts.rs
+++ b/crates/cherryusher/src/policy/attempts.rs
@@ -24,7 +24,15 @@
         members.iter().any(|i| self.servers[*i].pool.is_some() && self.allowed(job, &self.servers[*i].entry))
     }
 
+    /// Until when it may go again: to the end of the first window of those attempts that may have run.
+    fn until(&self, job: &Job) -> Option<Micros> {
+        let Effect::Keyed { window, .. } = self.settings.classes[job.ask.class].effect else { return None };
+        let ran = job.attempts.iter().filter(|a| a.fate != Fate::NeverRan);
+        ran.map(|a| a.sent_at.saturating_add(window).saturating_sub(self.settings.step)).min()
+    }
+
     pub(super) fn send(&mut self, id: RequestId, i: usize) {
+        let until = self.jobs.get(&id).and_then(|job| self.until(job));
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let server = &mut self.servers[i];
         // One that was not tried for long goes by its own pace again.
@@ -34,7 +42,7 @@
         job.held = false;
         let in_hand = !job.coming;
         job.attempts.push(Attempt { to: entry, sent_at: self.now, fate: Fate::Out, in_hand });
-        self.actions.push(Action::Send { request: id, server: entry.id });
+        self.actions.push(Action::Send { request: id, server: entry.id, until });
         if in_hand {
             self.in_hand(i);
         }
--- a/crates/cherryusher/src/tests.rs
+++ b/crates/cherryusher/src/tests.rs
@@ -64,7 +64,7 @@
         let request =
             Request { id, class: 0, remaining: 60 * S, expected_work: None, key: None, tenant: None };
         self.tell(Event::Arrived(request)).into_iter().find_map(|action| match action {
-            Action::Send { request, server } if request == id => Some((id, server)),
+            Action::Send { request, server, .. } if request == id => Some((id, server)),
             _ => None,
         })
     }
--- a/crates/cherryusher/tests/common/mod.rs
+++ b/crates/cherryusher/tests/common/mod.rs
@@ -111,7 +111,7 @@
 /// Where the actions send the request, in order.
 pub fn sends(actions: &[Action], of: RequestId) -> Vec<ServerId> {
     let to = |a: &Action| match a {
-        Action::Send { request, server } if *request == of => Some(*server),
+        Action::Send { request, server, .. } if *request == of => Some(*server),
         _ => None,
     };
     actions.iter().filter_map(to).collect()
--- a/crates/cherryusher/tests/rules.rs
+++ b/crates/cherryusher/tests/rules.rs
@@ -87,7 +87,7 @@
     fn judge(&mut self, action: &Action) {
         let now = self.node.now;
         match *action {
-            Action::Send { request, server } => {
+            Action::Send { request, server, .. } => {
                 let asked = self.asked.get_mut(&request).expect("a request that was asked");
                 assert!(!asked.closed, "sent after its end");
                 assert!(!asked.spent, "sent without a part of its body");
@@ -327,7 +327,7 @@
                 actions.extend(node.end(id, 0, Outcome::Served, 20 * MS));
             }
             for action in actions {
-                if let Action::Send { request, server } = action {
+                if let Action::Send { request, server, .. } = action {
                     sent.entry(server).or_default().push(node.now);
                     due.insert((node.now + 20 * MS, request));
                 }
--- a/crates/cherryusher/tests/scenarios.rs
+++ b/crates/cherryusher/tests/scenarios.rs
@@ -551,7 +551,7 @@
             actions.extend(node.end(id, 0, Outcome::Served, node.now - sent_at));
         }
         for action in actions {
-            if let Action::Send { request, server } = action {
+            if let Action::Send { request, server, .. } = action {
                 let free = &mut free_at[server as usize];
                 *free = node.now.max(*free) + work;
                 out.push((*free, node.now, request));
--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -364,7 +364,7 @@
         }
         let short = |us: Micros| u32::try_from(us).unwrap_or(u32::MAX).to_le_bytes();
         match action {
-            Action::Send { request, server } => {
+            Action::Send { request, server, .. } => {
                 let out = self.record(1);
                 out.extend(request.to_le_bytes());
                 out.extend(((server >> 16) as u32).to_be_bytes());
--- a/crates/drill/tests/wire.rs
+++ b/crates/drill/tests/wire.rs
@@ -149,7 +149,7 @@
 #[test]
 fn a_reply() {
     let mut reply = Reply::default();
-    reply.action(3, Action::Send { request: 0x0007_dde1_5d3a_91c4, server: SERVER });
+    reply.action(3, Action::Send { request: 0x0007_dde1_5d3a_91c4, server: SERVER, until: None });
     reply.action(3, Action::Wake { after: 500_000, token: 0x4d });
     reply.action(5, Action::Refuse { request: 1, retry_after: 9 });
     reply.action(5, Action::Fail(2));
--- a/crates/dunelink/src/attempt.rs
+++ b/crates/dunelink/src/attempt.rs
@@ -24,7 +24,7 @@
 use crate::line::Line;
 use crate::payload::OutgoingBody;
 use crate::pieces::Pieces;
-use crate::servers::{Servers, Spare};
+use crate::servers::{Connection, Servers, Spare};
 use crate::types::Outgoing;
 
 /// An answer of which nothing more comes for so long will never be whole.
@@ -107,13 +107,21 @@
 }
 
 impl Servers {
-    /// One attempt, to its end.
-    pub(crate) async fn attempt(self: &Rc<Self>, outgoing: &Outgoing, server: ServerId) -> Attempted {
+    /// One attempt, to its end. It may begin `until` then.
+    pub(crate) async fn attempt(
+        self: &Rc<Self>,
+        outgoing: &Outgoing,
+        server: ServerId,
+        until: Option<Instant>,
+    ) -> Attempted {
+        if !outgoing.is_wanted() {
+            return Attempted::of(Outcome::NotSent);
+        }
         let begun = Cell::new(false);
         self.tries(server);
         tokio::select! {
             biased;
-            ended = self.send(outgoing, server, &begun) => ended,
+            ended = self.send(outgoing, server, until, &begun) => ended,
             () = outgoing.body.over(outgoing.deadline) => match begun.get() {
                 true => Attempted::of(Outcome::TimedOut),
                 false => Attempted::of(Outcome::NotSent),
@@ -121,8 +129,28 @@
         }
     }
 
+    /// What every attempt passes last before its first byte, whatever it has waited for since it was decided on: whether
+    /// the request is still wanted, may still go again, and may still go to its server, by this connection.
+    fn may_begin(
+        &self,
+        outgoing: &Outgoing,
+        server: ServerId,
+        until: Option<Instant>,
+        connection: &Connection,
+    ) -> bool {
+        outgoing.is_wanted()
+            && until.is_none_or(|until| Instant::now() < until)
+            && self.whereabouts(server) == Some((connection.endpoint, connection.started))
+    }
+
     /// Sends the request on an idle connection or a new one; `begun` is set once it may be on the socket.
-    async fn send(self: &Rc<Self>, outgoing: &Outgoing, server: ServerId, begun: &Cell<bool>) -> Attempted {
+    async fn send(
+        self: &Rc<Self>,
+        outgoing: &Outgoing,
+        server: ServerId,
+        until: Option<Instant>,
+        begun: &Cell<bool>,
+    ) -> Attempted {
         loop {
             let kept = if self.wary(outgoing) { None } else { self.take_idle(server) };
             let (mut connection, fresh) = match kept {
@@ -137,9 +165,10 @@
                     }
                 }
             };
-            // A drain may have been heard of while the connection came up.
-            if self.whereabouts(server) != Some((connection.endpoint, connection.started)) {
-                return Attempted::of(Outcome::NotSent);
+            if !self.may_begin(outgoing, server, until, &connection) {
+                // What was just opened for it serves the next.
+                let spare = Some(Spare { server, connection });
+                return Attempted { spare, ..Attempted::of(Outcome::NotSent) };
             }
             let Some(mut request) = outgoing.request() else { return Attempted::of(Outcome::NotSent) };
             let hints = Arc::new(AtomicUsize::new(0));
--- a/crates/dunelink/src/engine.rs
+++ b/crates/dunelink/src/engine.rs
@@ -94,6 +94,14 @@
     timer: Option<(Key, Micros)>,
 }
 
+impl Open {
+    /// Who waits for its answer, once: nothing begins for it from then on.
+    fn finish(&mut self) -> Option<(usize, oneshot::Sender<Answer>)> {
+        self.outgoing.end();
+        Some((self.class, self.answer.take()?))
+    }
+}
+
 struct Attempt {
     server: ServerId,
     sent_at: Micros,
@@ -263,7 +271,7 @@
             }
             Happening::CameWhole(id, remaining) => self.queue.push_back(Event::CameWhole(id, remaining)),
             Happening::Left(id) => {
-                if self.open.get_mut(&id).and_then(|open| open.answer.take()).is_some() {
+                if self.open.get_mut(&id).and_then(Open::finish).is_some() {
                     self.tally.left();
                     self.queue.push_back(Event::Left(id));
                 }
@@ -325,7 +333,7 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Send { request, server } => self.send(request, server),
+            Action::Send { request, server, until } => self.send(request, server, until),
             Action::Refuse { request, retry_after } => {
                 let stay_away = (retry_after > 0).then(|| Duration::from_micros(retry_after));
                 self.answer(request, Answer::Refused { retry_after: stay_away });
@@ -365,18 +373,17 @@
         self.queue.push_back(Event::Woken(token));
     }
 
-    fn send(&mut self, request: RequestId, server: ServerId) {
+    fn send(&mut self, request: RequestId, server: ServerId, until: Option<Micros>) {
+        let after = |at: Micros| Duration::from_micros(at.saturating_sub(self.started_us));
+        // A time beyond the clock's end never comes.
+        let until = until.and_then(|at| self.started.checked_add(after(at)));
         let sent_at = self.now;
         let Some(open) = self.open.get_mut(&request) else { return };
         let number = open.attempts.len() as AttemptNo;
         let (servers, mailbox) = (self.servers.clone(), self.mailbox.clone());
-        let (outgoing, answered) = (open.outgoing.clone(), open.answer.is_none());
+        let outgoing = open.outgoing.clone();
         let task = tokio::task::spawn_local(async move {
-            // Nothing is sent for a request after its answer.
-            let Attempted { outcome, response, spare } = match answered {
-                true => Attempted::of(Outcome::NotSent),
-                false => servers.attempt(&outgoing, server).await,
-            };
+            let Attempted { outcome, response, spare } = servers.attempt(&outgoing, server, until).await;
             mailbox.send(Happening::Ended(request, number, outcome, response));
             // The answer does not wait for the connection to prove that it can be used again.
             if let Some(spare) = spare {
@@ -388,7 +395,7 @@
 
     fn answer(&mut self, id: RequestId, answer: Answer) {
         let open = self.open.get_mut(&id);
-        if let Some((class, waiting)) = open.and_then(|open| Some((open.class, open.answer.take()?))) {
+        if let Some((class, waiting)) = open.and_then(Open::finish) {
             // A client that is just leaving hears no answer; its `Left` then finds the request finished.
             answered(&self.tally, class, waiting, answer);
         }
--- a/crates/dunelink/src/intake.rs
+++ b/crates/dunelink/src/intake.rs
@@ -86,6 +86,11 @@
     #[derive(Clone, Debug, PartialEq, Eq)]
     pub struct Id(pub String);
 
+    /// When the request's last byte came, where it has waited since: a client's patience begins then, and not when
+    /// its turn has come. Without it, that is when the call has read it.
+    #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+    pub struct Came(pub Instant);
+
     /// A guess at the work; without it, `Req-Cost` (microseconds).
     #[derive(Clone, Copy, Debug, PartialEq, Eq)]
     pub struct ExpectedWork(pub Duration);
@@ -344,7 +349,7 @@
             headers.insert(ID, id);
         }
         let once = self.class.effect == Effect::Unsafe;
-        Ok(Outgoing { method: parts.method, target, headers, body, deadline: self.deadline, once })
+        Ok(Outgoing::new((parts.method, target, headers), body, self.deadline, once))
     }
 }
 
--- a/crates/dunelink/src/node/one.rs
+++ b/crates/dunelink/src/node/one.rs
@@ -69,7 +69,7 @@
         let class = head.class();
         let upload = rest.as_ref().map(|(rest, _)| rest.upload());
         // Dropped before the body's inlet: what breaks off is not a server's failure.
-        let mut waiting = Waiting::new(number, &engine);
+        let mut waiting = Waiting::new(number, &engine, outgoing.clone());
         if !engine.mailbox.send(Happening::Arrived(head.request(number), upload, outgoing, sender)) {
             waiting.answered = true;
             engine.tally.turned_away(class);
@@ -104,13 +104,14 @@
 struct Waiting<'a> {
     number: RequestId,
     engine: &'a Engine,
+    outgoing: Arc<Outgoing>,
     answered: bool,
 }
 
 impl Waiting<'_> {
-    fn new(number: RequestId, engine: &Engine) -> Waiting<'_> {
+    fn new(number: RequestId, engine: &Engine, outgoing: Arc<Outgoing>) -> Waiting<'_> {
         engine.waiting.fetch_add(1, Ordering::Relaxed);
-        Waiting { number, engine, answered: false }
+        Waiting { number, engine, outgoing, answered: false }
     }
 }
 
@@ -118,6 +119,8 @@
     fn drop(&mut self) {
         self.engine.waiting.fetch_sub(1, Ordering::Relaxed);
         if !self.answered {
+            // Known to its attempts at once, and not only when the engine has come to it.
+            self.outgoing.end();
             self.engine.mailbox.send(Happening::Left(self.number));
         }
     }
--- a/crates/dunelink/src/payload.rs
+++ b/crates/dunelink/src/payload.rs
@@ -76,6 +76,14 @@
         }
     }
 
+    /// When the client gives up, if its patience has begun.
+    pub(crate) fn by(&self, deadline: Instant) -> Option<Instant> {
+        match self {
+            Payload::Whole(_) => Some(deadline),
+            Payload::Coming(coming) => *coming.deadline.borrow(),
+        }
+    }
+
     /// Waits until the client has given up.
     pub(crate) async fn over(&self, deadline: Instant) {
         let Payload::Coming(coming) = self else { return sleep_until(deadline).await };
--- a/crates/dunelink/src/types.rs
+++ b/crates/dunelink/src/types.rs
@@ -1,5 +1,6 @@
 //! What the rooms of this crate hand to each other: a request on its way, its answer.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use http::uri::PathAndQuery;
@@ -58,4 +59,29 @@
     pub(crate) deadline: Instant,
     /// Whether it must never run twice.
     pub(crate) once: bool,
+    /// Whether nobody wants its answer any more.
+    over: AtomicBool,
+}
+
+impl Outgoing {
+    pub(crate) fn new(
+        (method, target, headers): (Method, PathAndQuery, HeaderMap),
+        body: Payload,
+        deadline: Instant,
+        once: bool,
+    ) -> Outgoing {
+        Outgoing { method, target, headers, body, deadline, once, over: AtomicBool::new(false) }
+    }
+
+    /// It has its final answer, or its client has gone: no attempt begins from now on, on whatever thread that is known
+    /// and whatever the attempt waits for.
+    pub(crate) fn end(&self) {
+        self.over.store(true, Ordering::Release);
+    }
+
+    /// Whether an attempt may still begin, as far as its client is concerned.
+    pub(crate) fn is_wanted(&self) -> bool {
+        let in_time = || self.body.by(self.deadline).is_none_or(|by| Instant::now() < by);
+        !self.over.load(Ordering::Acquire) && in_time()
+    }
 }
--- a/crates/dunelinkd/tests/process/mod.rs
+++ b/crates/dunelinkd/tests/process/mod.rs
@@ -127,6 +127,10 @@
         Client::connect(self.address, self.answers.clone())
     }
 
+    pub fn client_with_little_room(&self) -> Client {
+        Client::connect_with_little_room(self.address, self.answers.clone())
+    }
+
     /// The configuration with discovery elsewhere.
     pub fn config_with(&self, discovery: &TcpListener) -> String {
         let mut config = self.config.clone();
--- a/crates/lab/src/rivals/plain.rs
+++ b/crates/lab/src/rivals/plain.rs
@@ -102,7 +102,7 @@
         let server = &mut self.servers[place];
         server.in_flight += 1;
         job.attempts.push((server.id, true));
-        out.push(Action::Send { request, server: server.id });
+        out.push(Action::Send { request, server: server.id, until: None });
     }
 
     fn ended(&mut self, now: Micros, end: &Ended, truth: &Truth<'_>, out: &mut Vec<Action>) {
--- a/crates/lab/src/world/nodes.rs
+++ b/crates/lab/src/world/nodes.rs
@@ -126,7 +126,7 @@
 
     fn act(&mut self, node: usize, action: Action) {
         match action {
-            Action::Send { request, server } => self.send(node, request, server),
+            Action::Send { request, server, .. } => self.send(node, request, server),
             Action::Refuse { request, retry_after } => self.answer(request, Reply::Refused(retry_after)),
             Action::Fail(request) => self.answer(request, Reply::Failed),
             Action::Cancel(request, number) => {
--- a/crates/lab/tests/worlds.rs
+++ b/crates/lab/tests/worlds.rs
@@ -128,10 +128,12 @@
                 self.to = list[3].id;
             }
             Event::Arrived(request) if self.rule != Some(Rule::NoAnswer) => {
-                out.push(Action::Send { request: request.id, server: self.to });
+                out.push(Action::Send { request: request.id, server: self.to, until: None });
                 match self.rule {
                     Some(Rule::TwoAnswers) => out.extend([Action::Fail(request.id); 2]),
-                    Some(Rule::RanTwice) => out.push(Action::Send { request: request.id, server: self.to }),
+                    Some(Rule::RanTwice) => {
+                        out.push(Action::Send { request: request.id, server: self.to, until: None })
+                    }
                     Some(Rule::RefusedAfterRunning) => {
                         out.push(Action::Refuse { request: request.id, retry_after: 0 })
                     }
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod conformance;
 pub mod graphql;
+pub mod late;
 pub mod long;
 pub mod peers;
 pub mod reading;
--- a/crates/testkit/src/peers.rs
+++ b/crates/testkit/src/peers.rs
@@ -282,6 +282,17 @@
         Client { reader: BufReader::new(stream.try_clone().unwrap()), stream, answers }
     }
 
+    /// The same with a socket that holds little of what comes.
+    pub fn connect_with_little_room(address: SocketAddr, answers: Arc<Mutex<Answers>>) -> Client {
+        use rustix::net::{AddressFamily, SocketType, connect, socket, sockopt};
+        let socket = socket(AddressFamily::INET, SocketType::STREAM, None).unwrap();
+        sockopt::set_socket_recv_buffer_size(&socket, 4096).unwrap();
+        connect(&socket, &address).unwrap();
+        let stream = TcpStream::from(socket);
+        stream.set_read_timeout(Some(WITHIN)).unwrap();
+        Client { reader: BufReader::new(stream.try_clone().unwrap()), stream, answers }
+    }
+
     /// Sends bytes, whatever they are.
     pub fn send(&mut self, bytes: &[u8]) {
         // The node may have answered and closed before all is written.
@@ -337,6 +348,11 @@
         self.reader.read_exact(bytes).unwrap();
     }
 
+    /// Ends the connection with a reset.
+    pub fn reset(self) {
+        rustix::net::sockopt::set_socket_linger(&self.stream, Some(Duration::ZERO)).unwrap();
+    }
+
     /// Whether the node has closed the connection.
     pub fn ended(&mut self) -> bool {
         matches!(self.reader.read(&mut [0]), Ok(0))
