While discovery is silent a call is always out: what an agent gets at its return counts at once

Followed in the logs of a trial that noted each try: the silent agent takes connections and answers none; nodes gave a call up after 1 s and then waited 0.15 s to 1.2 s, longer with each failure (watch.rs, follow); discovery was back at 10.1 s, and the nodes that were waiting then heard of the drains at their next call, up to a second later. Calls that were out at the return were answered at once. Ruled out: the drain itself (nodes that had been told sent nothing more).

The wait counts from the last try's beginning now, so that a call which waited in vain is followed by the next at once, and is 25 to 200 ms where calls fail at once; the agent is on the node's own machine, and its calls cost nothing.

Test: a stand-in that answers no call measures for how long none is out between five: 2.7 s before, under 0.7 s now.

--- a/crates/dunelink/src/roster/watch.rs
+++ b/crates/dunelink/src/roster/watch.rs
@@ -11,7 +11,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 use tokio_util::task::AbortOnDropHandle;
 
 use super::{Feed, Roster, RosterFuture};
@@ -26,8 +26,9 @@
 /// How long the head may take where one service works through the calls of all nodes in turn. It ends a call that
 /// has waited too long itself; one that is given up here loads it all the same, and has lost its turn.
 const TURN_WITHIN: Duration = Duration::from_secs(5);
-/// The wait before a watch is begun anew lies between this and twice this, times the failures so far.
-const AGAIN: Duration = Duration::from_millis(150);
+/// Two tries lie at least between this and twice this apart, times the failures so far: what an agent gets when it can
+/// reach discovery again counts as told at once, and servers may drain for as little as some hundred milliseconds.
+const AGAIN: Duration = Duration::from_millis(25);
 /// The most failures that the wait grows with.
 const AGAIN_MOST: u32 = 4;
 /// The longest line; a list of some thousand servers.
@@ -89,6 +90,7 @@
             failures = 0;
             feed.update(&update);
         };
+        let began = Instant::now();
         let why = tokio::select! {
             biased;
             // The old address takes no new watch and ends the one it has.
@@ -108,8 +110,10 @@
         feed.failed();
         if !feed.is_asked() {
             let longer = AGAIN * failures.min(AGAIN_MOST);
+            // A call that waited in vain has waited enough: while none is out, what discovery tells is missed.
+            let next = began + longer + longer.mul_f64(feed.random());
             // A move must not wait for what befell the old address.
-            let _ = timeout(longer + longer.mul_f64(feed.random()), changed(&mut address)).await;
+            let _ = timeout_at(next, changed(&mut address)).await;
         }
     }
 }
--- a/crates/dunelinkd/tests/moments/main.rs
+++ b/crates/dunelinkd/tests/moments/main.rs
@@ -5,6 +5,7 @@
 
 mod attempts;
 mod clients;
+mod lists;
 mod shutdown;
 
 use std::net::TcpListener;
