A small pool lends its starting servers to many nodes by its place among all servers

It was in a label's pool of a few members; the site has no tenants, so that all its requests are the unlabelled pool's, and when that is full at a node, it borrows (admission.rs, lender): one attempt from each of hundreds of nodes. Its reach (pick.rs) is a part of all requests, whatever the size of its pool.

Lent requests now reach a starting server by the place of its pool among all servers, five times that at most, since only what has no room at home is lent. At nodes that see their servers nothing changes.

--- a/crates/cherryusher/src/policy/pick.rs
+++ b/crates/cherryusher/src/policy/pick.rs
@@ -12,6 +12,10 @@
 /// The most draws for one pick.
 const DRAWS: u64 = 64;
 
+/// A pool with one in so many of all servers lends its starting ones as to its own requests: of what others ask for,
+/// only the part that their own pools have no room for is lent.
+const LENT: f64 = 5.0;
+
 /// Two members that fit, or one, and how many were looked at.
 pub(crate) type Drawn = (Option<(usize, Option<usize>)>, u64);
 
@@ -28,12 +32,17 @@
 
     /// Draws two members of a pool that fit a request.
     pub(crate) fn draw(&self, id: RequestId, pool: usize, chance: u64, scan_most: usize) -> Drawn {
-        let (job, pool) = (&self.jobs[&id], self.pool(pool));
+        let (job, own) = (&self.jobs[&id], pool == self.jobs[&id].pool);
+        let pool = self.pool(pool);
+        // One attempt from each of hundreds of nodes is more than a starting member of a small pool bears: what others
+        // may want of it goes by the pool's place among all servers.
+        let place = pool.members.len() as f64 / self.everyone().members.len().max(1) as f64;
+        let lends = if own { 1.0 } else { 1.0 - self.blindness() * (1.0 - LENT * place).max(0.0) };
         let heed = pool.avoided * 2 <= pool.members.len();
         let open = |i: usize| self.servers[i].shut_until <= self.now;
         // Where all refuse, it may be the node's own way to them that is cut.
         let none_open = !pool.members.iter().any(|i| open(*i));
-        let fits = |i: usize| (none_open || open(i)) && self.fits(job, i, heed);
+        let fits = |i: usize| (none_open || open(i)) && self.fits(job, i, (heed, lends));
         // Where crossing zones has a price, work stays in the own zone while the node sees room there.
         let stays = self.settings.cross_zone_price > 0.0 && self.blindness() == 0.0;
         let home = |i: usize| !stays || self.servers[i].entry.zone == self.settings.zone;
@@ -96,8 +105,9 @@
         self.ramp(&self.servers[i].entry) / self.reach(i).min(1.0)
     }
 
-    /// Whether a request may go to a server now. `heed` tells whether avoided servers are passed over.
-    fn fits(&self, job: &Job, i: usize, heed: bool) -> bool {
+    /// Whether a request may go to a server now: whether avoided servers are passed over, and how far starting ones are
+    /// lent, is told.
+    fn fits(&self, job: &Job, i: usize, (heed, lends): (bool, f64)) -> bool {
         let s = &self.servers[i];
         let reach = self.reach(i);
         s.pool.is_some()
@@ -105,7 +115,7 @@
             && (job.coming || s.in_flight == 0 || f64::from(s.in_flight) < self.room(i).ceil())
             // A cold server is in reach of few of all nodes' requests, half of what it bears: one attempt
             // from each node, or all that its neighbours cannot take, would push it over.
-            && (reach >= 1.0 || unit(hash(job.ask.id, s.entry.id)) <= reach)
+            && (reach >= 1.0 || unit(hash(job.ask.id, s.entry.id)) <= reach * lends)
             && !(heed && s.avoid_until > self.now)
             && !job.attempts.iter().any(|a| a.to.id == s.entry.id && a.fate == Fate::Out)
             && self.allowed(job, &s.entry)
--- a/crates/cherryusher/tests/scenarios.rs
+++ b/crates/cherryusher/tests/scenarios.rs
@@ -907,3 +907,32 @@
     unlisted.handle(S, Event::Arrived(Request { id: 1, class: SAFE, remaining: S, ..request }), &mut actions);
     assert!(refused(&actions, 1), "a request before any list");
 }
+
+/// Hundreds of nodes whose own pool is full each sent one attempt to a small pool that lends: its starting member fell.
+#[test]
+fn a_small_pool_lends_hardly_any_of_a_starting_server_to_hundreds_of_nodes() {
+    let small = |nodes, rank| {
+        let mut settings = many(nodes, rank);
+        settings.tenants.iter_mut().for_each(|t| t.share = 0.01);
+        settings
+    };
+    let pool = reached(&mut Node::new(small(1, 0), servers(1..161)), &[Some(0)])[&Some(0)].clone();
+    let starting = *pool.iter().next().unwrap();
+    let (mut warm, mut cold) = (0, 0);
+    for rank in 0..200 {
+        let mut list = servers(1..161);
+        list.iter_mut().filter(|s| s.id == starting).for_each(|s| s.ready_at = 10 * S);
+        let mut node = Node::new(small(200, rank), list);
+        node.next = 1000 * RequestId::from(rank);
+        // None is answered: the unlabelled pool is full soon, and the others lend.
+        for _ in 0..12 {
+            let (id, actions) = node.arrive(UNSAFE, None);
+            for to in sends(&actions, id).into_iter().filter(|to| pool.contains(to)) {
+                *(if to == starting { &mut cold } else { &mut warm }) += 1;
+            }
+        }
+    }
+    let each = warm / (pool.len() - 1);
+    assert!(each > 20, "{warm} attempts were lent to {pool:?}");
+    assert!(cold * 20 <= each, "{cold} to the starting one, {each} to each other");
+}
