A small pool is lent to many nodes by its place among all servers, warm members too

A pool with less than a fifth of all servers is lent at nodes of many for that part of the requests, by a hash of request and pool, so that none is asked about twice with another answer. What is not lent waits like what no server fits.

Test: of 800 requests that 200 nodes had no room for, 800 went to four servers of 160 before; now under 200.

--- a/crates/cherryusher/src/policy/admission.rs
+++ b/crates/cherryusher/src/policy/admission.rs
@@ -6,6 +6,9 @@
 const SPARE: f64 = 0.8;
 /// A held request gives up its place after this part of its time: by half of it clients expect to hear so.
 const PLACE: f64 = 0.45;
+/// A pool with one in so many of all servers lends to whoever asks: of all that others get, only the part that their
+/// own pools have no room for is asked for.
+const LENT: f64 = 5.0;
 /// How far a node of many may go beyond its part of a pool's room, in roots of that part.
 const VARIES: f64 = 0.6;
 
@@ -101,13 +104,15 @@
         for pool in 0..self.held.len() {
             let mut blocked: Vec<Ask> = Vec::new();
             // A few that their classes tie to full servers must not stop the others.
-            while blocked.len() < 3 && !self.held[pool].is_empty() && self.lender(pool, 1.0).is_some() {
+            while blocked.len() < 3 && !self.held[pool].is_empty() && self.lender(pool, 1.0, None).is_some() {
                 let at = self.best_held(pool);
                 let ask = self.held[pool][at];
                 let part = if ask.in_share { 1.0 } else { SPARE };
-                let Some(from) = self.lender(pool, part) else { break };
+                if self.lender(pool, part, None).is_none() {
+                    break;
+                }
                 self.held[pool].swap_remove(at);
-                match self.pick(ask.id, from) {
+                match self.lender(pool, part, Some(ask.id)).and_then(|from| self.pick(ask.id, from)) {
                     Some(server) => self.send(ask.id, server),
                     None => blocked.push(ask),
                 }
@@ -120,9 +125,20 @@
         }
     }
 
-    /// The pool itself while it has room; else another whose own tenants leave over half of it free.
-    fn lender(&self, pool: usize, part: f64) -> Option<usize> {
-        let lends = |p: &usize| self.held[*p].is_empty() && self.has_room(*p, LEND);
+    /// The part of others' requests that a pool is lent for. A node of many has one attempt for it at least, and those of
+    /// hundreds are more than a small pool bears: it is lent by its place among all servers.
+    pub(super) fn lends(&self, pool: &Pool) -> f64 {
+        let place = pool.members.len() as f64 / self.everyone().members.len().max(1) as f64;
+        1.0 - self.blindness() * (1.0 - LENT * place).max(0.0)
+    }
+
+    /// The pool itself while it has room; else another whose own tenants leave over half of it free. Not every request
+    /// may go to every other pool, and none is asked about twice with another answer.
+    fn lender(&self, pool: usize, part: f64, ask: Option<RequestId>) -> Option<usize> {
+        let may = |p: usize, id| unit(hash(id, p as u64)) <= self.lends(&self.pools[p]);
+        let lends = |p: &usize| {
+            self.held[*p].is_empty() && self.has_room(*p, LEND) && ask.is_none_or(|id| may(*p, id))
+        };
         let mut others = (0..self.held.len()).filter(|p| *p != pool && !self.pools[*p].members.is_empty());
         if self.has_room(pool, part) { Some(pool) } else { others.find(lends) }
     }
--- a/crates/cherryusher/src/policy/pick.rs
+++ b/crates/cherryusher/src/policy/pick.rs
@@ -12,10 +12,6 @@
 /// The most draws for one pick.
 const DRAWS: u64 = 64;
 
-/// A pool with one in so many of all servers lends its starting ones as to its own requests: of what others ask for,
-/// only the part that their own pools have no room for is lent.
-const LENT: f64 = 5.0;
-
 /// Two members that fit, or one, and how many were looked at.
 pub(crate) type Drawn = (Option<(usize, Option<usize>)>, u64);
 
@@ -34,10 +30,7 @@
     pub(crate) fn draw(&self, id: RequestId, pool: usize, chance: u64, scan_most: usize) -> Drawn {
         let (job, own) = (&self.jobs[&id], pool == self.jobs[&id].pool);
         let pool = self.pool(pool);
-        // One attempt from each of hundreds of nodes is more than a starting member of a small pool bears: what others
-        // may want of it goes by the pool's place among all servers.
-        let place = pool.members.len() as f64 / self.everyone().members.len().max(1) as f64;
-        let lends = if own { 1.0 } else { 1.0 - self.blindness() * (1.0 - LENT * place).max(0.0) };
+        let lends = if own { 1.0 } else { self.lends(pool) };
         let heed = pool.avoided * 2 <= pool.members.len();
         let open = |i: usize| self.servers[i].shut_until <= self.now;
         // Where all refuse, it may be the node's own way to them that is cut.
--- a/crates/cherryusher/tests/scenarios.rs
+++ b/crates/cherryusher/tests/scenarios.rs
@@ -923,16 +923,43 @@
     assert!(refused(&actions, 1), "a request before any list");
 }
 
+/// One of many nodes, whose tenants have next to no share, so that each label's pool is as small as can be.
+fn small(nodes: u32, rank: u32) -> Settings {
+    let mut settings = Settings { fall_multiple: 3.0, ..many(nodes, rank) };
+    settings.tenants.iter_mut().for_each(|t| t.share = 0.01);
+    settings
+}
+
+/// Hundreds of nodes whose own pool is full asked the first of the small ones for all that they had no room for: four
+/// servers of 160 were sent what the whole fleet had too much of, and turned most of it away.
+#[test]
+fn a_small_pool_is_lent_to_hundreds_of_nodes_by_its_place_among_all() {
+    let tenants = [Some(0), Some(1), Some(2), Some(3)];
+    let pools = reached(&mut Node::new(small(1, 0), servers(1..161)), &tenants);
+    let mut lent: BTreeMap<Option<u32>, usize> = BTreeMap::new();
+    for rank in 0..200 {
+        let mut node = Node::new(small(200, rank), servers(1..161));
+        node.next = 1000 * RequestId::from(rank);
+        // These are not answered, and fill the unlabelled pool; what comes then is answered at once.
+        (0..3).for_each(|_| drop(node.arrive(UNSAFE, None)));
+        for _ in 0..4 {
+            let (id, actions) = node.arrive(UNSAFE, None);
+            for to in sends(&actions, id) {
+                let of = pools.iter().find(|(_, pool)| pool.contains(&to)).map(|(tenant, _)| *tenant);
+                of.into_iter().for_each(|tenant| *lent.entry(tenant).or_default() += 1);
+                node.end(id, 0, Outcome::Served, 20 * MS);
+            }
+        }
+    }
+    let most = lent.values().max().copied().unwrap_or(0);
+    assert!(most > 0, "nothing was lent");
+    assert!(most < 800 / 4, "{most} of 800 requests were lent to four servers of 160: {lent:?}");
+}
+
 /// Hundreds of nodes whose own pool is full each sent one attempt to a small pool that lends: its starting member fell,
 /// just started or half warm.
 #[test]
 fn a_small_pool_lends_hardly_any_of_a_starting_server_to_hundreds_of_nodes() {
-    let small = |nodes, rank| {
-        let mut settings = many(nodes, rank);
-        settings.fall_multiple = 3.0;
-        settings.tenants.iter_mut().for_each(|t| t.share = 0.01);
-        settings
-    };
     let pool = reached(&mut Node::new(small(1, 0), servers(1..161)), &[Some(0)])[&Some(0)].clone();
     let starting = *pool.iter().next().unwrap();
     for age in [0, settings().warm_up / 10 * 9] {
