A starting server gets no request twice

Followed in a trial that logged each attempt: after three others had crashed, the one that fell had turned away 330 requests itself, which count as sent to it; a request it turned away was looked at anew and went to it again (pick.rs, fits) when its node had waited 0.1 s to some seconds. Ruled out: lent requests (its pool has a third of the servers) and the list (all had been told of the start, and counted it by its age).

A server that is starting gets a request once; from then on the others have it, or nobody.

Test: two starting servers that turn everything away; a request went three times to one ("[2, 2, 2]") before.

--- a/crates/cherryusher/src/policy/pick.rs
+++ b/crates/cherryusher/src/policy/pick.rs
@@ -110,7 +110,8 @@
             // from each node, or all that its neighbours cannot take, would push it over.
             && (warm || unit(hash(job.ask.id, s.entry.id)) <= reach.min(1.0) * lends)
             && !(heed && s.avoid_until > self.now)
-            && !job.attempts.iter().any(|a| a.to.id == s.entry.id && a.fate == Fate::Out)
+            // What a starting server has turned away would count against it twice.
+            && !job.attempts.iter().any(|a| a.to.id == s.entry.id && (a.fate == Fate::Out || !warm))
             && self.allowed(job, &s.entry)
     }
 
--- a/crates/cherryusher/tests/scenarios.rs
+++ b/crates/cherryusher/tests/scenarios.rs
@@ -923,6 +923,29 @@
     assert!(refused(&actions, 1), "a request before any list");
 }
 
+/// What a starting server turns away is work that it was sent. It got each request again once its node had waited.
+#[test]
+fn a_starting_server_gets_no_request_twice() {
+    let list = servers(1..3).into_iter().map(|s| ServerEntry { ready_at: 10 * S, ..s }).collect();
+    let mut node = Node::new(Settings { fall_multiple: 4.0, ..many(1, 0) }, list);
+    for _ in 0..20 {
+        let (id, actions) = node.arrive(SAFE, Some(0));
+        let mut got = sends(&actions, id);
+        for attempt in 0..2 {
+            let mut actions = node.end(id, attempt, Outcome::TurnedAway, MS);
+            // Longer than any server is left alone for one refusal.
+            for _ in 0..20 {
+                got.extend(sends(&actions, id));
+                node.now += 10 * MS;
+                actions = node.tell(Event::Woken(u64::MAX - 1));
+            }
+        }
+        let met: BTreeSet<ServerId> = got.iter().copied().collect();
+        assert_eq!(met.len(), got.len(), "{got:?}");
+        node.now += 2 * S;
+    }
+}
+
 /// One of many nodes, whose tenants have next to no share, so that each label's pool is as small as can be.
 fn small(nodes: u32, rank: u32) -> Settings {
     let mut settings = Settings { fall_multiple: 3.0, ..many(nodes, rank) };
