--- a/crates/cherryusher/src/policy/pick.rs
+++ b/crates/cherryusher/src/policy/pick.rs
@@ -110,8 +110,10 @@
             // from each node, or all that its neighbours cannot take, would push it over.
             && (warm || unit(hash(job.ask.id, s.entry.id)) <= reach.min(1.0) * lends)
             && !(heed && s.avoid_until > self.now)
-            // What a starting server has turned away would count against it twice.
-            && !job.attempts.iter().any(|a| a.to.id == s.entry.id && (a.fate == Fate::Out || !warm))
+            // What a starting server has turned away would count against it twice, at each of many nodes.
+            && !job.attempts.iter().any(|a| {
+                a.to.id == s.entry.id && (a.fate == Fate::Out || !warm && self.blindness() > 0.5)
+            })
             && self.allowed(job, &s.entry)
     }
 
