--- a/crates/cherryusher/src/policy/admission.rs
+++ b/crates/cherryusher/src/policy/admission.rs
@@ -6,8 +6,8 @@
 const SPARE: f64 = 0.8;
 /// A held request gives up its place after this part of its time: by half of it clients expect to hear so.
 const PLACE: f64 = 0.45;
-/// A pool with one in so many of all servers lends to whoever asks: of all that others get, only the part that their
-/// own pools have no room for is asked for.
+/// A pool with one in so many of all servers lends to whoever asks: of all that others get, only the part
+/// that their own pools have no room for is asked for.
 const LENT: f64 = 5.0;
 /// How far a node of many may go beyond its part of a pool's room, in roots of that part.
 const VARIES: f64 = 0.6;
@@ -125,15 +125,15 @@
         }
     }
 
-    /// The part of others' requests that a pool is lent for. A node of many has one attempt for it at least, and those of
-    /// hundreds are more than a small pool bears: it is lent by its place among all servers.
+    /// The part of others' requests that a pool is lent for. A node of many has one attempt for it at least,
+    /// and those of hundreds are more than a small pool bears: it is lent by its place among all servers.
     pub(super) fn lends(&self, pool: &Pool) -> f64 {
         let place = pool.members.len() as f64 / self.everyone().members.len().max(1) as f64;
         1.0 - self.blindness() * (1.0 - LENT * place).max(0.0)
     }
 
-    /// The pool itself while it has room; else another whose own tenants leave over half of it free. Not every request
-    /// may go to every other pool, and none is asked about twice with another answer.
+    /// The pool itself while it has room; else another whose own tenants leave over half of it free. Not every
+    /// request may go to every other pool, and none is asked about twice with another answer.
     fn lender(&self, pool: usize, part: f64, ask: Option<RequestId>) -> Option<usize> {
         let may = |p: usize, id| unit(hash(id, p as u64)) <= self.lends(&self.pools[p]);
         let lends = |p: &usize| {
--- a/crates/cherryusher/src/policy/mod.rs
+++ b/crates/cherryusher/src/policy/mod.rs
@@ -27,8 +27,8 @@
 const POOLS: u64 = u64::MAX - 2;
 /// The longest first wait before the list is asked for again, at least; it doubles with each failure.
 const ASK_AGAIN: Micros = 1_000_000;
-/// The longest wait at all where the service has time for it: a change counts as told 6 s after discovery had it and
-/// could be reached, whatever failed before, and a call may wait 2 s for its turn.
+/// The longest wait at all where the service has time for it: a change counts as told 6 s after discovery
+/// had it and could be reached, whatever failed before, and a call may wait 2 s for its turn.
 const ASK_WITHIN: Micros = 4_000_000;
 /// What one call may take of a list service that answers one after the other: the first wait of all nodes is
 /// long enough for a call of each.
--- a/crates/cherryusher/src/policy/pick.rs
+++ b/crates/cherryusher/src/policy/pick.rs
@@ -98,8 +98,8 @@
         self.ramp(&self.servers[i].entry) / self.reach(i).min(1.0)
     }
 
-    /// Whether a request may go to a server now: whether avoided servers are passed over, and how far starting ones are
-    /// lent, is told.
+    /// Whether a request may go to a server now: whether avoided servers are passed over, and how far
+    /// starting ones are lent, is told.
     fn fits(&self, job: &Job, i: usize, (heed, lends): (bool, f64)) -> bool {
         let s = &self.servers[i];
         let (reach, warm) = (self.reach(i), self.ramp(&s.entry) >= 1.0);
