--- a/crates/cherryusher/src/policy/admission.rs
+++ b/crates/cherryusher/src/policy/admission.rs
@@ -132,8 +132,8 @@
         1.0 - self.blindness() * (1.0 - LENT * place).max(0.0)
     }
 
-    /// The pool itself while it has room; else another whose own tenants leave over half of it free. Not every
-    /// request may go to every other pool, and none is asked about twice with another answer.
+    /// The pool itself while it has room; else another whose own tenants leave over half of it free. Not
+    /// every request may go to every other pool, and none is asked about twice with another answer.
     fn lender(&self, pool: usize, part: f64, ask: Option<RequestId>) -> Option<usize> {
         let may = |p: usize, id| unit(hash(id, p as u64)) <= self.lends(&self.pools[p]);
         let lends = |p: &usize| {
