--- a/crates/cherryusher/src/lib.rs
+++ b/crates/cherryusher/src/lib.rs
@@ -43,6 +43,7 @@
 //! answer goes to the client at once and finishes its request; time-outs are cut to the client's patience.
 
 pub mod api;
+pub mod labels;
 mod policy;
 mod state;
 #[cfg(test)]
--- a/crates/cherryusher/src/policy/pools.rs
+++ b/crates/cherryusher/src/policy/pools.rs
@@ -4,6 +4,7 @@
 use std::cmp::Reverse;
 
 use super::*;
+use crate::labels::{claim, label};
 
 /// How many nodes a server of mean size is the first choice of.
 const SHARED_BY: f64 = 4.0;
@@ -13,11 +14,6 @@
 /// Until then new servers wait; what drains or is gone has left its pool at once.
 const BUILD_EVERY: Micros = 1;
 
-/// The label that a tenant is hashed to.
-pub(super) fn label(tenant: u64, salt: u64, labels: u16) -> usize {
-    (hash(tenant, salt) % u64::from(labels.max(1))) as usize
-}
-
 /// The part of all shares that each label's tenants hold.
 pub(super) fn shares(settings: &Settings, salt: u64) -> Vec<f64> {
     let mut shares = vec![0.0; usize::from(settings.labels)];
@@ -162,9 +158,7 @@
             let size = ((ready as f64 * share.min(1.0)).round() as usize).saturating_sub(taken).max(least);
             let later = least * (labels - 1 - label);
             let size = size.min(free.len().saturating_sub(later).max(least)).min(free.len());
-            free.sort_by_cached_key(|i| Reverse(hash(label as u64, self.servers[*i].entry.id)));
-            let rest = free.split_off(size);
-            built.push(std::mem::replace(&mut free, rest));
+            built.push(claim(&mut free, label, size, |i| self.servers[*i].entry.id));
         }
         free.sort_unstable_by_key(|i| self.servers[*i].entry.id);
         built.push(free);
--- /dev/null
+++ b/crates/control/src/engine.rs
@@ -0,0 +1,347 @@
+//! Carries out what the node's state machine asks for.
+//!
+//! All tasks share one [`Engine`]. They call it without waiting, so the node is never in use by two of them.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::mpsc::Sender;
+use std::time::Duration;
+
+use dunelink_protocol::{FeedMessage, GrantUpdate, ServerEntry};
+use dunelink_replication::Member;
+use dunelink_runtime::Clock;
+use slog::{Logger, warn};
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::{Notify, oneshot};
+use tokio::time::{Instant, sleep_until, timeout};
+
+use crate::disk::{DiskEvent, DiskOrder};
+use crate::feed_session::FeedSession;
+use crate::identity::fresh_id;
+use crate::node::{Effect, Node};
+use crate::orders::{CallId, Reply};
+use crate::peer_links::PeerLinks;
+
+/// Longest time without a tick.
+const LONGEST_SLEEP: u64 = 60_000_000;
+/// Shortest time between two ticks, in microseconds.
+const SHORTEST_SLEEP: u64 = 500;
+/// Time between two beats of the node.
+const BEAT: Duration = Duration::from_millis(250);
+
+/// Handle on the node and on everything that serves it.
+#[derive(Debug, Clone)]
+pub struct Engine(Rc<Shared>);
+
+#[derive(Debug)]
+struct Shared {
+    clock: Clock,
+    log: Logger,
+    node: RefCell<Node>,
+    disk: Sender<DiskOrder>,
+    generation: Cell<u64>,
+    disk_bytes: Cell<u64>,
+    links: PeerLinks,
+    calls: RefCell<HashMap<CallId, oneshot::Sender<Reply>>>,
+    last_call: Cell<CallId>,
+    readers: RefCell<HashMap<u64, Rc<AgentDoor>>>,
+    last_reader: Cell<u64>,
+    /// When the deadline task will wake up by itself.
+    armed: Cell<u64>,
+    rearm: Notify,
+    leadership: Notify,
+    list_requests: RefCell<Vec<(u64, Member)>>,
+    list_requested: Notify,
+}
+
+/// Where an agent's connection is told of news.
+#[derive(Debug)]
+pub struct AgentDoor {
+    /// Name of the agent's node.
+    pub node: String,
+    /// Told when there may be something to send.
+    pub news: Notify,
+    grants: RefCell<Option<GrantUpdate>>,
+    /// Where the agent stands: version of the configuration and position in the roster, as sent.
+    pub sent: Cell<(u64, u64, u64)>,
+}
+
+impl AgentDoor {
+    /// Grants that have come since the last call.
+    pub fn take_grants(&self) -> Option<GrantUpdate> {
+        self.grants.borrow_mut().take()
+    }
+}
+
+impl Engine {
+    /// An engine around a node whose store the disk thread holds, as generation 1.
+    pub fn new(clock: Clock, log: Logger, node: Node, disk: Sender<DiskOrder>, links: PeerLinks) -> Self {
+        Self(Rc::new(Shared {
+            clock,
+            log,
+            node: RefCell::new(node),
+            disk,
+            generation: Cell::new(1),
+            disk_bytes: Cell::new(0),
+            links,
+            calls: RefCell::default(),
+            last_call: Cell::new(0),
+            readers: RefCell::default(),
+            last_reader: Cell::new(0),
+            armed: Cell::new(0),
+            rearm: Notify::new(),
+            leadership: Notify::new(),
+            list_requests: RefCell::default(),
+            list_requested: Notify::new(),
+        }))
+    }
+
+    /// The time now, in microseconds.
+    pub fn now(&self) -> u64 {
+        self.0.clock.now()
+    }
+
+    /// The log.
+    pub fn log(&self) -> &Logger {
+        &self.0.log
+    }
+
+    /// Looks at the node.
+    pub fn look<R>(&self, look: impl FnOnce(&Node, u64) -> R) -> R {
+        look(&self.0.node.borrow(), self.now())
+    }
+
+    /// Hands something to the node and carries out what follows from it.
+    pub fn act<R>(&self, act: impl FnOnce(&mut Node, u64, &mut Vec<Effect>) -> R) -> R {
+        let mut effects = Vec::new();
+        let result = act(&mut self.0.node.borrow_mut(), self.now(), &mut effects);
+        self.carry_out(effects);
+        if self.0.node.borrow().next_deadline() < self.0.armed.get() {
+            self.0.rearm.notify_one();
+        }
+        result
+    }
+
+    fn carry_out(&self, effects: Vec<Effect>) {
+        let mut feed_changed = false;
+        for effect in effects {
+            match effect {
+                Effect::Send { to, envelope } => self.0.links.send(to, envelope),
+                Effect::Write { sequence, records } => {
+                    let generation = self.0.generation.get();
+                    self.order(DiskOrder::Write { generation, sequence, records });
+                }
+                Effect::Reply { call, reply } => self.reply(call, reply),
+                Effect::FeedChanged => feed_changed = true,
+                Effect::Grants { node, update } => self.grant(&node, update),
+                Effect::LeadershipChanged => self.0.leadership.notify_one(),
+                Effect::ReadList { request, to } => {
+                    self.0.list_requests.borrow_mut().push((request, to));
+                    self.0.list_requested.notify_one();
+                }
+                Effect::Rejoin => self.rejoin(),
+            }
+        }
+        if feed_changed {
+            self.0.readers.borrow().values().for_each(|door| door.news.notify_one());
+        }
+    }
+
+    fn order(&self, order: DiskOrder) {
+        if self.0.disk.send(order).is_err() {
+            warn!(self.0.log, "the disk thread has ended");
+        }
+    }
+
+    fn reply(&self, call: CallId, reply: Reply) {
+        let waiting = self.0.calls.borrow_mut().remove(&call);
+        // A caller that is gone needs no answer.
+        let _ = waiting.map(|waiting| waiting.send(reply));
+    }
+
+    fn grant(&self, node: &str, update: GrantUpdate) {
+        let readers = self.0.readers.borrow();
+        for door in readers.values().filter(|door| door.node == node) {
+            *door.grants.borrow_mut() = Some(update.clone());
+            door.news.notify_one();
+        }
+    }
+
+    /// The identity was removed from the group: the store is wiped and the machine joins anew.
+    fn rejoin(&self) {
+        let generation = self.0.generation.get() + 1;
+        self.0.generation.set(generation);
+        self.act(|node, now, effects| {
+            let id = fresh_id(node.me().control);
+            self.order(DiskOrder::Wipe { generation, id });
+            node.begin_again(id, seed(), now, effects);
+        });
+    }
+
+    /// Waits for the answer to a call that `act` hands to the node under the given number; nothing if none came
+    /// within `patience`.
+    pub async fn call(
+        &self,
+        patience: Duration,
+        act: impl FnOnce(&mut Node, u64, CallId, &mut Vec<Effect>),
+    ) -> Option<Reply> {
+        let call = self.0.last_call.get() + 1;
+        self.0.last_call.set(call);
+        let (sender, receiver) = oneshot::channel();
+        self.0.calls.borrow_mut().insert(call, sender);
+        self.act(|node, now, effects| act(node, now, call, effects));
+        let waiting = Waiting { engine: self, call };
+        let reply = timeout(patience, receiver).await;
+        drop(waiting);
+        reply.ok()?.ok()
+    }
+
+    /// Registers an agent's connection until the guard is dropped.
+    pub fn register(&self, node: String) -> Registration {
+        let id = self.0.last_reader.get() + 1;
+        self.0.last_reader.set(id);
+        let door = AgentDoor { node, news: Notify::new(), grants: RefCell::default(), sent: Cell::default() };
+        let door = Rc::new(door);
+        self.0.readers.borrow_mut().insert(id, door.clone());
+        Registration { engine: self.clone(), id, door }
+    }
+
+    /// Number of agents connected here.
+    pub fn reader_count(&self) -> usize {
+        self.0.readers.borrow().len()
+    }
+
+    /// Node, version and position in the roster of each agent connected here, as sent.
+    pub fn readers(&self) -> Vec<(String, (u64, u64, u64))> {
+        self.0.readers.borrow().values().map(|door| (door.node.clone(), door.sent.get())).collect()
+    }
+
+    /// Bytes of all files of the store, as of the last write.
+    pub fn disk_bytes(&self) -> u64 {
+        self.0.disk_bytes.get()
+    }
+
+    /// Number of connections opened to other control machines.
+    pub fn link_count(&self) -> usize {
+        self.0.links.count()
+    }
+
+    /// The next message for an agent, from the state as it is now.
+    pub fn next_message(&self, session: &mut FeedSession) -> Option<FeedMessage> {
+        let mut node = self.0.node.borrow_mut();
+        let now = self.now();
+        node.refresh(now);
+        session.next(node.feed(), now)
+    }
+
+    /// The instant at which the clock shows `micros`.
+    pub fn instant(&self, micros: u64) -> Instant {
+        Instant::from_std(self.0.clock.instant(micros))
+    }
+
+    /// Returns when the lease was won or lost since the last call.
+    pub async fn leadership_changed(&self) {
+        self.0.leadership.notified().await;
+    }
+
+    /// A reading of the list that the leader asks of this machine.
+    pub async fn list_requested(&self) -> (u64, Member) {
+        loop {
+            if let Some(request) = self.0.list_requests.borrow_mut().pop() {
+                self.0.list_requests.borrow_mut().clear();
+                return request;
+            }
+            self.0.list_requested.notified().await;
+        }
+    }
+
+    /// Sends the leader the list that it asked for.
+    pub fn answer_reading(&self, to: &Member, request: u64, servers: Option<Vec<ServerEntry>>) {
+        self.act(|node, _, effects| node.answer_reading(to, request, servers, effects));
+    }
+
+    /// Ticks the node at its deadlines, for ever.
+    pub async fn run_deadlines(self) {
+        loop {
+            let now = self.now();
+            let due = self.0.node.borrow().next_deadline();
+            let wake = due.clamp(now + SHORTEST_SLEEP, now + LONGEST_SLEEP);
+            self.0.armed.set(wake);
+            tokio::select! {
+                () = sleep_until(self.instant(wake)) => self.act(|node, now, effects| node.tick(now, effects)),
+                () = self.0.rearm.notified() => {}
+            }
+        }
+    }
+
+    /// Beats, for ever.
+    pub async fn run_beats(self) {
+        loop {
+            tokio::time::sleep(BEAT).await;
+            self.act(|node, now, effects| node.beat(now, effects));
+        }
+    }
+
+    /// Takes in what the disk thread tells, for ever.
+    pub async fn run_disk(self, mut events: UnboundedReceiver<DiskEvent>) {
+        while let Some(event) = events.recv().await {
+            self.disk_event(event);
+        }
+    }
+
+    fn disk_event(&self, event: DiskEvent) {
+        let current = self.0.generation.get();
+        match event {
+            DiskEvent::Opened(_) => {}
+            DiskEvent::Written { generation, sequence, used_bytes } => {
+                self.0.disk_bytes.set(used_bytes);
+                if generation == current {
+                    self.act(|node, now, effects| node.written(now, sequence, effects));
+                }
+            }
+            DiskEvent::Failed { generation, sequence } => {
+                if generation == current {
+                    self.act(|node, now, effects| node.write_failed(now, sequence, effects));
+                }
+            }
+            DiskEvent::Trouble(reason) => warn!(self.0.log, "disk"; "reason" => reason),
+        }
+    }
+}
+
+/// Forgets a call that nobody waits for any more.
+struct Waiting<'a> {
+    engine: &'a Engine,
+    call: CallId,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.engine.0.calls.borrow_mut().remove(&self.call);
+    }
+}
+
+/// Keeps an agent's connection registered.
+#[derive(Debug)]
+pub struct Registration {
+    engine: Engine,
+    id: u64,
+    /// Where news are told.
+    pub door: Rc<AgentDoor>,
+}
+
+impl Drop for Registration {
+    fn drop(&mut self) {
+        self.engine.0.readers.borrow_mut().remove(&self.id);
+    }
+}
+
+/// A seed for a random generator.
+pub fn seed() -> u64 {
+    let mut bytes = [0_u8; 8];
+    match getrandom::fill(&mut bytes) {
+        Ok(()) => u64::from_le_bytes(bytes),
+        Err(_) => fastrand::u64(..),
+    }
+}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,28 @@
+//! The control program: replicated state, change feed, operator's interface, reader of the platform's list.
+//!
+//! [`node::Node`] is the state machine that ties the parts together: it takes in messages, orders and results and
+//! gives back [`node::Effect`]s. [`engine::Engine`] carries them out on sockets and the disk thread. All tasks run
+//! on one thread; the only other thread is the disk's.
+
+#![forbid(unsafe_code)]
+
+pub mod arguments;
+pub mod disk;
+pub mod engine;
+pub mod feed_server;
+pub mod feed_session;
+pub mod identity;
+pub mod list;
+pub mod message;
+pub mod node;
+pub mod operator;
+pub mod orders;
+pub mod peer_links;
+pub mod program;
+pub mod reader;
+pub mod reports;
+pub mod roster;
+pub mod state;
+pub mod status;
+
+pub use program::run;
--- /dev/null
+++ b/crates/control/src/list.rs
@@ -0,0 +1,58 @@
+//! Pages of the platform's list of servers.
+
+use dunelink_protocol::ServerEntry;
+use sonic_rs::{JsonContainerTrait, JsonValueTrait, Value};
+use thiserror::Error;
+
+/// A page that can't be used; the whole reading is given up.
+#[derive(Debug, Error)]
+pub enum ListError {
+    /// The page is not JSON.
+    #[error("a page of the list is not JSON: {0}; it is read again")]
+    Malformed(#[from] sonic_rs::Error),
+    /// A field is missing or has another type.
+    #[error("a page of the list lacks `{0}`; it is read again")]
+    Missing(&'static str),
+}
+
+/// One page.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Page {
+    /// The servers on it.
+    pub servers: Vec<ServerEntry>,
+    /// Token of the page that follows; none on the last.
+    pub next: Option<String>,
+}
+
+/// Reads a page.
+///
+/// # Errors
+///
+/// The page is not JSON or a server lacks its id, service or address.
+pub fn parse_page(bytes: &[u8]) -> Result<Page, ListError> {
+    let page: Value = sonic_rs::from_slice(bytes)?;
+    let instances = page.get("instances").and_then(|value| value.as_array());
+    let instances = instances.ok_or(ListError::Missing("instances"))?;
+    let servers = instances.iter().map(entry).collect::<Result<Vec<_>, _>>()?;
+    let next = page.get("nextToken").as_str().filter(|token| !token.is_empty()).map(str::to_owned);
+    Ok(Page { servers, next })
+}
+
+fn entry(value: &Value) -> Result<ServerEntry, ListError> {
+    let weights = value.pointer(&sonic_rs::pointer!["models", 0, "version"]).as_u64();
+    Ok(ServerEntry {
+        id: text(value, "id")?,
+        service: text(value, "service")?,
+        address: text(value, "address")?,
+        zone: value.get("zone").as_str().unwrap_or_default().to_owned(),
+        slots: value.get("slots").as_u64().map_or(1, |slots| u32::try_from(slots).unwrap_or(u32::MAX)),
+        ready: value.get("state").as_str().is_none_or(|state| state == "ready"),
+        cold_remaining_ms: value.get("coldRemainingMs").as_f64().unwrap_or(0.0).max(0.0) as u64,
+        software: value.get("version").as_str().unwrap_or_default().to_owned(),
+        weights,
+    })
+}
+
+fn text(value: &Value, key: &'static str) -> Result<String, ListError> {
+    value.get(key).as_str().map(str::to_owned).ok_or(ListError::Missing(key))
+}
--- /dev/null
+++ b/crates/control/src/message.rs
@@ -0,0 +1,149 @@
+//! Messages between control machines.
+
+use dunelink_protocol::{
+    GrantUpdate, RosterOffset, RosterUpdate, ServerEntry, ServerSuspicion, TenantDemand,
+};
+use dunelink_replication::{Member, Message, ReplicaId};
+use minicbor::{Decode, Encode};
+
+/// A message with its sender and receiver.
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub struct Envelope {
+    /// Identity of the sender.
+    #[n(0)]
+    pub from: ReplicaId,
+    /// Identity that the message is for; absent where the sender knows only an address.
+    #[n(1)]
+    pub to: Option<ReplicaId>,
+    /// The message.
+    #[n(2)]
+    pub message: PeerMessage,
+}
+
+/// A message between control machines.
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub enum PeerMessage {
+    /// Of the replicated log.
+    #[n(0)]
+    Replication(#[n(0)] Message),
+    /// A machine wants to become a member.
+    #[n(1)]
+    JoinRequest(#[n(0)] Member),
+    /// Answer to [`PeerMessage::JoinRequest`]: whom to ask.
+    #[n(2)]
+    Members(#[n(0)] KnownMembers),
+    /// What the agents at the sender have reported since the last message; to the leader.
+    #[n(3)]
+    Reports(#[n(0)] Vec<NodeReport>),
+    /// Grants for the agents at the receiver; from the leader.
+    #[n(4)]
+    Grants(#[n(0)] Vec<NodeGrants>),
+    /// The roster of servers, from the leader.
+    #[n(5)]
+    Roster(#[n(0)] RosterNews),
+    /// Where the sender's roster stands; the leader sends what it lacks.
+    #[n(6)]
+    RosterWanted(#[n(0)] RosterOffset),
+    /// Servers that fail, from the leader.
+    #[n(7)]
+    Suspicions(#[n(0)] Vec<ServerSuspicion>),
+    /// The leader can't reach the platform: read the list once, now.
+    #[n(8)]
+    ReadList(#[n(0)] u64),
+    /// Answer to [`PeerMessage::ReadList`].
+    #[n(9)]
+    ListRead(#[n(0)] ListRead),
+}
+
+/// The members that a control machine knows.
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub struct KnownMembers {
+    /// All members.
+    #[n(0)]
+    pub members: Vec<Member>,
+    /// The leader, if known.
+    #[n(1)]
+    pub leader: Option<Member>,
+}
+
+/// What one node reported.
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub struct NodeReport {
+    /// Name of the node.
+    #[n(0)]
+    pub node: String,
+    /// Its newest demand.
+    #[n(1)]
+    pub demand: Vec<TenantDemand>,
+    /// Outcomes by server, summed up since the last message.
+    #[n(2)]
+    pub outcomes: Vec<Outcomes>,
+}
+
+/// Outcomes of one node's requests at one server.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct Outcomes {
+    /// Id of the server.
+    #[n(0)]
+    pub server: String,
+    /// Requests answered.
+    #[n(1)]
+    pub served: u32,
+    /// Requests that failed.
+    #[n(2)]
+    pub failed: u32,
+}
+
+/// Grants for one node.
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub struct NodeGrants {
+    /// Name of the node.
+    #[n(0)]
+    pub node: String,
+    /// Its grants.
+    #[n(1)]
+    pub update: GrantUpdate,
+}
+
+/// How the leader's roster stands, with changes if the receiver lacks some.
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub struct RosterNews {
+    /// Where the leader's roster stands.
+    #[n(0)]
+    pub offset: RosterOffset,
+    /// Age of the roster in milliseconds.
+    #[n(1)]
+    pub age_ms: u64,
+    /// Changes, or the whole roster.
+    #[n(2)]
+    pub update: Option<RosterUpdate>,
+}
+
+/// Outcome of a reading of the list on behalf of the leader.
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub struct ListRead {
+    /// Number of the request.
+    #[n(0)]
+    pub request: u64,
+    /// The list; absent if it could not be read.
+    #[n(1)]
+    pub servers: Option<Vec<ServerEntry>>,
+}
+
+/// Sends larger than this go over the bulk connection, in bytes.
+const URGENT_ITEMS: usize = 32;
+
+impl PeerMessage {
+    /// Whether the message goes over the bulk connection, so that urgent ones never wait behind it. Messages of one
+    /// kind keep to one connection, which keeps them in order.
+    pub fn is_bulk(&self) -> bool {
+        match self {
+            Self::Replication(Message::Append { .. } | Message::Chunk { .. }) => true,
+            Self::Replication(_) | Self::JoinRequest(_) | Self::Members(_) | Self::ReadList(_) => false,
+            Self::Roster(_) | Self::RosterWanted(_) | Self::ListRead(_) => true,
+            Self::Reports(reports) => reports.len() > URGENT_ITEMS,
+            Self::Grants(grants) => grants.len() > URGENT_ITEMS,
+            Self::Suspicions(suspicions) => suspicions.len() > URGENT_ITEMS,
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/node/deciding.rs
@@ -0,0 +1,140 @@
+//! Orders of the operator: who decides, and what is answered.
+
+use bytes::Bytes;
+use dunelink_replication::{Input, Refusal, encode};
+use dunelink_settings::FleetConfig;
+
+use super::{Effect, LEADER_HEARD, Node};
+use crate::orders::{CallId, Order, Reply};
+use crate::state::{Command, Digest, Verdict};
+
+/// Too much is waiting to be decided.
+const OVERLOADED: Reply = Reply::Unavailable("too many orders are waiting: send it again later");
+/// Nobody leads the group as far as is known here.
+const LEADERLESS: Reply =
+    Reply::Unavailable("no leader is known here: send it again, to any control machine");
+/// The outcome of a proposal is not known.
+pub(super) const UNCERTAIN: Reply =
+    Reply::Unavailable("the outcome is not known yet: send it again, to any control machine");
+
+impl Node {
+    /// The operator replaces the configuration. The answer comes as [`Effect::Reply`].
+    pub fn replace(
+        &mut self,
+        now: u64,
+        call: CallId,
+        base: Option<u64>,
+        body: Bytes,
+        effects: &mut Vec<Effect>,
+    ) {
+        if let Some(reply) = self.take_order(now, call, base, body) {
+            effects.push(Effect::Reply { call, reply });
+        }
+        self.decide_next(now, effects);
+    }
+
+    /// The operator reads the configuration.
+    pub fn read(&self, now: u64) -> Reply {
+        if !self.holds_lease(now) {
+            return self.elsewhere(now);
+        }
+        match self.state.version() {
+            0 => Reply::Nothing,
+            _ => Reply::Configuration(self.state.body().clone()),
+        }
+    }
+
+    /// Takes in an order; an answer if there is one already.
+    fn take_order(&mut self, now: u64, call: CallId, base: Option<u64>, body: Bytes) -> Option<Reply> {
+        let digest = base.map(|base| Digest::of(base, &body));
+        // What was taken stays taken: any replica that has applied it may say so.
+        if digest.is_some_and(|digest| self.state.is_taken(&digest)) {
+            return Some(Reply::Taken);
+        }
+        if self.ending || !self.holds_lease(now) {
+            return Some(self.elsewhere(now));
+        }
+        let (Some(base), Some(digest)) = (base, digest) else {
+            return Some(Reply::Invalid(
+                "header X-Dunelink-Base-Version is missing: name the base".to_owned(),
+            ));
+        };
+        if self.orders.attach(&digest, call) {
+            return None;
+        }
+        let version = match FleetConfig::parse(&body) {
+            Ok(config) => config.version,
+            Err(error) => return Some(Reply::Invalid(error.to_string())),
+        };
+        let order = Order { base, version, digest, body, calls: vec![call] };
+        if self.orders.push(order) { None } else { Some(OVERLOADED) }
+    }
+
+    /// Decides orders until one has to wait for the log.
+    pub(super) fn decide_next(&mut self, now: u64, effects: &mut Vec<Effect>) {
+        while let Some(order) = self.orders.take_next() {
+            match self.judge(now, &order) {
+                Some(reply) => answer_all(order.calls, &reply, effects),
+                None => self.propose(now, order, effects),
+            }
+        }
+    }
+
+    /// The answer to an order that needs no entry in the log. Nothing is undecided when this is asked.
+    fn judge(&self, now: u64, order: &Order) -> Option<Reply> {
+        let current = self.state.version();
+        if self.state.is_taken(&order.digest) {
+            return Some(Reply::Taken);
+        }
+        if self.ending || !self.holds_lease(now) {
+            return Some(self.elsewhere(now));
+        }
+        if order.base != current {
+            return Some(Reply::Conflict { current });
+        }
+        if order.version <= current {
+            let reason =
+                format!("version {} is not above the current one, {current}: raise it", order.version);
+            return Some(Reply::Invalid(reason));
+        }
+        None
+    }
+
+    fn propose(&mut self, now: u64, order: Order, effects: &mut Vec<Effect>) {
+        let Order { base, version, digest, body, calls } = order;
+        let ticket = self.orders.propose(digest, calls);
+        let command = encode(&Command::Replace { base, version, digest, body: body.to_vec() });
+        self.input(now, Input::Propose { ticket, command }, effects);
+    }
+
+    /// The log has decided on a proposal, or can't tell.
+    pub(super) fn decided(
+        &mut self,
+        now: u64,
+        ticket: u64,
+        result: Result<u64, Refusal>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some((digest, calls)) = self.orders.decided(ticket) else { return };
+        let verdict = self.verdicts.remove(&digest);
+        let reply = match (result, verdict) {
+            (Ok(_), Some(Verdict::InForce | Verdict::AlreadyTaken)) => Reply::Taken,
+            (Ok(_), Some(Verdict::Conflict)) => Reply::Conflict { current: self.state.version() },
+            (Ok(_), None) | (Err(Refusal::Uncertain), _) => UNCERTAIN,
+            (Err(Refusal::NotLeader), _) => self.elsewhere(now),
+            (Err(Refusal::Overloaded), _) => OVERLOADED,
+        };
+        answer_all(calls, &reply, effects);
+    }
+
+    /// Where a call goes that only the leader answers.
+    fn elsewhere(&self, now: u64) -> Reply {
+        let heard = self.replica.leader_contact(now).is_some_and(|age| age < LEADER_HEARD);
+        let leader = self.replica.leader().filter(|leader| heard && leader.id != self.me.id);
+        leader.map_or(LEADERLESS, |leader| Reply::Elsewhere(leader.control))
+    }
+}
+
+fn answer_all(calls: Vec<CallId>, reply: &Reply, effects: &mut Vec<Effect>) {
+    effects.extend(calls.into_iter().map(|call| Effect::Reply { call, reply: reply.clone() }));
+}
--- /dev/null
+++ b/crates/control/src/reader.rs
@@ -0,0 +1,255 @@
+//! Reads the platform's list of servers: at the leader, or once for a leader that can't reach the platform.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use dunelink_protocol::ServerEntry;
+use dunelink_settings::CloudApi;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::header::HOST;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use slog::{info, warn};
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+use crate::engine::Engine;
+use crate::list::{ListError, Page, parse_page};
+
+/// Time between the beginnings of two readings.
+const PERIOD: Duration = Duration::from_millis(500);
+/// How long one page may take.
+const CALL_PATIENCE: Duration = Duration::from_millis(700);
+/// Pause after a failed reading; doubled with each further one up to [`PERIOD`].
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// After this long without a reading, another member is asked to read, in microseconds.
+const DELEGATE_AFTER: u64 = 1_500_000;
+/// Largest page, in bytes.
+const MAX_PAGE_BYTES: usize = 8 * 1024 * 1024;
+/// Most pages of one reading.
+const MAX_PAGES: usize = 2_048;
+/// Part of the platform's rate that the regular readings use.
+const RATE_PART: f64 = 0.5;
+
+/// Why the list could not be read.
+#[derive(Debug, Error)]
+pub enum ReadError {
+    /// The platform can't be reached.
+    #[error("the platform can't be reached: {0}; the list is read again soon")]
+    Unreachable(#[from] std::io::Error),
+    /// The call broke off.
+    #[error("a call to the platform broke off: {0}; the list is read again soon")]
+    Broken(#[from] hyper::Error),
+    /// No answer came in time.
+    #[error("the platform did not answer within {CALL_PATIENCE:?}; the list is read again soon")]
+    Late,
+    /// The platform refused.
+    #[error("the platform answered {0}; the list is read again soon")]
+    Refused(StatusCode),
+    /// The answer is too large or broke off.
+    #[error("a page could not be read whole; the list is read again soon")]
+    Body,
+    /// The page can't be used.
+    #[error(transparent)]
+    Page(#[from] ListError),
+    /// The lease ended during the reading.
+    #[error("the lease ended; the new leader reads the list")]
+    NotLeading,
+    /// There are more pages than a list can have.
+    #[error("the list has more than {MAX_PAGES} pages; check the platform")]
+    TooManyPages,
+}
+
+/// Reads the list, page after page, over a connection that it keeps.
+#[derive(Debug)]
+pub struct ListReader {
+    api: CloudApi,
+    connection: Option<SendRequest<Empty<Bytes>>>,
+    /// Pages of the last whole reading.
+    pages: usize,
+}
+
+impl ListReader {
+    /// A reader without a connection.
+    pub fn new(api: CloudApi) -> Self {
+        Self { api, connection: None, pages: 1 }
+    }
+
+    /// Reads the whole list. `may_go_on` is asked before each call.
+    ///
+    /// # Errors
+    ///
+    /// A page could not be read; the pages before it are dropped.
+    pub async fn read(&mut self, may_go_on: impl Fn() -> bool) -> Result<Vec<ServerEntry>, ReadError> {
+        let mut servers = Vec::new();
+        let mut token = None;
+        for page_number in 1..=MAX_PAGES {
+            if !may_go_on() {
+                return Err(ReadError::NotLeading);
+            }
+            let page = self.page(token.as_deref()).await?;
+            servers.extend(page.servers);
+            token = page.next;
+            if token.is_none() {
+                self.pages = page_number;
+                return Ok(servers);
+            }
+        }
+        Err(ReadError::TooManyPages)
+    }
+
+    /// Time between two readings, so that all calls stay below the platform's rate.
+    fn period(&self) -> Duration {
+        let rate = (self.api.rate_per_s * RATE_PART).max(0.01);
+        PERIOD.max(Duration::from_secs_f64(self.pages as f64 / rate))
+    }
+
+    async fn page(&mut self, token: Option<&str>) -> Result<Page, ReadError> {
+        // A kept connection may have been closed meanwhile: then one new one is tried at once.
+        let kept = self.connection.take().filter(|connection| !connection.is_closed());
+        let read = timeout(CALL_PATIENCE, self.call(kept, token)).await;
+        read.unwrap_or(Err(ReadError::Late))
+    }
+
+    async fn call(
+        &mut self,
+        kept: Option<SendRequest<Empty<Bytes>>>,
+        token: Option<&str>,
+    ) -> Result<Page, ReadError> {
+        let was_kept = kept.is_some();
+        let connection = match kept {
+            Some(connection) => connection,
+            None => self.connect().await?,
+        };
+        match self.ask(connection, token).await {
+            Err(ReadError::Broken(_)) if was_kept => {
+                let connection = self.connect().await?;
+                self.ask(connection, token).await
+            }
+            other => other,
+        }
+    }
+
+    async fn connect(&self) -> Result<SendRequest<Empty<Bytes>>, ReadError> {
+        let socket = TcpStream::connect(self.api.address).await?;
+        let _ = socket.set_nodelay(true);
+        let (sender, connection) = handshake(TokioIo::new(socket)).await?;
+        spawn_local(async move {
+            // Its error is also that of the call.
+            let _ = connection.await;
+        });
+        Ok(sender)
+    }
+
+    async fn ask(
+        &mut self,
+        mut connection: SendRequest<Empty<Bytes>>,
+        token: Option<&str>,
+    ) -> Result<Page, ReadError> {
+        connection.ready().await?;
+        let uri = token.map_or_else(
+            || "/instances".to_owned(),
+            |token| format!("/instances?pageToken={}", escaped(token)),
+        );
+        let request = Request::get(uri).header(HOST, self.api.address.to_string()).body(Empty::new());
+        let Ok(request) = request else { return Err(ReadError::Body) };
+        let answer = connection.send_request(request).await?;
+        let status = answer.status();
+        let body = Limited::new(answer.into_body(), MAX_PAGE_BYTES).collect().await;
+        let body = body.map_err(|_| ReadError::Body)?.to_bytes();
+        self.connection = Some(connection);
+        if status != StatusCode::OK {
+            return Err(ReadError::Refused(status));
+        }
+        Ok(parse_page(&body)?)
+    }
+}
+
+/// Percent-encodes what is not unreserved in a query.
+fn escaped(token: &str) -> String {
+    let mut escaped = String::with_capacity(token.len());
+    for byte in token.bytes() {
+        match byte {
+            b'A'..=b'Z' | b'a'..=b'z' | b'0'..=b'9' | b'-' | b'.' | b'_' | b'~' => {
+                escaped.push(char::from(byte))
+            }
+            other => escaped.push_str(&format!("%{other:02X}")),
+        }
+    }
+    escaped
+}
+
+/// Reads the list while this machine holds the lease, for ever.
+pub async fn run(api: CloudApi, engine: Engine) {
+    let mut reader = ListReader::new(api);
+    let mut health = Health::default();
+    loop {
+        if !engine.look(|node, now| node.holds_lease(now)) {
+            health = Health::default();
+            reader.connection = None;
+            // A leader that lost its lease for a moment gets it back without a change of leadership.
+            let leads = engine.look(|node, _| node.replica().is_leader());
+            if leads {
+                sleep(FIRST_PAUSE).await;
+            } else {
+                engine.leadership_changed().await;
+            }
+            continue;
+        }
+        let began = engine.now();
+        let holds = || engine.look(|node, now| node.holds_lease(now));
+        let pause = match reader.read(holds).await {
+            Ok(servers) => {
+                health.succeeded(&engine);
+                engine.act(|node, now, effects| node.list_read(now, began, servers, effects));
+                let spent = Duration::from_micros(engine.now().saturating_sub(began));
+                reader.period().saturating_sub(spent)
+            }
+            Err(error) => health.failed(&engine, began, &error),
+        };
+        sleep(pause).await;
+    }
+}
+
+/// Whether the platform answers.
+#[derive(Debug, Default)]
+struct Health {
+    failing_since: Option<u64>,
+    failures: u32,
+}
+
+impl Health {
+    fn succeeded(&mut self, engine: &Engine) {
+        if self.failing_since.take().is_some() {
+            info!(engine.log(), "the list is read again"; "failures" => self.failures);
+        }
+        self.failures = 0;
+    }
+
+    /// Notes a failure; how long to wait before the next reading.
+    fn failed(&mut self, engine: &Engine, began: u64, error: &ReadError) -> Duration {
+        if self.failing_since.is_none() {
+            warn!(engine.log(), "the list can't be read"; "reason" => %error);
+        }
+        let since = *self.failing_since.get_or_insert(began);
+        let pause = FIRST_PAUSE.saturating_mul(1 << self.failures.min(4)).min(PERIOD);
+        self.failures = self.failures.saturating_add(1);
+        if engine.now() > since + DELEGATE_AFTER {
+            engine.act(|node, now, effects| node.delegate_reading(now, effects));
+        }
+        pause
+    }
+}
+
+/// Reads the list once each time that the leader asks for it, for ever.
+pub async fn run_for_leader(api: CloudApi, engine: Engine) {
+    let mut reader = ListReader::new(api);
+    loop {
+        let (request, leader) = engine.list_requested().await;
+        let read = reader.read(|| true).await;
+        engine.answer_reading(&leader, request, read.ok());
+    }
+}
--- /dev/null
+++ b/crates/control/src/reports.rs
@@ -0,0 +1,119 @@
+//! What agents report: collected for the leader, and pooled over nodes there.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use dunelink_protocol::{ProxyReport, ServerSuspicion};
+
+use crate::message::{NodeReport, Outcomes};
+
+/// Nodes whose reports are collected at once.
+const MAX_NODES: usize = 4_096;
+/// Servers whose outcomes are collected for one node.
+const MAX_SERVERS: usize = 8_192;
+/// Length of the window of pooled outcomes, in microseconds.
+const WINDOW: u64 = 5_000_000;
+/// Nodes that have to report failures before a server is named.
+const MIN_REPORTERS: usize = 2;
+/// Failed part of the requests from which a server is named.
+const MIN_FAILED_SHARE: f32 = 0.1;
+/// Steps in which the failed part is told, so that small changes are not sent.
+const SHARE_STEPS: f32 = 20.0;
+
+/// Reports of the agents at this machine that the leader has not been told yet.
+#[derive(Debug, Default)]
+pub struct Collected {
+    nodes: BTreeMap<String, NodeReport>,
+}
+
+impl Collected {
+    /// Adds a node's report: its newest demand counts, its outcomes are summed up.
+    pub fn add(&mut self, node: &str, report: ProxyReport) {
+        if self.nodes.len() >= MAX_NODES && !self.nodes.contains_key(node) {
+            return;
+        }
+        let entry = self.nodes.entry(node.to_owned()).or_insert_with(|| NodeReport {
+            node: node.to_owned(),
+            demand: Vec::new(),
+            outcomes: Vec::new(),
+        });
+        entry.demand = report.demand;
+        for seen in report.observations {
+            let outcomes = Outcomes { server: seen.server, served: seen.served, failed: seen.failed };
+            sum_up(&mut entry.outcomes, outcomes);
+        }
+    }
+
+    /// Takes all that was collected.
+    pub fn take(&mut self) -> Vec<NodeReport> {
+        std::mem::take(&mut self.nodes).into_values().collect()
+    }
+}
+
+fn sum_up(all: &mut Vec<Outcomes>, new: Outcomes) {
+    if let Some(same) = all.iter_mut().find(|outcomes| outcomes.server == new.server) {
+        same.served = same.served.saturating_add(new.served);
+        same.failed = same.failed.saturating_add(new.failed);
+    } else if all.len() < MAX_SERVERS {
+        all.push(new);
+    }
+}
+
+/// Outcomes of the last seconds by server and node; at the leader.
+#[derive(Debug, Default)]
+pub struct Pool {
+    servers: BTreeMap<String, BTreeMap<String, VecDeque<Sample>>>,
+    told: Vec<ServerSuspicion>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Sample {
+    at: u64,
+    served: u32,
+    failed: u32,
+}
+
+impl Pool {
+    /// Adds what a node saw, received at `now`.
+    pub fn add(&mut self, now: u64, node: &str, outcomes: Vec<Outcomes>) {
+        for Outcomes { server, served, failed } in outcomes {
+            let nodes = self.servers.entry(server).or_default();
+            nodes.entry(node.to_owned()).or_default().push_back(Sample { at: now, served, failed });
+        }
+    }
+
+    /// The servers that several nodes find failing, if they are others than last time.
+    pub fn changed(&mut self, now: u64) -> Option<Vec<ServerSuspicion>> {
+        self.forget(now.saturating_sub(WINDOW));
+        let suspicions: Vec<_> =
+            self.servers.iter().filter_map(|(server, nodes)| suspicion(server, nodes)).collect();
+        if suspicions == self.told {
+            return None;
+        }
+        self.told.clone_from(&suspicions);
+        Some(suspicions)
+    }
+
+    fn forget(&mut self, before: u64) {
+        for nodes in self.servers.values_mut() {
+            for samples in nodes.values_mut() {
+                let old = samples.partition_point(|sample| sample.at < before);
+                samples.drain(..old);
+            }
+            nodes.retain(|_, samples| !samples.is_empty());
+        }
+        self.servers.retain(|_, nodes| !nodes.is_empty());
+    }
+}
+
+fn suspicion(server: &str, nodes: &BTreeMap<String, VecDeque<Sample>>) -> Option<ServerSuspicion> {
+    let samples = || nodes.values().flatten();
+    let failed: u64 = samples().map(|sample| u64::from(sample.failed)).sum();
+    let served: u64 = samples().map(|sample| u64::from(sample.served)).sum();
+    let reporters = nodes.values().filter(|samples| samples.iter().any(|sample| sample.failed > 0)).count();
+    let share = failed as f32 / (failed + served).max(1) as f32;
+    if reporters < MIN_REPORTERS || share < MIN_FAILED_SHARE {
+        return None;
+    }
+    let failed_share = (share * SHARE_STEPS).round() / SHARE_STEPS;
+    Some(ServerSuspicion { server: server.to_owned(), failed_share, reporters: reporters as u32 })
+}
--- /dev/null
+++ b/crates/control/tests/fleet_bad_input.rs
@@ -0,0 +1,105 @@
+//! Input that is none at every listener, and settings that can't be used.
+
+use std::net::SocketAddr;
+use std::process::Command;
+
+use testkit::system::programs::{AGENT, CONTROL, PROXY, Programs};
+use testkit::system::scene::{Scene, UNSAFE};
+use testkit::system::{Connection, network, until};
+
+const OWN: &str = env!("CARGO_BIN_EXE_dunelink-control");
+/// `internalPorts[0]` + 2, where an agent feeds its proxy.
+const FEED_PORT: u16 = network::INTERNAL_FIRST + 2;
+
+/// Bytes that are nothing to anybody.
+fn junk() -> Vec<Vec<u8>> {
+    let mut random = fastrand::Rng::with_seed(40);
+    let mut junk: Vec<Vec<u8>> = vec![
+        Vec::new(),
+        vec![0; 4096],
+        vec![0xff; 4096],
+        b"\r\n\r\n\r\n".to_vec(),
+        b"GET / HTTP/9.9\r\n\r\n".to_vec(),
+        b"POST /order/ HTTP/1.1\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nwords".to_vec(),
+        b"POST /order/ HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n".to_vec(),
+        [b"GET / HTTP/1.1\r\nX: ".to_vec(), vec![b'x'; 200_000]].concat(),
+        // A frame that says it is four gigabytes long.
+        [vec![0xff, 0xff, 0xff, 0xff], vec![0x81; 64]].concat(),
+    ];
+    junk.extend((0..20).map(|_| (0..random.usize(1..2000)).map(|_| random.u8(..)).collect::<Vec<u8>>()));
+    junk
+}
+
+#[tokio::test]
+async fn junk_at_any_listener_disturbs_nobody() {
+    let mut scene = Scene::small(OWN).await;
+    let core = scene.fleet.control(0);
+    let front = scene.fleet.front(0);
+    let at = |like: SocketAddr, port: u16| SocketAddr::new(like.ip(), port);
+    let listeners = [
+        core,
+        at(core, network::INTERNAL_FIRST),
+        front,
+        at(front, network::READINESS_PORT),
+        at(front, FEED_PORT),
+    ];
+    for listener in listeners {
+        for bytes in junk() {
+            let mut connection = Connection::open(listener).await.expect("a listener");
+            // What is not read is not taken either.
+            let _ = connection.send_bytes(&bytes).await;
+        }
+    }
+    assert_eq!(scene.get(0, "POST", UNSAFE).await.status(), 200);
+    let next = scene.configuration.clone().version(8);
+    assert!(scene.operator.replace(3, next.value()).await.is_taken());
+    assert!(scene.fleet.core(0).runs() && scene.fleet.agent(0).runs() && scene.fleet.proxy(0).runs());
+}
+
+#[tokio::test]
+async fn settings_that_can_not_be_used_end_a_program_with_file_key_and_what_was_expected() {
+    let programs = Programs::beside(OWN);
+    let folder = std::env::temp_dir().join(format!("dunelink-settings-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let path = folder.join("boot.toml");
+    let whole = "nodeName = \"n\"\nip = \"127.0.0.1\"\ninternalPorts = [21680,21695]\n";
+    let cases = [
+        (whole.replace("nodeName = \"n\"\n", ""), "nodeName"),
+        (whole.replace("\"127.0.0.1\"", "\"nowhere\""), "ip"),
+        (whole.replace("[21680,21695]", "\"none\""), "internalPorts"),
+        (format!("{whole}seeds = [\"nowhere\"]\n"), "seeds"),
+        (format!("{whole}seeds = [\"127.0.0.1:1\"]\n[bounds]\ncontactMs = \"x\"\n"), "contactMs"),
+        ("nodeName = ".to_owned(), "TOML"),
+    ];
+    for program in [CONTROL, AGENT, PROXY] {
+        for (text, named) in &cases {
+            std::fs::write(&path, text).unwrap();
+            let mut command = Command::new(programs.path(program));
+            let output = command.env_clear().env("DUNELINK_BOOT", &path).output().unwrap();
+            let said = String::from_utf8_lossy(&output.stderr);
+            assert!(!output.status.success(), "{program}: {text}");
+            assert!(said.contains("boot.toml") && said.contains(named), "{program}, {named}: {said}");
+        }
+        let mut command = Command::new(programs.path(program));
+        let output = command.env_clear().env("DUNELINK_BOOT", folder.join("none.toml")).output().unwrap();
+        assert!(!output.status.success() && !output.stderr.is_empty(), "{program} without a file");
+    }
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
+#[tokio::test]
+async fn a_client_that_sends_no_whole_head_is_not_waited_for_longer_than_told() {
+    let scene = Scene::small(OWN).await;
+    let mut connection = scene.client(0).connect().await.unwrap();
+    connection.send_bytes(b"POST /order/ HTTP/1.1\r\nHost: ficu95.exa").await.unwrap();
+    // `headerTimeoutMs` is 3 s; the wait is bounded by the test's own limit.
+    let closed = async {
+        let _ = connection.answer().await;
+        connection.closes().await
+    };
+    assert!(closed.await);
+    until("the front to serve", || async {
+        (scene.get(0, "POST", UNSAFE).await.status() == 200).then_some(())
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/grants/src/bounds.rs
@@ -0,0 +1,49 @@
+//! What the deployment bounds, and how it is divided.
+
+/// Bounds of quotas, from the settings file.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QuotaBounds {
+    /// Length of the sliding window in which a quota is judged, in seconds.
+    pub window_s: f64,
+    /// Part by which the sum of all nodes may exceed the quota in a window.
+    pub overshoot: f64,
+    /// Units by which it may exceed it besides.
+    pub slack: f64,
+}
+
+/// Bounds of repeats, from the settings file.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryBounds {
+    /// Repeats allowed for each request.
+    pub ratio: f64,
+    /// Length of the sliding window in which repeats are judged, in seconds.
+    pub window_s: f64,
+    /// Repeats that all nodes together may make besides, in a window.
+    pub slack: f64,
+}
+
+/// A tenant's quota, from the configuration.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TenantQuota {
+    /// Name of the tenant.
+    pub name: String,
+    /// Units a second over all nodes; 0 for no limit.
+    pub rate_per_s: f64,
+    /// Units at once beyond the rate, over all nodes.
+    pub burst: f64,
+}
+
+/// Part of the rate that is divided evenly as floors; the rest goes by demand.
+pub(crate) const FLOOR_PART: f64 = 0.5;
+/// Part used of what the bounds allow beyond the rate. What is sent within one window may arrive within a shorter
+/// one, and buckets of nodes that restart come on top.
+const ALLOWANCE_PART: f64 = 0.85;
+
+impl QuotaBounds {
+    /// Units that all nodes together may let pass beyond `rate_per_s` times any span.
+    pub(crate) fn allowance(&self, quota: &TenantQuota) -> f64 {
+        let over_rate = quota.rate_per_s * self.window_s * self.overshoot;
+        let over_burst = quota.burst * (1.0 + self.overshoot);
+        (over_rate + over_burst + self.slack) * ALLOWANCE_PART
+    }
+}
--- /dev/null
+++ b/crates/peers/tests/overlay.rs
@@ -0,0 +1,158 @@
+//! Many nodes in memory: the overlay stays connected when nodes join and when a third of them is gone.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+
+use dunelink_peers::{Outgoing, PeerMessage, PeerSampler, VIEW_LENGTH};
+
+const NODES: u16 = 450;
+
+fn address(number: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, (number >> 8) as u8, number as u8], 7_000))
+}
+
+struct Overlay {
+    nodes: BTreeMap<SocketAddr, PeerSampler>,
+    random: fastrand::Rng,
+    delivered: u64,
+}
+
+impl Overlay {
+    /// Nodes that join one after the other, at three introducers, with a round after each ten.
+    fn grown(seed: u64) -> Self {
+        let mut overlay =
+            Self { nodes: BTreeMap::new(), random: fastrand::Rng::with_seed(seed), delivered: 0 };
+        let introducers: Vec<SocketAddr> = (0..3).map(address).collect();
+        for number in 0..NODES {
+            let random = overlay.random.fork();
+            let node = PeerSampler::new(address(number), introducers.clone(), random);
+            overlay.nodes.insert(address(number), node);
+            if number % 10 == 9 {
+                overlay.round();
+            }
+        }
+        overlay.rounds(30);
+        overlay
+    }
+
+    fn rounds(&mut self, count: usize) {
+        for _ in 0..count {
+            self.round();
+        }
+    }
+
+    /// Every node begins a round, in random order; each message arrives before the next node begins.
+    fn round(&mut self) {
+        let mut order: Vec<SocketAddr> = self.nodes.keys().copied().collect();
+        self.random.shuffle(&mut order);
+        for own in order {
+            let sent = self.nodes.get_mut(&own).map(PeerSampler::round).unwrap_or_default();
+            self.deliver(own, sent);
+        }
+    }
+
+    /// Messages to nodes that are gone are lost.
+    fn deliver(&mut self, from: SocketAddr, sent: Vec<Outgoing>) {
+        let mut waiting: VecDeque<(SocketAddr, Outgoing)> = sent.into_iter().map(|one| (from, one)).collect();
+        while let Some((from, Outgoing { to, message })) = waiting.pop_front() {
+            let Some(node) = self.nodes.get_mut(&to) else { continue };
+            self.delivered += 1;
+            waiting.extend(node.receive(from, message).into_iter().map(|one| (to, one)));
+        }
+    }
+
+    fn remove_share(&mut self, share: f64) {
+        let mut all: Vec<SocketAddr> = self.nodes.keys().copied().collect();
+        self.random.shuffle(&mut all);
+        let gone = (all.len() as f64 * share) as usize;
+        all[..gone].iter().for_each(|address| drop(self.nodes.remove(address)));
+    }
+
+    /// Nodes that can be reached from the first one, over links in either direction between nodes that are there.
+    fn reached(&self) -> usize {
+        let mut links: BTreeMap<SocketAddr, BTreeSet<SocketAddr>> = BTreeMap::new();
+        for (own, node) in &self.nodes {
+            for entry in node.view().entries().iter().filter(|entry| self.nodes.contains_key(&entry.address))
+            {
+                links.entry(*own).or_default().insert(entry.address);
+                links.entry(entry.address).or_default().insert(*own);
+            }
+        }
+        let mut seen: BTreeSet<SocketAddr> = self.nodes.keys().take(1).copied().collect();
+        let mut waiting: Vec<SocketAddr> = seen.iter().copied().collect();
+        while let Some(node) = waiting.pop() {
+            let known = links.get(&node).into_iter().flatten();
+            waiting.extend(known.filter(|other| seen.insert(**other)));
+        }
+        seen.len()
+    }
+
+    fn dead_links(&self) -> usize {
+        let entries = self.nodes.values().flat_map(|node| node.view().entries());
+        entries.filter(|entry| !self.nodes.contains_key(&entry.address)).count()
+    }
+
+    fn in_degrees(&self) -> BTreeMap<SocketAddr, usize> {
+        let mut degrees: BTreeMap<SocketAddr, usize> = self.nodes.keys().map(|node| (*node, 0)).collect();
+        for entry in self.nodes.values().flat_map(|node| node.view().entries()) {
+            degrees.entry(entry.address).and_modify(|degree| *degree += 1);
+        }
+        degrees
+    }
+}
+
+#[test]
+fn nodes_that_join_become_one_overlay_with_even_views() {
+    let overlay = Overlay::grown(1);
+    assert_eq!(overlay.reached(), usize::from(NODES));
+    let degrees = overlay.in_degrees();
+    assert!(degrees.values().all(|degree| (1..=4 * VIEW_LENGTH).contains(degree)), "{degrees:?}");
+    let full = overlay.nodes.values().filter(|node| node.view().entries().len() >= VIEW_LENGTH - 2).count();
+    assert!(full > usize::from(NODES) * 9 / 10, "{full} views are full");
+}
+
+#[test]
+fn the_overlay_stays_connected_when_a_third_is_gone() {
+    for seed in 0..5 {
+        let mut overlay = Overlay::grown(seed);
+        overlay.remove_share(0.3);
+        let left = overlay.nodes.len();
+        assert_eq!(overlay.reached(), left, "seed {seed}, at once");
+        overlay.rounds(30);
+        assert_eq!(overlay.reached(), left, "seed {seed}, after 30 rounds");
+        assert_eq!(overlay.dead_links(), 0, "seed {seed}");
+    }
+}
+
+#[test]
+fn a_round_costs_a_node_two_messages() {
+    let mut overlay = Overlay::grown(3);
+    overlay.delivered = 0;
+    overlay.rounds(10);
+    assert!(overlay.delivered <= u64::from(NODES) * 2 * 10, "{} messages", overlay.delivered);
+}
+
+#[test]
+fn random_peers_come_from_everywhere() {
+    let mut overlay = Overlay::grown(4);
+    let own = address(7);
+    let mut seen = BTreeSet::new();
+    for _ in 0..200 {
+        overlay.round();
+        seen.extend(overlay.nodes.get_mut(&own).and_then(PeerSampler::random_peer));
+    }
+    assert!(seen.len() > 100, "{} different peers in 200 rounds", seen.len());
+}
+
+#[test]
+fn walks_end() {
+    let mut overlay = Overlay::grown(5);
+    let newcomer = address(NODES + 1);
+    overlay.delivered = 0;
+    overlay.deliver(newcomer, vec![Outgoing { to: address(9), message: PeerMessage::Join }]);
+    assert!(overlay.delivered <= 1 + VIEW_LENGTH as u64 * 6, "{} messages", overlay.delivered);
+    let walk = PeerMessage::Walk { newcomer, hops: u8::MAX };
+    overlay.delivered = 0;
+    overlay.deliver(newcomer, vec![Outgoing { to: address(9), message: walk }]);
+    assert!(overlay.delivered <= 6, "{} messages", overlay.delivered);
+}
--- /dev/null
+++ b/crates/protocol/src/feed.rs
@@ -0,0 +1,178 @@
+//! What travels towards the data plane: configuration, roster of servers, grants, signs of life.
+
+use minicbor::{Decode, Encode};
+
+/// A message towards an agent or a proxy.
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub enum FeedMessage {
+    /// A part of the newest configuration.
+    #[n(0)]
+    Configuration(#[n(0)] ConfigurationChunk),
+    /// The roster of servers, whole or changed.
+    #[n(1)]
+    Roster(#[n(0)] RosterUpdate),
+    /// Sign of life.
+    #[n(2)]
+    Tick(#[n(0)] Tick),
+    /// What this node may use of budgets that all nodes share.
+    #[n(3)]
+    Grants(#[n(0)] GrantUpdate),
+    /// The control machines as now known.
+    #[n(4)]
+    Members(#[n(0)] Vec<ControlMember>),
+    /// Servers that several nodes found failing.
+    #[n(5)]
+    Suspicions(#[n(0)] Vec<ServerSuspicion>),
+}
+
+/// A part of a configuration. Parts of one version come in order; the last one ends at `total_bytes`.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct ConfigurationChunk {
+    /// Version of the configuration.
+    #[n(0)]
+    pub version: u64,
+    /// Length of the whole configuration in bytes.
+    #[n(1)]
+    pub total_bytes: u64,
+    /// Where this part begins.
+    #[n(2)]
+    pub offset: u64,
+    /// The part's bytes: the operator's JSON as it was accepted.
+    #[cbor(n(3), with = "minicbor::bytes")]
+    pub bytes: Vec<u8>,
+}
+
+/// A position in the roster's change feed. Positions of one epoch are ordered by sequence; a new epoch begins with
+/// a whole roster.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Encode, Decode)]
+pub struct RosterOffset {
+    /// Term of the leader that read the list.
+    #[n(0)]
+    pub epoch: u64,
+    /// Number of changes since the epoch began.
+    #[n(1)]
+    pub sequence: u64,
+}
+
+/// The roster of servers, whole or as changes that follow `base`.
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub struct RosterUpdate {
+    /// Where the reader has to stand for these changes; absent for a whole roster.
+    #[n(0)]
+    pub base: Option<RosterOffset>,
+    /// Where the reader stands afterwards.
+    #[n(1)]
+    pub offset: RosterOffset,
+    /// New and changed servers.
+    #[n(2)]
+    pub changed: Vec<ServerEntry>,
+    /// Ids of servers that are gone.
+    #[n(3)]
+    pub removed: Vec<String>,
+}
+
+/// A server as the platform's list tells of it.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct ServerEntry {
+    /// Incarnation of the server: new with each start.
+    #[n(0)]
+    pub id: String,
+    /// Name of its service.
+    #[n(1)]
+    pub service: String,
+    /// Address and port.
+    #[n(2)]
+    pub address: String,
+    /// Zone it is in.
+    #[n(3)]
+    pub zone: String,
+    /// How many requests it works on at once.
+    #[n(4)]
+    pub slots: u32,
+    /// Whether new requests may be sent to it; false while it drains.
+    #[n(5)]
+    pub ready: bool,
+    /// For how long it stays slow after its start, in milliseconds from when the list was read.
+    #[n(6)]
+    pub cold_remaining_ms: u64,
+    /// Version of its software.
+    #[n(7)]
+    pub software: String,
+    /// Version of the model's weights, if the list tells it.
+    #[n(8)]
+    pub weights: Option<u64>,
+}
+
+/// Sign of life of the sender, with how far what it feeds can be trusted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Encode, Decode)]
+pub struct Tick {
+    /// Age in milliseconds of the sender's last proof that its state is current: 0 at a leader that holds its
+    /// lease, otherwise the time since such a leader was heard.
+    #[n(0)]
+    pub confirmed_age_ms: u64,
+    /// Version of the newest configuration the sender knows to be committed; 0 for none.
+    #[n(1)]
+    pub configuration_version: u64,
+    /// Where the sender's roster stands.
+    #[n(2)]
+    pub roster: RosterOffset,
+    /// Age in milliseconds of the roster: time since the platform's list was last read.
+    #[n(3)]
+    pub roster_age_ms: u64,
+}
+
+/// Parts of shared budgets, valid for a short time. A node whose grants have run out falls back to its floor.
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub struct GrantUpdate {
+    /// For how long from receipt the grants hold, in milliseconds.
+    #[n(0)]
+    pub valid_ms: u64,
+    /// Proxies that the budgets are divided among: the floor of each is one part in this many.
+    #[n(1)]
+    pub nodes: u32,
+    /// Version of the configuration that the grants were computed for.
+    #[n(2)]
+    pub configuration_version: u64,
+    /// One entry for each tenant with demand at this node.
+    #[n(3)]
+    pub tenants: Vec<TenantGrant>,
+}
+
+/// A node's part of one tenant's quota.
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub struct TenantGrant {
+    /// Name of the tenant.
+    #[n(0)]
+    pub tenant: String,
+    /// Units a second (tokens or requests) that this node may let pass.
+    #[n(1)]
+    pub rate_per_s: f64,
+    /// Units that this node may let pass at once beyond the rate.
+    #[n(2)]
+    pub burst: f64,
+}
+
+/// A control machine.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct ControlMember {
+    /// Address for internal connections.
+    #[n(0)]
+    pub internal: String,
+    /// Zone it is in.
+    #[n(1)]
+    pub zone: String,
+}
+
+/// A server that fails requests, by what several nodes have reported.
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub struct ServerSuspicion {
+    /// Id of the server.
+    #[n(0)]
+    pub server: String,
+    /// Part of the lately reported requests that failed, 0 to 1.
+    #[n(1)]
+    pub failed_share: f32,
+    /// Nodes that reported failures.
+    #[n(2)]
+    pub reporters: u32,
+}
--- /dev/null
+++ b/crates/protocol/src/report.rs
@@ -0,0 +1,71 @@
+//! What travels from the data plane to the control plane: subscriptions, demand, observations.
+
+use minicbor::{Decode, Encode};
+
+use crate::RosterOffset;
+
+/// A message from an agent to a control machine.
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub enum AgentMessage {
+    /// Asks for the feed from where the agent stands.
+    #[n(0)]
+    Subscribe(#[n(0)] Subscribe),
+    /// What the proxy beside the agent reported; empty as a sign of life.
+    #[n(1)]
+    Report(#[n(0)] ProxyReport),
+}
+
+/// A message from a proxy to its agent.
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub enum ProxyMessage {
+    /// Demand and observations since the last report.
+    #[n(0)]
+    Report(#[n(0)] ProxyReport),
+}
+
+/// Where an agent stands in what it was fed before.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct Subscribe {
+    /// Version of the configuration it holds; 0 for none.
+    #[n(0)]
+    pub configuration_version: u64,
+    /// Where its roster stands.
+    #[n(1)]
+    pub roster: RosterOffset,
+}
+
+/// What a proxy wants and has seen.
+#[derive(Debug, Clone, PartialEq, Default, Encode, Decode)]
+pub struct ProxyReport {
+    /// Demand by tenant; tenants without any are left out.
+    #[n(0)]
+    pub demand: Vec<TenantDemand>,
+    /// Outcomes by server; servers without any are left out.
+    #[n(1)]
+    pub observations: Vec<ServerObservation>,
+}
+
+/// What a tenant's clients asked of one proxy.
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub struct TenantDemand {
+    /// Name of the tenant.
+    #[n(0)]
+    pub tenant: String,
+    /// Units a second (tokens or requests) asked for lately, whether let pass or not.
+    #[n(1)]
+    pub rate_per_s: f64,
+}
+
+/// Outcomes of one proxy's requests at a server since its last report.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct ServerObservation {
+    /// Id of the server.
+    #[n(0)]
+    pub server: String,
+    /// Requests answered.
+    #[n(1)]
+    pub served: u32,
+    /// Requests that failed: broken connections, silence, server errors.
+    #[n(2)]
+    pub failed: u32,
+}
--- /dev/null
+++ b/crates/protocol/tests/frames.rs
@@ -0,0 +1,58 @@
+//! Framing: what is written is read, in pieces too; nothing hostile panics.
+
+use bytes::BytesMut;
+use dunelink_protocol::{
+    AgentMessage, ConfigurationChunk, FeedMessage, FrameError, ProxyReport, RosterOffset, Subscribe, TenantDemand,
+    decode, encode,
+};
+
+fn chunk() -> FeedMessage {
+    let bytes = vec![7; 300];
+    FeedMessage::Configuration(ConfigurationChunk { version: 9, total_bytes: 300, offset: 0, bytes })
+}
+
+#[test]
+fn messages_arrive_as_sent_however_the_bytes_are_cut() {
+    let mut whole = BytesMut::new();
+    encode(&chunk(), &mut whole);
+    encode(&chunk(), &mut whole);
+    let mut received = BytesMut::new();
+    let mut messages = Vec::new();
+    for byte in whole.iter().copied() {
+        received.extend_from_slice(&[byte]);
+        if let Some(message) = decode::<FeedMessage>(&mut received).expect("well-formed") {
+            messages.push(message);
+        }
+    }
+    assert_eq!(messages, [chunk(), chunk()]);
+}
+
+#[test]
+fn both_directions_round_trip() {
+    let demand = vec![TenantDemand { tenant: "a".into(), rate_per_s: 12.5 }];
+    let report = AgentMessage::Report(ProxyReport { demand, observations: Vec::new() });
+    let roster = RosterOffset { epoch: 3, sequence: 4 };
+    let subscribe = AgentMessage::Subscribe(Subscribe { configuration_version: 5, roster });
+    let mut buffer = BytesMut::new();
+    encode(&report, &mut buffer);
+    encode(&subscribe, &mut buffer);
+    assert_eq!(decode::<AgentMessage>(&mut buffer).expect("well-formed"), Some(report));
+    assert_eq!(decode::<AgentMessage>(&mut buffer).expect("well-formed"), Some(subscribe));
+    assert!(buffer.is_empty());
+}
+
+#[test]
+fn an_oversized_length_is_refused_before_its_bytes_come() {
+    let mut buffer = BytesMut::from(&[0xff, 0xff, 0xff, 0x7f][..]);
+    assert!(matches!(decode::<FeedMessage>(&mut buffer), Err(FrameError::TooLarge(_))));
+}
+
+#[test]
+fn hostile_bytes_do_not_panic() {
+    bolero::check!().with_iterations(20_000).for_each(|bytes: &[u8]| {
+        let mut buffer = BytesMut::from(bytes);
+        while let Ok(Some(_)) = decode::<FeedMessage>(&mut buffer) {}
+        let mut buffer = BytesMut::from(bytes);
+        while let Ok(Some(_)) = decode::<AgentMessage>(&mut buffer) {}
+    });
+}
--- /dev/null
+++ b/crates/proxy/src/answer.rs
@@ -0,0 +1,151 @@
+//! Answers to clients: the process's own, and those of servers.
+
+use std::any::Any;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{self, HeaderName, HeaderValue};
+use http::{Response, StatusCode};
+use http_body::{Body, Frame, SizeHint};
+use thiserror::Error;
+
+use crate::stream::Passing;
+
+/// Names the try of a client.
+pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-dunelink-request-id");
+/// Milliseconds that the sender waits.
+pub const DEADLINE: HeaderName = HeaderName::from_static("x-dunelink-deadline-ms");
+/// The id of the server that alone may run the request.
+pub const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("x-dunelink-expect-instance");
+/// The tenant that holds the client's key.
+pub const TENANT: HeaderName = HeaderName::from_static("x-dunelink-tenant");
+/// Tokens of the prompt and tokens to be made at most.
+pub const TOKEN_COUNTS: HeaderName = HeaderName::from_static("x-dunelink-token-counts");
+/// Parts of the prompt.
+pub const PROMPT_PREFIX: HeaderName = HeaderName::from_static("x-dunelink-prompt-prefix");
+/// A server's stamp on its answer.
+pub const SEAL: HeaderName = HeaderName::from_static("x-dunelink-response-seal");
+/// A server's word that it has not run the request.
+pub const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-dunelink-not-executed");
+/// A server's load: running, waiting, slots.
+pub const SERVER_LOAD: HeaderName = HeaderName::from_static("x-dunelink-server-load");
+/// The last event that a client has seen.
+pub const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+
+/// Why an answer's body ended early: the client's connection is cut, so that it does not look complete.
+#[derive(Debug, Error)]
+pub enum BodyError {
+    /// The server or the way to it broke.
+    #[error("the server's answer broke off; the client's connection is closed, and a client may ask again")]
+    Broken,
+    /// The time of the request is over.
+    #[error("the time of the request is over; a client may ask again with a longer deadline")]
+    TimedOut,
+}
+
+/// The body of an answer. The request counts as in hand until it is dropped.
+pub struct AnswerBody {
+    kind: Kind,
+    _held: Option<Box<dyn Any>>,
+}
+
+enum Kind {
+    Whole(Option<Bytes>),
+    Passing(Box<Passing>),
+}
+
+impl AnswerBody {
+    /// A body that is there whole.
+    pub fn whole(bytes: Bytes) -> Self {
+        Self { kind: Kind::Whole(Some(bytes).filter(|bytes| !bytes.is_empty())), _held: None }
+    }
+
+    /// A body that is passed on as it comes.
+    pub fn passing(passing: Passing) -> Self {
+        Self { kind: Kind::Passing(Box::new(passing)), _held: None }
+    }
+
+    /// Drops `held` with the body: what counts the request as in hand.
+    pub fn holding(self, held: Box<dyn Any>) -> Self {
+        Self { _held: Some(held), ..self }
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match &mut self.kind {
+            Kind::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Kind::Passing(passing) => {
+                passing.poll_piece(cx).map(|piece| piece.map(|piece| piece.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self.kind, Kind::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.kind {
+            Kind::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64)),
+            Kind::Passing(passing) => passing.length().map(SizeHint::with_exact).unwrap_or_default(),
+        }
+    }
+}
+
+/// An answer of the process's own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Reply {
+    status: StatusCode,
+    retry_after: Option<Duration>,
+    closes: bool,
+}
+
+impl Reply {
+    /// An answer with nothing but its status.
+    pub fn new(status: StatusCode) -> Self {
+        Self { status, retry_after: None, closes: false }
+    }
+
+    /// Tells the client when to come back.
+    pub fn with_retry_after(self, retry_after: Duration) -> Self {
+        Self { retry_after: Some(retry_after), ..self }
+    }
+
+    /// Ends the client's connection: what stands on it can't be relied on.
+    pub fn closing(self) -> Self {
+        Self { closes: true, ..self }
+    }
+
+    /// Its status.
+    pub fn status(&self) -> StatusCode {
+        self.status
+    }
+
+    /// The response, for the request of this id.
+    pub fn response(self, id: Option<&HeaderValue>) -> Response<AnswerBody> {
+        let mut response = Response::new(AnswerBody::whole(Bytes::new()));
+        *response.status_mut() = self.status;
+        let headers = response.headers_mut();
+        if let Some(id) = id {
+            headers.insert(REQUEST_ID, id.clone());
+        }
+        if let Some(after) = self.retry_after
+            && let Ok(after) = HeaderValue::from_str(&format!("{:.3}", after.as_secs_f64()))
+        {
+            headers.insert(header::RETRY_AFTER, after);
+        }
+        if self.closes {
+            headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/connection.rs
@@ -0,0 +1,138 @@
+//! Connections of clients.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::header::{self, HeaderValue};
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::admission::admit;
+use crate::answer::{AnswerBody, Reply};
+use crate::exchange::Exchange;
+use crate::node::Node;
+use crate::request;
+use crate::socket::{ClientSocket, Heads};
+
+/// What a client is told while there is no configuration.
+const NO_CONFIGURATION: Duration = Duration::from_millis(300);
+/// Limits of heads before there is a configuration, in bytes.
+const HEADER_BYTES: u64 = 16_384;
+/// What a connection may hold beyond a head, in bytes: bodies come in fewer pieces.
+const BUFFER_MORE: usize = 32 * 1_024;
+
+/// A client's connection as the others see it.
+#[derive(Debug)]
+pub struct ClientConnection {
+    /// Since when no request is open on it.
+    idle_since: Cell<Option<Instant>>,
+    /// Told when it is to end once no request is open on it.
+    close: Notify,
+}
+
+impl ClientConnection {
+    /// A connection that was just accepted.
+    pub fn new() -> Rc<Self> {
+        Rc::new(Self { idle_since: Cell::new(Some(Instant::now())), close: Notify::new() })
+    }
+
+    /// Since when no request is open on it.
+    pub fn idle_since(&self) -> Option<Instant> {
+        self.idle_since.get()
+    }
+
+    /// Ends it once no request is open on it.
+    pub fn close(&self) {
+        self.close.notify_one();
+    }
+}
+
+/// Ends the request that is open on a connection.
+struct Open(Rc<ClientConnection>);
+
+impl Open {
+    fn new(connection: &Rc<ClientConnection>) -> Self {
+        connection.idle_since.set(None);
+        Self(connection.clone())
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.idle_since.set(Some(Instant::now()));
+    }
+}
+
+/// Serves a client's connection to its end.
+pub async fn serve(node: Rc<Node>, connection: Rc<ClientConnection>, stream: TcpStream) {
+    let limits = node.configuration().map(|configuration| configuration.fleet.limits.clone());
+    let head_most = limits.map_or(HEADER_BYTES, |limits| limits.max_header_bytes) as usize;
+    let (socket, heads) = ClientSocket::new(stream);
+    let service = service_fn(|request| {
+        let (node, open, heads) = (node.clone(), Open::new(&connection), heads.clone());
+        async move { Ok::<_, Infallible>(respond(node, request, open, &heads).await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder.max_header_size(head_most).max_buf_size(head_most + BUFFER_MORE).auto_date_header(false);
+    let mut serving = pin!(builder.serve_connection(TokioIo::new(socket), service));
+    tokio::select! {
+        biased;
+        _ = serving.as_mut() => return,
+        () = connection.close.notified() => serving.as_mut().graceful_shutdown(),
+        () = node.close_idle.notified() => serving.as_mut().graceful_shutdown(),
+    }
+    // Its errors are the client's: what it lacks it asks for again.
+    let _ = serving.await;
+}
+
+/// Answers one request.
+async fn respond(
+    node: Rc<Node>,
+    request: Request<Incoming>,
+    open: Open,
+    heads: &Heads,
+) -> Response<AnswerBody> {
+    let in_hand = node.take_in_hand();
+    let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
+    let mut response = match heads.check(request.headers()) {
+        Ok(()) => answer(&node, request).await,
+        Err(_) => Reply::new(StatusCode::BAD_REQUEST).closing().response(None),
+    };
+    if chunked {
+        heads.end_chunks();
+    }
+    if node.is_leaving() {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response.map(|body| body.holding(Box::new((in_hand, open))))
+}
+
+async fn answer(node: &Rc<Node>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let began = Instant::now();
+    let configuration = node.configuration();
+    let limits = configuration.as_ref().map(|configuration| &configuration.fleet.limits);
+    let limits = limits.cloned().unwrap_or_default();
+    let patience = Duration::from_millis(limits.header_timeout_ms);
+    let request = match request::read(request, &limits, patience).await {
+        Ok(request) => request,
+        Err((reply, id)) => return reply.response(id.as_ref()),
+    };
+    // A newer one may have come with the body.
+    let Some(configuration) = node.configuration() else {
+        let reply = Reply::new(StatusCode::SERVICE_UNAVAILABLE).with_retry_after(NO_CONFIGURATION);
+        return reply.response(Some(&request.id));
+    };
+    match admit(node, &configuration, &request) {
+        Ok(admitted) => Exchange::new(node.clone(), configuration, request, admitted, began).run().await,
+        Err(reply) => reply.response(Some(&request.id)),
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/lib.rs
@@ -0,0 +1,33 @@
+//! The data plane of a front machine: reads clients' requests, asks the routing decision for a server, passes the
+//! answer on.
+//!
+//! A request's way: [`listen`] accepts its connection, [`connection`] lets hyper read it, [`request`] takes what is
+//! needed out of its head, [`admission`] finds its route and tenant and charges its quota, [`exchange`] sends it to
+//! servers until one answer stands, [`upstream`] holds the connections to them, [`stream`] passes events on and
+//! resumes at another server, [`table`] says what a client is told when no server's answer stands.
+//!
+//! [`feed`] takes configuration, servers and grants from the agent on the machine; [`readiness`] answers the
+//! platform's check; [`shutdown`] ends the process without cutting what was read.
+
+#![forbid(unsafe_code)]
+
+pub mod admission;
+pub mod answer;
+pub mod arguments;
+pub mod configuration;
+pub mod connection;
+pub mod exchange;
+pub mod feed;
+pub mod listen;
+pub mod node;
+pub mod readiness;
+pub mod request;
+pub mod run;
+pub mod shutdown;
+pub mod socket;
+pub mod stream;
+pub mod table;
+pub mod tracked;
+pub mod upstream;
+
+pub use run::{Proxy, main};
--- /dev/null
+++ b/crates/proxy/src/listen.rs
@@ -0,0 +1,126 @@
+//! Accepting clients.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use socket2::{Domain, Protocol, Socket, Type};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::connection::{ClientConnection, serve};
+use crate::node::Node;
+
+/// New connections that the kernel holds while they are not accepted.
+const BACKLOG: i32 = 1_024;
+/// Pause after the system refused a connection, for want of descriptors.
+const REFUSED_PAUSE: Duration = Duration::from_millis(20);
+/// How often resting connections are looked through.
+pub const SWEEP: Duration = Duration::from_secs(1);
+/// Part of the time that clients may rest after which a connection is closed: clients keep below it.
+const IDLE_PART: f64 = 1.1;
+/// Rest that clients are given before there is a configuration.
+const IDLE_DEFAULT: Duration = Duration::from_secs(15);
+
+/// Listens at an address, also if connections to it linger from before a restart.
+///
+/// # Errors
+///
+/// The address is in use, or not the machine's.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    TcpListener::from_std(socket.into())
+}
+
+/// The clients' connections.
+pub struct Clients {
+    node: Rc<Node>,
+    most: usize,
+    next: RefCell<u64>,
+    connections: RefCell<HashMap<u64, Rc<ClientConnection>>>,
+    freed: Notify,
+}
+
+impl Clients {
+    /// No connections yet.
+    pub fn new(node: Rc<Node>) -> Rc<Self> {
+        let most = Node::client_descriptors(&node.boot);
+        Rc::new(Self {
+            node,
+            most,
+            next: RefCell::default(),
+            connections: RefCell::default(),
+            freed: Notify::new(),
+        })
+    }
+
+    /// How many connections there are.
+    pub fn count(&self) -> usize {
+        self.connections.borrow().len()
+    }
+
+    /// Accepts connections for as long as it is polled.
+    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            while self.count() >= self.most {
+                self.make_room();
+                // Whatever is missed here is seen after the pause.
+                let _ = tokio::time::timeout(REFUSED_PAUSE, self.freed.notified()).await;
+            }
+            match listener.accept().await {
+                Ok((stream, _)) => self.clone().adopt(stream),
+                Err(_) => tokio::time::sleep(REFUSED_PAUSE).await,
+            }
+        }
+    }
+
+    fn adopt(self: Rc<Self>, stream: TcpStream) {
+        // Without it answers are later, not wrong.
+        let _ = stream.set_nodelay(true);
+        let number = self.next.replace_with(|next| *next + 1);
+        let connection = ClientConnection::new();
+        self.connections.borrow_mut().insert(number, connection.clone());
+        tokio::task::spawn_local(async move {
+            serve(self.node.clone(), connection, stream).await;
+            self.connections.borrow_mut().remove(&number);
+            self.freed.notify_one();
+        });
+    }
+
+    /// Ends the connection that has rested for longest.
+    fn make_room(&self) {
+        let connections = self.connections.borrow();
+        let resting =
+            connections.values().filter_map(|connection| Some((connection.idle_since()?, connection)));
+        if let Some((_, connection)) = resting.min_by_key(|(since, _)| *since) {
+            connection.close();
+        }
+    }
+
+    /// Ends connections that rest for too long, of clients and to servers, for as long as it is polled.
+    pub async fn sweep(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(SWEEP).await;
+            self.node.pool.sweep();
+            let most = match self.node.configuration() {
+                Some(configuration) => Duration::from_millis(configuration.fleet.limits.idle_timeout_ms),
+                None => IDLE_DEFAULT,
+            };
+            let most = most.mul_f64(IDLE_PART);
+            let now = Instant::now();
+            for connection in self.connections.borrow().values() {
+                if connection.idle_since().is_some_and(|since| now.saturating_duration_since(since) > most) {
+                    connection.close();
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/node.rs
@@ -0,0 +1,203 @@
+//! What all parts of the process share. One thread runs them all.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use dunelink_grants::{QuotaBounds, QuotaGate, RetryBounds, RetryBudget};
+use dunelink_protocol::{GrantUpdate, ProxyReport, ServerObservation, Tick};
+use dunelink_routing::{Router, RouterSettings, ServerInfo};
+use dunelink_runtime::Clock;
+use dunelink_settings::Boot;
+use slog::Logger;
+use tokio::sync::Notify;
+
+use crate::configuration::Configuration;
+use crate::upstream::Pool;
+
+/// A configuration is known to be current while the agent's proof of that is younger than this, in milliseconds.
+const CONFIRMED_WITHIN_MS: u64 = 1_000;
+/// Descriptors that the platform keeps for files.
+const RESERVED_FDS: u64 = 200;
+/// Descriptors taken to be there where the settings name none.
+const DEFAULT_FDS: u64 = 1_024;
+/// Part of the descriptors that clients' connections may take.
+const CLIENT_PART: f64 = 0.6;
+
+/// State of the process.
+pub struct Node {
+    /// Settings at the start.
+    pub boot: Boot,
+    /// Where events go.
+    pub log: Logger,
+    /// The steady clock.
+    pub clock: Clock,
+    /// Which server takes a request.
+    pub router: RefCell<Router>,
+    /// Quotas of tenants.
+    pub quota: RefCell<QuotaGate>,
+    /// Bound on repeats.
+    pub retries: RefCell<RetryBudget>,
+    /// Connections to servers.
+    pub pool: Rc<Pool>,
+    /// Notified when idle connections of clients are to end.
+    pub close_idle: Notify,
+    configuration: RefCell<Option<Rc<Configuration>>>,
+    confirmed: Cell<bool>,
+    ready_servers: Cell<usize>,
+    leaving: Cell<bool>,
+    in_hand: Cell<usize>,
+    observations: RefCell<HashMap<String, (u32, u32)>>,
+}
+
+impl Node {
+    /// A node that holds nothing yet.
+    pub fn new(boot: Boot, log: Logger) -> Rc<Self> {
+        let bounds = &boot.bounds;
+        let quota = QuotaBounds {
+            window_s: bounds.quota_window_s,
+            overshoot: bounds.quota_overshoot,
+            slack: bounds.quota_slack,
+        };
+        let retry = RetryBounds {
+            ratio: bounds.retry_ratio,
+            window_s: bounds.retry_window_s,
+            slack: bounds.retry_slack,
+        };
+        let router = Router::new(RouterSettings { zone: boot.zone.clone() }, fastrand::u64(..));
+        let servers = Self::descriptors(&boot) - Self::client_descriptors(&boot);
+        Rc::new(Self {
+            log,
+            clock: Clock::start(),
+            router: RefCell::new(router),
+            quota: RefCell::new(QuotaGate::new(quota)),
+            retries: RefCell::new(RetryBudget::new(retry)),
+            pool: Pool::new(servers),
+            close_idle: Notify::new(),
+            configuration: RefCell::default(),
+            confirmed: Cell::new(false),
+            ready_servers: Cell::new(0),
+            leaving: Cell::new(false),
+            in_hand: Cell::new(0),
+            observations: RefCell::default(),
+            boot,
+        })
+    }
+
+    fn descriptors(boot: &Boot) -> usize {
+        let all = if boot.limits.max_fds > 0 { boot.limits.max_fds } else { DEFAULT_FDS };
+        all.saturating_sub(RESERVED_FDS).max(64) as usize
+    }
+
+    /// Most connections of clients.
+    pub fn client_descriptors(boot: &Boot) -> usize {
+        (Self::descriptors(boot) as f64 * CLIENT_PART) as usize
+    }
+
+    /// The configuration in force.
+    pub fn configuration(&self) -> Option<Rc<Configuration>> {
+        self.configuration.borrow().clone()
+    }
+
+    /// Version of the configuration in force; 0 for none.
+    pub fn version(&self) -> u64 {
+        self.configuration.borrow().as_ref().map_or(0, |configuration| configuration.fleet.version)
+    }
+
+    /// Puts a configuration in force, unless it is not newer than the one that is.
+    pub fn put_in_force(&self, configuration: Configuration) {
+        if configuration.fleet.version <= self.version() {
+            return;
+        }
+        let now = self.clock.now();
+        let mut router = self.router.borrow_mut();
+        router.set_services(now, &configuration.services());
+        router.set_tenantless_services(&configuration.tenantless_services());
+        self.quota.borrow_mut().set_tenants(now, &configuration.quotas());
+        let services = configuration.fleet.services.iter();
+        self.pool.set_bounds(services.map(|service| (service.name.clone(), service.max_conns)).collect());
+        *self.configuration.borrow_mut() = Some(Rc::new(configuration));
+    }
+
+    /// Takes over the whole list of servers.
+    pub fn set_servers(&self, servers: &[ServerInfo]) {
+        let now = self.clock.now();
+        let mut router = self.router.borrow_mut();
+        router.update_servers(now, servers);
+        self.ready_servers.set(servers.iter().filter(|server| server.ready).count());
+        self.pool.keep_only(|server| router.is_usable(server));
+    }
+
+    /// Takes over grants.
+    pub fn apply_grants(&self, update: &GrantUpdate) {
+        self.quota.borrow_mut().apply(self.clock.now(), update);
+        self.retries.borrow_mut().set_nodes(update.nodes);
+        self.router.borrow_mut().set_fleet(update.nodes);
+        self.pool.set_nodes(update.nodes);
+    }
+
+    /// Takes in a sign of life of the agent.
+    pub fn tick(&self, tick: &Tick) {
+        let version = self.version();
+        let current = tick.confirmed_age_ms < CONFIRMED_WITHIN_MS && tick.configuration_version <= version;
+        if current && version > 0 {
+            self.confirmed.set(true);
+        }
+    }
+
+    /// Whether the platform may send clients: the configuration was confirmed as current once, there is a server, and
+    /// the process is not about to end.
+    pub fn is_ready(&self) -> bool {
+        self.confirmed.get() && self.ready_servers.get() > 0 && !self.leaving.get()
+    }
+
+    /// From now on each answer ends its connection, and the platform is told to send no more clients.
+    pub fn leave(&self) {
+        self.leaving.set(true);
+    }
+
+    /// Whether [`Self::leave`] was called.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
+    /// Requests that were read and whose answer is not written yet.
+    pub fn in_hand(&self) -> usize {
+        self.in_hand.get()
+    }
+
+    /// Counts a request as in hand until the guard is dropped.
+    pub fn take_in_hand(self: &Rc<Self>) -> InHand {
+        self.in_hand.set(self.in_hand.get() + 1);
+        InHand(self.clone())
+    }
+
+    /// Counts an attempt at a server for the next report.
+    pub fn observe(&self, server: &str, served: bool) {
+        let mut observations = self.observations.borrow_mut();
+        if !observations.contains_key(server) {
+            observations.insert(server.to_owned(), (0, 0));
+        }
+        if let Some(counts) = observations.get_mut(server) {
+            if served { counts.0 += 1 } else { counts.1 += 1 }
+        }
+    }
+
+    /// What the agent is told: demand, and the outcomes since the last report.
+    pub fn report(&self) -> ProxyReport {
+        let demand = self.quota.borrow_mut().demand(self.clock.now());
+        let observations = self.observations.borrow_mut().drain().collect::<Vec<_>>();
+        let observation =
+            |(server, (served, failed)): (String, (u32, u32))| ServerObservation { server, served, failed };
+        ProxyReport { demand, observations: observations.into_iter().map(observation).collect() }
+    }
+}
+
+/// A request in hand.
+pub struct InHand(Rc<Node>);
+
+impl Drop for InHand {
+    fn drop(&mut self) {
+        self.0.in_hand.set(self.0.in_hand.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/request.rs
@@ -0,0 +1,177 @@
+//! Reading a client's request.
+
+use std::future::Future;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dunelink_edge::fields::{drop_hop_fields, only};
+use dunelink_edge::request::{Hosting, read as check};
+use dunelink_serving_model::PromptPart;
+use dunelink_settings::ClientLimits;
+use http::header::{self, HeaderMap, HeaderName, HeaderValue};
+use http::request::Parts;
+use http::{Method, Request, StatusCode, Uri};
+use http_body::Body;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+
+use crate::answer::{DEADLINE, EXPECT_INSTANCE, PROMPT_PREFIX, REQUEST_ID, Reply, TENANT, TOKEN_COUNTS};
+
+/// Most parts of a prompt that are looked at.
+const PARTS_MOST: usize = 256;
+/// Digits of a prompt part's id that name it.
+const PART_DIGITS: usize = 16;
+
+/// A client's request, read whole.
+#[derive(Debug)]
+pub struct ClientRequest {
+    /// Its method.
+    pub method: Method,
+    /// Its path and query.
+    pub target: Uri,
+    /// What goes on to a server; `Host` is among it.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// Names the try.
+    pub id: HeaderValue,
+    /// How long the client waits.
+    pub deadline: Option<Duration>,
+    /// Its key, if it has one.
+    pub key: Option<String>,
+    /// What it says of its prompt.
+    pub prompt: Prompt,
+}
+
+/// What a request says of its prompt.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Prompt {
+    /// Tokens of the prompt and tokens to be made at most, where they are stated.
+    pub tokens: Option<(u32, u32)>,
+    /// Parts in order.
+    pub parts: Vec<PromptPart>,
+}
+
+impl Prompt {
+    /// Reads the two headers.
+    pub fn read(headers: &HeaderMap) -> Self {
+        let parts = only(headers, &PROMPT_PREFIX).map(parts).unwrap_or_default();
+        Self { tokens: only(headers, &TOKEN_COUNTS).and_then(counts), parts }
+    }
+
+    /// Tokens in and out together, where they are stated.
+    pub fn all_tokens(&self) -> Option<u64> {
+        self.tokens.map(|(read, made)| u64::from(read) + u64::from(made))
+    }
+}
+
+fn counts(text: &str) -> Option<(u32, u32)> {
+    let (read, made) = text.split_once(',')?;
+    Some((read.trim().parse().ok()?, made.trim().parse().ok()?))
+}
+
+fn parts(text: &str) -> Vec<PromptPart> {
+    text.split(',').take(PARTS_MOST).map_while(part).collect()
+}
+
+fn part(text: &str) -> Option<PromptPart> {
+    let (id, tokens) = text.trim().split_once(':')?;
+    let digits = id.get(id.len().saturating_sub(PART_DIGITS)..)?;
+    Some(PromptPart { id: u64::from_str_radix(digits, 16).ok()?, tokens: tokens.parse().ok()? })
+}
+
+/// Reads a request whole; its body within `patience`.
+///
+/// # Errors
+///
+/// What its client is told, and its id if it has one.
+pub async fn read(
+    request: Request<Incoming>,
+    limits: &ClientLimits,
+    patience: Duration,
+) -> Result<ClientRequest, (Reply, Option<HeaderValue>)> {
+    let (mut head, body) = request.into_parts();
+    let id = single(&head.headers, &REQUEST_ID).cloned();
+    // Where its body ends is in doubt.
+    if check(&head, Hosting::Wire).is_err() {
+        return Err((Reply::new(StatusCode::BAD_REQUEST).closing(), id));
+    }
+    let most = usize::try_from(limits.max_body_bytes).unwrap_or(usize::MAX);
+    // It is read also if the request is refused: an answer that overtakes it may be lost with the connection.
+    let body = match whole_body(body, most, patience).await {
+        Ok(body) => body,
+        Err(reply) => return Err((reply, id)),
+    };
+    match take(&mut head, id.clone(), body) {
+        Some(request) => Ok(request),
+        None => Err((Reply::new(StatusCode::BAD_REQUEST), id)),
+    }
+}
+
+async fn whole_body(body: Incoming, most: usize, patience: Duration) -> Result<Bytes, Reply> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    if body.size_hint().lower() > most as u64 {
+        return Err(Reply::new(StatusCode::PAYLOAD_TOO_LARGE).closing());
+    }
+    match within(patience, Limited::new(body, most).collect()).await {
+        Some(Ok(body)) => Ok(body.to_bytes()),
+        Some(Err(error)) if error.is::<LengthLimitError>() => {
+            Err(Reply::new(StatusCode::PAYLOAD_TOO_LARGE).closing())
+        }
+        Some(Err(_)) => Err(Reply::new(StatusCode::BAD_REQUEST).closing()),
+        None => Err(Reply::new(StatusCode::REQUEST_TIMEOUT).closing()),
+    }
+}
+
+async fn within<T>(patience: Duration, work: impl Future<Output = T>) -> Option<T> {
+    tokio::time::timeout(patience, work).await.ok()
+}
+
+/// Takes what is needed out of the head, and leaves what goes on; nothing if a field is missing, repeated or odd.
+fn take(head: &mut Parts, id: Option<HeaderValue>, body: Bytes) -> Option<ClientRequest> {
+    let id = id.filter(|id| !id.is_empty())?;
+    let deadline = match head.headers.contains_key(&DEADLINE) {
+        true => Some(milliseconds(single(&head.headers, &DEADLINE)?)?),
+        false => None,
+    };
+    let prompt = Prompt::read(&head.headers);
+    let key = head.headers.get(header::AUTHORIZATION).and_then(bearer).map(str::to_owned);
+    let headers = &mut head.headers;
+    drop_hop_fields(headers);
+    for name in [header::AUTHORIZATION, TENANT, EXPECT_INSTANCE] {
+        headers.remove(name);
+    }
+    headers.insert(REQUEST_ID, id.clone());
+    if !body.is_empty() {
+        headers.insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
+    }
+    let target = head.uri.path_and_query()?.clone();
+    Some(ClientRequest {
+        method: head.method.clone(),
+        target: target.into(),
+        headers: std::mem::take(headers),
+        body,
+        id,
+        deadline,
+        key,
+        prompt,
+    })
+}
+
+/// The value of a field that stands there once.
+fn single<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a HeaderValue> {
+    let mut values = headers.get_all(name).iter();
+    values.next().filter(|_| values.next().is_none())
+}
+
+fn milliseconds(value: &HeaderValue) -> Option<Duration> {
+    let milliseconds: f64 = value.to_str().ok()?.trim().parse().ok()?;
+    Duration::try_from_secs_f64(milliseconds / 1_000.0).ok()
+}
+
+fn bearer(value: &HeaderValue) -> Option<&str> {
+    let (scheme, key) = value.to_str().ok()?.split_once(' ')?;
+    scheme.eq_ignore_ascii_case("bearer").then(|| key.trim())
+}
--- /dev/null
+++ b/crates/proxy/src/run.rs
@@ -0,0 +1,127 @@
+//! From the command line to the end of the process.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use anyhow::Context;
+use dunelink_runtime::log::logger;
+use dunelink_settings::Boot;
+use slog::{Level, Logger, error, info};
+use tokio::net::TcpListener;
+use tokio::task::LocalSet;
+
+use crate::arguments::{Arguments, HELP};
+use crate::listen::{Clients, listen};
+use crate::node::Node;
+use crate::shutdown::{Signals, finish};
+use crate::{feed, readiness};
+
+/// Exit code for a command line or settings that can't be followed.
+const BAD_SETTINGS: u8 = 2;
+
+/// The program: 0 after an ordered end, 1 if it can't run, 2 if command line or settings are wrong.
+pub fn main() -> ExitCode {
+    let arguments = match Arguments::read() {
+        Ok(arguments) => arguments,
+        Err(wrong) => return refuse(&wrong),
+    };
+    if arguments.help {
+        print!("{HELP}");
+        return ExitCode::SUCCESS;
+    }
+    let boot = match Boot::load() {
+        Ok(boot) => boot,
+        Err(wrong) => return refuse(&wrong),
+    };
+    if arguments.check {
+        return ExitCode::SUCCESS;
+    }
+    let log = logger(arguments.log, Level::Info, &boot.node_name);
+    match run(boot, &log) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(reason) => {
+            error!(log, "can't run"; "reason" => format!("{reason:#}"));
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn refuse(wrong: &dyn std::error::Error) -> ExitCode {
+    eprintln!("dunelink-proxy: {wrong}");
+    ExitCode::from(BAD_SETTINGS)
+}
+
+fn run(boot: Boot, log: &Logger) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, async {
+        let mut signals = Signals::take().context("signals can't be taken over")?;
+        let proxy = Proxy::bind(Node::new(boot, log.clone()))?;
+        let node = proxy.node();
+        let clients = proxy.start();
+        signals.told_to_end(&node).await;
+        node.leave();
+        finish(&node, &clients).await;
+        Ok(())
+    })
+}
+
+/// A proxy whose addresses are bound.
+pub struct Proxy {
+    node: Rc<Node>,
+    front: TcpListener,
+    readiness: TcpListener,
+}
+
+impl Proxy {
+    /// Binds the addresses that the settings name.
+    ///
+    /// # Errors
+    ///
+    /// An address is missing, in use, or not the machine's.
+    pub fn bind(node: Rc<Node>) -> anyhow::Result<Self> {
+        let front = bind(node.boot.listen.front, "listen.front")?;
+        let readiness = bind(node.boot.listen.readiness, "listen.readiness")?;
+        info!(node.log, "listens"; "front" => %front.local_addr()?, "readiness" => %readiness.local_addr()?);
+        Ok(Self { node, front, readiness })
+    }
+
+    /// The state that its parts share.
+    pub fn node(&self) -> Rc<Node> {
+        self.node.clone()
+    }
+
+    /// Where clients connect.
+    ///
+    /// # Errors
+    ///
+    /// The system can't tell.
+    pub fn front(&self) -> std::io::Result<SocketAddr> {
+        self.front.local_addr()
+    }
+
+    /// Where the platform checks.
+    ///
+    /// # Errors
+    ///
+    /// The system can't tell.
+    pub fn readiness(&self) -> std::io::Result<SocketAddr> {
+        self.readiness.local_addr()
+    }
+
+    /// Starts its tasks on the local set that it is called in.
+    pub fn start(self) -> Rc<Clients> {
+        let clients = Clients::new(self.node.clone());
+        tokio::task::spawn_local(clients.clone().accept(self.front));
+        tokio::task::spawn_local(clients.clone().sweep());
+        tokio::task::spawn_local(readiness::serve(self.node.clone(), self.readiness));
+        tokio::task::spawn_local(feed::run(self.node));
+        clients
+    }
+}
+
+fn bind(address: Option<SocketAddr>, key: &str) -> anyhow::Result<TcpListener> {
+    let address = address.with_context(|| format!("`{key}` is missing in the settings file: add it"))?;
+    listen(address)
+        .with_context(|| format!("can't listen at {address}: check `{key}`, and that nothing else listens"))
+}
--- /dev/null
+++ b/crates/proxy/src/shutdown.rs
@@ -0,0 +1,68 @@
+//! The end of the process: nothing that was read is cut while there is time for it.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use slog::info;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::time::Instant;
+
+use crate::listen::Clients;
+use crate::node::Node;
+
+/// After the signal, the platform still sends clients until it has missed the readiness twice, once a second.
+const STILL_SENT: Duration = Duration::from_millis(2_200);
+/// How often it is looked whether anything is in hand.
+const LOOK: Duration = Duration::from_millis(50);
+/// The process ends so long before it would be killed.
+const BEFORE_KILL: Duration = Duration::from_millis(500);
+/// Time for last answers to leave once nothing is in hand.
+const LAST_ANSWERS: Duration = Duration::from_millis(100);
+
+/// The signals that the process heeds.
+pub struct Signals {
+    terminate: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    /// Takes the signals over.
+    ///
+    /// # Errors
+    ///
+    /// The system refuses.
+    pub fn take() -> std::io::Result<Self> {
+        let terminate = signal(SignalKind::terminate())?;
+        Ok(Self { terminate, hangup: signal(SignalKind::hangup())? })
+    }
+
+    /// Ends when the process is told to end. Settings that change while it runs concern other programs.
+    pub async fn told_to_end(&mut self, node: &Node) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.hangup.recv() => info!(node.log, "settings changed; nothing of them concerns the proxy"),
+            }
+        }
+    }
+}
+
+/// Waits until nothing is in hand, or the time for that is over.
+pub async fn finish(node: &Rc<Node>, clients: &Clients) {
+    let told = Instant::now();
+    let grace = Duration::from_secs_f64(node.boot.bounds.grace_s);
+    let last = told + grace.saturating_sub(BEFORE_KILL);
+    info!(node.log, "told to end"; "in_hand" => node.in_hand());
+    tokio::time::sleep_until((told + STILL_SENT).min(last)).await;
+    while Instant::now() < last {
+        node.close_idle.notify_waiters();
+        if node.in_hand() == 0 && clients.count() == 0 {
+            break;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+    if node.in_hand() == 0 {
+        tokio::time::sleep(LAST_ANSWERS.min(last.saturating_duration_since(Instant::now()))).await;
+    }
+    info!(node.log, "ends"; "in_hand" => node.in_hand());
+}
--- /dev/null
+++ b/crates/proxy/src/socket.rs
@@ -0,0 +1,90 @@
+//! A client's socket, for what hyper drops of a head before it hands a request on.
+
+use std::cell::RefCell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+
+use dunelink_edge::Fault;
+use dunelink_edge::wire::Scanner;
+use http::header::{self, HeaderMap};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// The heads of the requests on a connection as they stood on the wire.
+#[derive(Debug, Clone, Default)]
+pub struct Heads(Rc<RefCell<Scanner>>);
+
+impl Heads {
+    /// Whether the request that was just handed over ends where hyper says.
+    ///
+    /// # Errors
+    ///
+    /// It states its end in two ways, or it comes in chunks and its head could not be followed.
+    pub fn check(&self, headers: &HeaderMap) -> Result<(), Fault> {
+        match self.0.borrow_mut().next_head() {
+            Some(head) => head.check(),
+            None if headers.contains_key(header::TRANSFER_ENCODING) => Err(Fault::TwoFramings),
+            None => Ok(()),
+        }
+    }
+
+    /// The body in chunks of the request at hand has come whole: what comes next is a head.
+    pub fn end_chunks(&self) {
+        *self.0.borrow_mut() = Scanner::default();
+    }
+}
+
+/// hyper's side of a client's connection.
+pub struct ClientSocket {
+    stream: TcpStream,
+    heads: Heads,
+}
+
+impl ClientSocket {
+    /// Follows the heads that come.
+    pub fn new(stream: TcpStream) -> (Self, Heads) {
+        let heads = Heads::default();
+        (Self { stream, heads: heads.clone() }, heads)
+    }
+}
+
+impl AsyncRead for ClientSocket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        self.heads.0.borrow_mut().take(&buf.filled()[before..]);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for ClientSocket {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/table.rs
@@ -0,0 +1,59 @@
+//! What a client is told when no server's answer stands.
+//!
+//! | the request | answer |
+//! | --- | --- |
+//! | has not run and will not | 503 with `Retry-After` |
+//! | may have run, no answer in time | 504 |
+//! | may have run, the connection broke | 502 |
+
+use std::time::Duration;
+
+use http::StatusCode;
+
+use crate::answer::Reply;
+
+/// When a client may come back after a server turned its request down and no other could be tried.
+const AFTER_REJECTION: Duration = Duration::from_millis(200);
+
+/// Clients heed a time to come back up to a third of the time that they have left.
+const HEEDED_PART: f64 = 0.3;
+
+/// How a request that no server answered has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unanswered {
+    /// It has not run and will not.
+    NotRun {
+        /// When the client may come back.
+        retry_after: Duration,
+    },
+    /// It may have run; the connection to its server broke.
+    Broken,
+    /// It may have run or run on; its time is over.
+    TimedOut,
+}
+
+impl Unanswered {
+    /// Not run, as servers turned it down or could not be reached.
+    pub const REJECTED: Self = Self::NotRun { retry_after: AFTER_REJECTION };
+
+    /// With a time to come back that a client with `left` before its deadline heeds.
+    pub fn within(self, left: Duration) -> Self {
+        match self {
+            Self::NotRun { retry_after } => {
+                Self::NotRun { retry_after: retry_after.min(left.mul_f64(HEEDED_PART)) }
+            }
+            how => how,
+        }
+    }
+
+    /// The answer.
+    pub fn reply(self) -> Reply {
+        match self {
+            Self::NotRun { retry_after } => {
+                Reply::new(StatusCode::SERVICE_UNAVAILABLE).with_retry_after(retry_after)
+            }
+            Self::Broken => Reply::new(StatusCode::BAD_GATEWAY),
+            Self::TimedOut => Reply::new(StatusCode::GATEWAY_TIMEOUT),
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/upstream/link.rs
@@ -0,0 +1,273 @@
+//! One connection to a server, driven by the request that uses it.
+//!
+//! hyper splits a connection into a sender and a future that moves its bytes. Here that future is polled by whoever
+//! waits for the answer: no task of its own, and no wake-up between two tasks for each piece.
+
+use std::cell::Cell;
+use std::future::{Future, poll_fn};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use dunelink_routing::ServerHandle;
+use http::header::{self, HeaderMap};
+use http::{Request, Response};
+use http_body::{Body, Frame};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{Builder, Connection, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use super::alarm::{Alarm, Alert};
+use super::pool::Place;
+use super::socket::CountedSocket;
+
+/// Idle time after which a connection is not used again when its server tells none.
+const DEFAULT_IDLE: Duration = Duration::from_secs(2);
+/// Part of the time told by the server for which a connection is used again: a request that crosses the server's
+/// close may be lost.
+const IDLE_PART: f64 = 0.7;
+/// Read buffer of a connection at most, in bytes; bounds the head of an answer.
+const READ_BUFFER_MOST: usize = 64 * 1024;
+/// Idle connections that fail at once are replaced so often for one attempt.
+const POLLS_TO_IDLE: usize = 3;
+
+/// A connection to one incarnation of a server.
+pub struct Link {
+    sender: SendRequest<Full<Bytes>>,
+    connection: Connection<TokioIo<CountedSocket>, Full<Bytes>>,
+    written: Rc<Cell<u64>>,
+    ended: bool,
+    fresh: bool,
+    closes: bool,
+    idle_limit: Duration,
+    pub(super) idle_since: Instant,
+    server: ServerHandle,
+    server_id: Arc<str>,
+    /// Frees the connection's place in the pool's count when it is dropped.
+    place: Place,
+}
+
+/// What became of a request on a connection.
+pub enum Sent {
+    /// The head of an answer has come.
+    Answered(Box<Answered>),
+    /// Not every byte was written: the server has not run it.
+    NotSent,
+    /// The connection broke, or what came is no answer: it may have run.
+    Broken,
+    /// No answer in time, or the server fell silent: it may have run.
+    TimedOut(Alert),
+}
+
+/// An answer whose body is still to be read.
+pub struct Answered {
+    /// Status and headers.
+    pub head: http::response::Parts,
+    /// The body.
+    pub body: Incoming,
+    /// The connection that it comes by.
+    pub link: Box<Link>,
+}
+
+impl Link {
+    /// Opens a connection to a server within `patience`; nothing if it can't be opened.
+    pub async fn open(
+        address: SocketAddr,
+        server: ServerHandle,
+        server_id: Arc<str>,
+        place: Place,
+        patience: Duration,
+    ) -> Option<Box<Self>> {
+        let stream = tokio::time::timeout(patience, TcpStream::connect(address)).await.ok()?.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let (socket, written) = CountedSocket::new(stream);
+        let mut builder = Builder::new();
+        builder.max_buf_size(READ_BUFFER_MOST);
+        let (sender, connection) = builder.handshake(TokioIo::new(socket)).await.ok()?;
+        Some(Box::new(Self {
+            sender,
+            connection,
+            written,
+            ended: false,
+            fresh: true,
+            closes: false,
+            idle_limit: DEFAULT_IDLE.mul_f64(IDLE_PART),
+            idle_since: Instant::now(),
+            server,
+            server_id,
+            place,
+        }))
+    }
+
+    /// The server that it leads to.
+    pub fn server(&self) -> ServerHandle {
+        self.server
+    }
+
+    /// The id of that server.
+    pub fn server_id(&self) -> &Arc<str> {
+        &self.server_id
+    }
+
+    /// Whether nothing was sent on it yet.
+    pub fn is_fresh(&self) -> bool {
+        self.fresh
+    }
+
+    /// Whether it has rested for too long to be used again.
+    pub(super) fn is_stale(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.idle_since) >= self.idle_limit
+    }
+
+    /// Moves bytes.
+    fn drive(&mut self, cx: &mut Context<'_>) {
+        if !self.ended && Pin::new(&mut self.connection).poll(cx).is_ready() {
+            self.ended = true;
+        }
+    }
+
+    /// Whether another request may be sent on it: its last answer has ended, its server does not close it, and
+    /// nothing came behind the answer.
+    pub fn is_quiet(&mut self, cx: &mut Context<'_>) -> bool {
+        if self.closes {
+            return false;
+        }
+        for _ in 0..POLLS_TO_IDLE {
+            self.drive(cx);
+            if self.ended {
+                return false;
+            }
+            if self.sender.is_ready() {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// How much has come from the server, on all connections.
+    pub fn heard(&self) -> u64 {
+        self.place.heard()
+    }
+
+    /// Sends a request of `length` bytes and waits for the head of its answer until the alarm fires.
+    pub async fn send(
+        mut self: Box<Self>,
+        request: Request<Full<Bytes>>,
+        length: u64,
+        alarm: &mut Alarm,
+    ) -> Sent {
+        let before = self.written.get();
+        self.fresh = false;
+        let mut answer = std::pin::pin!(self.sender.try_send_request(request));
+        let mut connection = Pin::new(&mut self.connection);
+        let (ended, place) = (&mut self.ended, &self.place);
+        let answered = poll_fn(|cx| {
+            if !*ended && connection.as_mut().poll(cx).is_ready() {
+                *ended = true;
+            }
+            if let Poll::Ready(answered) = answer.as_mut().poll(cx) {
+                return Poll::Ready(Ok(answered.ok()));
+            }
+            if *ended {
+                return Poll::Ready(Ok(None));
+            }
+            alarm.poll(cx, place.heard()).map(Err)
+        })
+        .await;
+        let whole = self.written.get() - before >= length;
+        match answered {
+            Ok(Some(response)) => Sent::Answered(Box::new(self.answered(response))),
+            _ if !whole => Sent::NotSent,
+            Ok(None) => Sent::Broken,
+            Err(alert) => Sent::TimedOut(alert),
+        }
+    }
+
+    fn answered(mut self: Box<Self>, response: Response<Incoming>) -> Answered {
+        let (head, body) = response.into_parts();
+        self.place.note_heard();
+        self.closes = has_option(&head.headers, "close") || head.version < http::Version::HTTP_11;
+        if let Some(limit) = keep_alive_seconds(&head.headers) {
+            self.idle_limit = Duration::from_secs(limit).mul_f64(IDLE_PART);
+        }
+        Answered { head, body, link: self }
+    }
+}
+
+impl Answered {
+    /// The next piece of the body.
+    pub fn poll_piece(&mut self, cx: &mut Context<'_>) -> Poll<Option<hyper::Result<Frame<Bytes>>>> {
+        let mut piece = Pin::new(&mut self.body).poll_frame(cx);
+        if piece.is_pending() {
+            self.link.drive(cx);
+            piece = Pin::new(&mut self.body).poll_frame(cx);
+        }
+        if piece.is_ready() {
+            self.link.place.note_heard();
+        }
+        piece
+    }
+
+    /// Reads the body whole: nothing if it breaks off, is longer than `most` bytes, or the alarm fires before.
+    pub async fn whole(&mut self, most: usize, alarm: &mut Alarm) -> Option<Bytes> {
+        let mut pieces = Pieces::default();
+        poll_fn(|cx| {
+            loop {
+                match self.poll_piece(cx) {
+                    Poll::Ready(Some(Ok(piece))) => {
+                        pieces.push(piece.into_data().unwrap_or_default());
+                        if pieces.length > most {
+                            return Poll::Ready(None);
+                        }
+                    }
+                    Poll::Ready(Some(Err(_))) => return Poll::Ready(None),
+                    Poll::Ready(None) => return Poll::Ready(Some(pieces.join())),
+                    Poll::Pending => return alarm.poll(cx, self.link.heard()).map(|_| None),
+                }
+            }
+        })
+        .await
+    }
+}
+
+/// Pieces of a body; a single one is not copied.
+#[derive(Default)]
+struct Pieces {
+    pieces: Vec<Bytes>,
+    length: usize,
+}
+
+impl Pieces {
+    fn push(&mut self, piece: Bytes) {
+        self.length += piece.len();
+        self.pieces.push(piece);
+    }
+
+    fn join(&mut self) -> Bytes {
+        match self.pieces.len() {
+            0 => Bytes::new(),
+            1 => self.pieces.remove(0),
+            _ => self.pieces.concat().into(),
+        }
+    }
+}
+
+/// Whether `Connection` holds an option.
+fn has_option(headers: &HeaderMap, option: &str) -> bool {
+    let values = headers.get_all(header::CONNECTION).iter().filter_map(|value| value.to_str().ok());
+    values.flat_map(|value| value.split(',')).any(|own| own.trim().eq_ignore_ascii_case(option))
+}
+
+/// The time that `Keep-Alive` tells.
+fn keep_alive_seconds(headers: &HeaderMap) -> Option<u64> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let timeout = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    timeout.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/proxy/src/upstream/pool.rs
@@ -0,0 +1,194 @@
+//! Idle connections by server, and the count of all.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::{Rc, Weak};
+
+use dunelink_routing::ServerHandle;
+use tokio::time::Instant;
+
+use super::link::Link;
+
+/// Idle connections that a server is left with in any case.
+const IDLE_LEAST: usize = 2;
+/// Part of this process's share of a server's connections that may rest.
+const IDLE_PART: f64 = 0.75;
+
+/// Connections to servers. They belong to an incarnation of a server, never to an address.
+pub struct Pool {
+    itself: Weak<Pool>,
+    most: usize,
+    open: Cell<usize>,
+    nodes: Cell<u32>,
+    bounds: RefCell<HashMap<String, u32>>,
+    servers: RefCell<HashMap<ServerHandle, Server>>,
+}
+
+#[derive(Default)]
+struct Server {
+    open: usize,
+    /// The most recently used last.
+    #[expect(clippy::vec_box, reason = "each is a kilobyte that is passed from hand to hand")]
+    idle: Vec<Box<Link>>,
+    /// Counts what comes from it.
+    heard: Rc<Cell<u64>>,
+}
+
+/// A place in the count of open connections.
+pub struct Place {
+    pool: Weak<Pool>,
+    server: ServerHandle,
+    heard: Rc<Cell<u64>>,
+}
+
+impl Place {
+    /// How much has come from the server, on all connections.
+    pub(super) fn heard(&self) -> u64 {
+        self.heard.get()
+    }
+
+    /// Something has come from the server.
+    pub(super) fn note_heard(&self) {
+        self.heard.set(self.heard.get() + 1);
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let Some(pool) = self.pool.upgrade() else { return };
+        pool.open.set(pool.open.get() - 1);
+        if let Ok(mut servers) = pool.servers.try_borrow_mut()
+            && let Some(server) = servers.get_mut(&self.server)
+        {
+            server.open = server.open.saturating_sub(1);
+        }
+    }
+}
+
+impl Pool {
+    /// A pool of at most `most` connections.
+    pub fn new(most: usize) -> Rc<Self> {
+        Rc::new_cyclic(|itself| Self {
+            itself: itself.clone(),
+            most,
+            open: Cell::new(0),
+            nodes: Cell::new(1),
+            bounds: RefCell::default(),
+            servers: RefCell::default(),
+        })
+    }
+
+    /// Takes over how many connections a server of each service accepts from all processes together.
+    pub fn set_bounds(&self, bounds: HashMap<String, u32>) {
+        *self.bounds.borrow_mut() = bounds;
+    }
+
+    /// Says how many processes share the servers.
+    pub fn set_nodes(&self, nodes: u32) {
+        self.nodes.set(nodes.max(1));
+    }
+
+    /// Connections that are open.
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    /// The connection to a server that rested least, if it can be used.
+    pub fn take(&self, server: ServerHandle) -> Option<Box<Link>> {
+        let now = Instant::now();
+        let mut stale = Vec::new();
+        let mut servers = self.servers.borrow_mut();
+        let idle = &mut servers.get_mut(&server)?.idle;
+        let mut found = None;
+        while let Some(link) = idle.pop() {
+            if link.is_stale(now) {
+                // Older ones are stale too, unless their server tells each connection another time.
+                stale.push(link);
+                continue;
+            }
+            found = Some(link);
+            break;
+        }
+        drop(servers);
+        drop(stale);
+        found
+    }
+
+    /// A place for one more connection; nothing if there are too many.
+    pub fn place(&self, server: ServerHandle) -> Option<Place> {
+        if self.open.get() >= self.most && !self.evict() {
+            return None;
+        }
+        self.open.set(self.open.get() + 1);
+        let mut servers = self.servers.borrow_mut();
+        let of_server = servers.entry(server).or_default();
+        of_server.open += 1;
+        Some(Place { pool: self.itself.clone(), server, heard: of_server.heard.clone() })
+    }
+
+    /// Keeps a connection for another request to its server of a service.
+    pub fn keep(&self, mut link: Box<Link>, service: &str) {
+        link.idle_since = Instant::now();
+        let bound = self.idle_bound(service);
+        let mut servers = self.servers.borrow_mut();
+        let Some(server) = servers.get_mut(&link.server()) else { return drop_after(servers, link) };
+        if server.idle.len() >= bound {
+            return drop_after(servers, link);
+        }
+        server.idle.push(link);
+    }
+
+    fn idle_bound(&self, service: &str) -> usize {
+        let Some(&most) = self.bounds.borrow().get(service) else { return IDLE_LEAST };
+        let share = f64::from(most) / f64::from(self.nodes.get()) * IDLE_PART;
+        (share as usize).max(IDLE_LEAST)
+    }
+
+    /// Closes idle connections to servers of which `usable` says that nothing is to be sent to them.
+    pub fn keep_only(&self, usable: impl Fn(ServerHandle) -> bool) {
+        let mut dropped = Vec::new();
+        let mut servers = self.servers.borrow_mut();
+        for (_, server) in servers.iter_mut().filter(|(handle, _)| !usable(**handle)) {
+            dropped.append(&mut server.idle);
+        }
+        drop_after(servers, dropped);
+        self.servers.borrow_mut().retain(|_, server| server.open > 0);
+    }
+
+    /// Closes the idle connections to a server that does not answer: each would cost a request its time.
+    pub fn forget(&self, server: ServerHandle) {
+        let mut servers = self.servers.borrow_mut();
+        let idle = servers.get_mut(&server).map(|server| std::mem::take(&mut server.idle));
+        drop_after(servers, idle);
+    }
+
+    /// Closes connections that rested for too long.
+    pub fn sweep(&self) {
+        let now = Instant::now();
+        let mut dropped = Vec::new();
+        let mut servers = self.servers.borrow_mut();
+        for server in servers.values_mut() {
+            let mut at = 0;
+            while at < server.idle.len() {
+                if server.idle[at].is_stale(now) { dropped.push(server.idle.remove(at)) } else { at += 1 }
+            }
+        }
+        drop_after(servers, dropped);
+        self.servers.borrow_mut().retain(|_, server| server.open > 0);
+    }
+
+    /// Closes an idle connection; false if there is none.
+    fn evict(&self) -> bool {
+        let mut servers = self.servers.borrow_mut();
+        let link = servers.values_mut().find_map(|server| server.idle.pop());
+        let found = link.is_some();
+        drop_after(servers, link);
+        found
+    }
+}
+
+/// Drops connections once the pool is not borrowed any more: each gives back its place.
+fn drop_after<G, L>(servers: G, links: L) {
+    drop(servers);
+    drop(links);
+}
--- /dev/null
+++ b/crates/proxy/tests/common/agent.rs
@@ -0,0 +1,101 @@
+//! An agent that feeds what a test says.
+
+use bytes::BytesMut;
+use dunelink_protocol::{
+    ConfigurationChunk, FeedMessage, GrantUpdate, Hello, ProxyMessage, ProxyReport, RosterOffset,
+    RosterUpdate, ServerEntry, Tick, decode, encode,
+};
+use std::cell::RefCell;
+use std::rc::Rc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+
+use super::server::Server;
+
+pub(crate) struct Agent {
+    pub(crate) port: u16,
+    messages: UnboundedSender<FeedMessage>,
+    pub(crate) reports: Rc<RefCell<Vec<ProxyReport>>>,
+    pub(crate) hellos: Rc<RefCell<Vec<Hello>>>,
+}
+
+impl Agent {
+    pub(crate) async fn listen() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let port = listener.local_addr().unwrap().port();
+        let (messages, mut queue) = unbounded_channel::<FeedMessage>();
+        let (reports, hellos) = (Rc::default(), Rc::default());
+        let agent = Self { port, messages, reports, hellos };
+        let (reports, hellos) = (agent.reports.clone(), agent.hellos.clone());
+        tokio::task::spawn_local(async move {
+            loop {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let (mut reader, mut writer) = stream.split();
+                let mut incoming = BytesMut::new();
+                let mut greeted = false;
+                loop {
+                    tokio::select! {
+                        read = reader.read_buf(&mut incoming) => {
+                            if read.unwrap_or(0) == 0 { break }
+                            if !greeted && let Some(hello) = decode::<Hello>(&mut incoming).unwrap() {
+                                greeted = true;
+                                hellos.borrow_mut().push(hello);
+                            }
+                            while greeted && let Some(ProxyMessage::Report(report)) = decode(&mut incoming).unwrap() {
+                                reports.borrow_mut().push(report);
+                            }
+                        }
+                        message = queue.recv() => {
+                            let Some(message) = message else { return };
+                            let mut bytes = BytesMut::new();
+                            encode(&message, &mut bytes);
+                            if writer.write_all(&bytes).await.is_err() { break }
+                        }
+                    }
+                }
+            }
+        });
+        agent
+    }
+
+    pub(crate) fn send(&self, message: FeedMessage) {
+        self.messages.send(message).unwrap();
+    }
+
+    /// Feeds a configuration in two parts.
+    pub(crate) fn configure(&self, json: &str) {
+        let bytes = json.as_bytes();
+        let version: u64 = json.split(['{', ':', ',']).nth(2).unwrap().parse().unwrap();
+        for (at, part) in bytes.chunks(bytes.len() / 2 + 1).scan(0, |at, part| {
+            let here = *at;
+            *at += part.len();
+            Some((here, part))
+        }) {
+            let (total_bytes, offset) = (bytes.len() as u64, at as u64);
+            let chunk = ConfigurationChunk { version, total_bytes, offset, bytes: part.to_vec() };
+            self.send(FeedMessage::Configuration(chunk));
+        }
+    }
+
+    pub(crate) fn roster(&self, servers: &[&Server]) {
+        self.list(servers.iter().map(|server| server.entry()).collect());
+    }
+
+    pub(crate) fn list(&self, changed: Vec<ServerEntry>) {
+        let offset = RosterOffset { epoch: 1, sequence: 0 };
+        let update = RosterUpdate { base: None, offset, changed, removed: Vec::new() };
+        self.send(FeedMessage::Roster(update));
+    }
+
+    pub(crate) fn tick(&self, confirmed_age_ms: u64, configuration_version: u64) {
+        let roster = RosterOffset::default();
+        let tick = Tick { confirmed_age_ms, configuration_version, roster, roster_age_ms: 0 };
+        self.send(FeedMessage::Tick(tick));
+    }
+
+    pub(crate) fn grant(&self, nodes: u32) {
+        let update = GrantUpdate { valid_ms: 1_000, nodes, configuration_version: 1, tenants: Vec::new() };
+        self.send(FeedMessage::Grants(update));
+    }
+}
--- /dev/null
+++ b/crates/proxy/tests/common/client.rs
@@ -0,0 +1,124 @@
+//! A client that writes bytes and reads answers.
+
+use std::net::SocketAddr;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+pub(crate) struct Client {
+    stream: TcpStream,
+    buffer: Vec<u8>,
+}
+
+/// An answer. `complete` says whether its end came.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) head: String,
+    pub(crate) body: String,
+    pub(crate) complete: bool,
+}
+
+impl Answer {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        self.head.lines().find_map(|line| {
+            let (own, value) = line.split_once(": ")?;
+            own.eq_ignore_ascii_case(name).then_some(value)
+        })
+    }
+}
+
+impl Client {
+    pub(crate) async fn connect(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).await.unwrap();
+        stream.set_nodelay(true).unwrap();
+        Self { stream, buffer: Vec::new() }
+    }
+
+    pub(crate) async fn send(&mut self, text: &str) {
+        self.stream.write_all(text.as_bytes()).await.unwrap();
+    }
+
+    /// Sends a request with a body, its own id and a deadline.
+    pub(crate) async fn ask(&mut self, path: &str, id: &str) {
+        self.ask_with(path, id, "").await;
+    }
+
+    pub(crate) async fn ask_with(&mut self, path: &str, id: &str, fields: &str) {
+        let text = format!(
+            "POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Dunelink-Request-Id: {id}\r\nX-Dunelink-Deadline-Ms: 3000\r\n{fields}Content-Length: 4\r\n\r\nbody"
+        );
+        self.send(&text).await;
+    }
+
+    /// Asks and reads the whole answer.
+    pub(crate) async fn call(&mut self, path: &str, id: &str) -> Answer {
+        self.ask(path, id).await;
+        self.answer().await
+    }
+
+    async fn fill(&mut self) -> bool {
+        self.stream.read_buf(&mut self.buffer).await.unwrap_or(0) > 0
+    }
+
+    /// Reads an answer's head; nothing if the connection ends.
+    pub(crate) async fn head(&mut self) -> Option<Answer> {
+        loop {
+            if let Some(at) = self.buffer.windows(4).position(|four| four == b"\r\n\r\n") {
+                let head = String::from_utf8(self.buffer.drain(..at + 4).collect()).unwrap();
+                let status = head.split(' ').nth(1).unwrap().parse().unwrap();
+                return Some(Answer { status, head, body: String::new(), complete: false });
+            }
+            if !self.fill().await {
+                return None;
+            }
+        }
+    }
+
+    /// Reads until so many bytes of a chunked body have come.
+    pub(crate) async fn chunk(&mut self) -> Option<String> {
+        loop {
+            if let Some(at) = self.buffer.windows(2).position(|two| two == b"\r\n") {
+                let line = std::str::from_utf8(&self.buffer[..at]).unwrap();
+                let size = usize::from_str_radix(line, 16).unwrap_or_else(|_| panic!("no chunk: {line:?}"));
+                if self.buffer.len() >= at + 2 + size + 2 {
+                    let whole: Vec<u8> = self.buffer.drain(..at + 2 + size + 2).collect();
+                    return Some(String::from_utf8(whole[at + 2..at + 2 + size].to_vec()).unwrap());
+                }
+            }
+            if !self.fill().await {
+                return None;
+            }
+        }
+    }
+
+    /// Reads a whole answer.
+    pub(crate) async fn answer(&mut self) -> Answer {
+        let mut answer = self.head().await.expect("the connection ended before an answer");
+        if let Some(length) = answer.header("content-length") {
+            let length: usize = length.parse().unwrap();
+            while self.buffer.len() < length {
+                if !self.fill().await {
+                    answer.body = String::from_utf8(std::mem::take(&mut self.buffer)).unwrap();
+                    return answer;
+                }
+            }
+            answer.body = String::from_utf8(self.buffer.drain(..length).collect()).unwrap();
+            answer.complete = true;
+            return answer;
+        }
+        while let Some(chunk) = self.chunk().await {
+            if chunk.is_empty() {
+                answer.complete = true;
+                return answer;
+            }
+            answer.body.push_str(&chunk);
+        }
+        answer
+    }
+
+    /// Whether the connection was closed.
+    pub(crate) async fn is_closed(&mut self) -> bool {
+        !self.fill().await
+    }
+}
--- /dev/null
+++ b/crates/proxy/tests/common/mod.rs
@@ -0,0 +1,151 @@
+//! A proxy in this process, with an agent and servers that do as they are told, over loopback.
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+pub(crate) mod agent;
+pub(crate) mod client;
+pub(crate) mod server;
+
+use std::future::Future;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dunelink_proxy::listen::Clients;
+use dunelink_proxy::node::Node;
+use dunelink_proxy::{Proxy, shutdown};
+use dunelink_settings::Boot;
+use tokio::task::{LocalSet, yield_now};
+
+use agent::Agent;
+use client::Client;
+
+/// A test that takes longer hangs.
+const MOST: Duration = Duration::from_secs(20);
+
+/// Runs a test on one thread.
+pub(crate) fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        tokio::time::timeout(MOST, test).await.expect("the test hangs");
+    });
+}
+
+/// Waits for something that other tasks bring about.
+pub(crate) async fn until(mut holds: impl FnMut() -> bool) {
+    while !holds() {
+        yield_now().await;
+    }
+}
+
+/// A proxy with its agent.
+pub(crate) struct System {
+    pub(crate) node: Rc<Node>,
+    pub(crate) clients: Rc<Clients>,
+    pub(crate) agent: Agent,
+    front: std::net::SocketAddr,
+    readiness: std::net::SocketAddr,
+}
+
+/// A route as tests need it.
+pub(crate) struct Route {
+    pub(crate) path: &'static str,
+    pub(crate) kind: &'static str,
+    pub(crate) resumable: bool,
+    pub(crate) max_attempts: u32,
+    pub(crate) timeout_ms: u64,
+}
+
+impl Route {
+    pub(crate) fn new(path: &'static str, kind: &'static str) -> Self {
+        Self { path, kind, resumable: false, max_attempts: 3, timeout_ms: 2_000 }
+    }
+
+    fn json(&self) -> String {
+        format!(
+            r#"{{"name":"r{0}","host":"h.example","pathPrefix":"{0}","kind":"{1}","timeoutMs":{2},"targetLatencyMs":500,"service":"s","maxAttempts":{3},"resumable":{4},"gap_aim_ms":600}}"#,
+            self.path, self.kind, self.timeout_ms, self.max_attempts, self.resumable,
+        )
+    }
+}
+
+/// The routes that most tests use.
+pub(crate) fn routes() -> Vec<Route> {
+    vec![
+        Route::new("/safe/", "safe"),
+        Route::new("/once/", "unsafe"),
+        Route::new("/flow/", "streaming"),
+        Route { resumable: true, timeout_ms: 10_000, ..Route::new("/again/", "streaming") },
+        Route { timeout_ms: 10_000, ..Route::new("/long/", "safe") },
+        Route { timeout_ms: 200, ..Route::new("/hasty/", "safe") },
+        Route { timeout_ms: 200, ..Route::new("/hasty-once/", "unsafe") },
+    ]
+}
+
+/// A configuration with these routes and tenants.
+pub(crate) fn configuration(version: u64, routes: &[Route], tenants: &str) -> String {
+    let routes: Vec<String> = routes.iter().map(Route::json).collect();
+    format!(
+        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"s","maxConns":64}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":100000,"headerTimeoutMs":300,"idleTimeoutMs":15000}},"tenants":[{tenants}]}}"#,
+        routes.join(",")
+    )
+}
+
+impl System {
+    /// A proxy without anything.
+    pub(crate) async fn bare() -> Self {
+        let agent = Agent::listen().await;
+        let settings = format!(
+            r#"
+nodeName = "front-1"
+ip = "127.0.0.1"
+zone = "z"
+internalPorts = [{}, {}]
+[listen]
+front = "127.0.0.1:0"
+readiness = "127.0.0.1:0"
+[bounds]
+graceS = 4
+retryRatio = 0.2
+retryWindowS = 10
+retrySlack = 5000
+"#,
+            agent.port - 2,
+            agent.port + 3
+        );
+        let boot = Boot::parse(&settings, Path::new("settings")).unwrap();
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let proxy = Proxy::bind(Node::new(boot, log)).unwrap();
+        let (node, front, readiness) = (proxy.node(), proxy.front().unwrap(), proxy.readiness().unwrap());
+        Self { node, clients: proxy.start(), agent, front, readiness }
+    }
+
+    /// A proxy with the usual routes and these servers.
+    pub(crate) async fn with(servers: &[&server::Server]) -> Self {
+        let system = Self::bare().await;
+        system.agent.configure(&configuration(1, &routes(), ""));
+        system.agent.grant(1);
+        system.agent.roster(servers);
+        system.agent.tick(0, 1);
+        let node = system.node.clone();
+        until(|| node.is_ready()).await;
+        system
+    }
+
+    /// A new connection of a client.
+    pub(crate) async fn client(&self) -> Client {
+        Client::connect(self.front).await
+    }
+
+    /// What the platform's check is answered.
+    pub(crate) async fn check(&self) -> u16 {
+        let mut client = Client::connect(self.readiness).await;
+        client.send("GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n").await;
+        client.answer().await.status
+    }
+
+    /// Ends the proxy as on SIGTERM.
+    pub(crate) async fn finish(&self) {
+        self.node.leave();
+        shutdown::finish(&self.node, &self.clients).await;
+    }
+}
--- /dev/null
+++ b/crates/proxy/tests/program.rs
@@ -0,0 +1,97 @@
+//! The proxy as a program: command line, settings, signals.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::TcpStream;
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+
+use rustix::process::{Pid, Signal, kill_process};
+
+/// A settings file that is removed at the end.
+struct Settings(PathBuf);
+
+impl Settings {
+    fn write(name: &str, text: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("dunelink-proxy-{}-{name}.toml", std::process::id()));
+        std::fs::write(&path, text).unwrap();
+        Self(path)
+    }
+}
+
+impl Drop for Settings {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+const VALID: &str = r#"
+nodeName = "front-1"
+ip = "127.0.0.1"
+internalPorts = [7680, 7695]
+[listen]
+front = "127.0.0.1:0"
+readiness = "127.0.0.1:0"
+[bounds]
+graceS = 1
+"#;
+
+fn command(settings: &Settings, arguments: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_dunelink-proxy"));
+    command.args(arguments).env("DUNELINK_BOOT", &settings.0).stdout(Stdio::piped()).stderr(Stdio::piped());
+    command
+}
+
+fn output(settings: &Settings, arguments: &[&str]) -> Output {
+    command(settings, arguments).output().unwrap()
+}
+
+fn signal(child: &Child, signal: Signal) {
+    kill_process(Pid::from_child(child), signal).unwrap();
+}
+
+#[test]
+fn the_command_line_is_checked_and_so_are_the_settings() {
+    let valid = Settings::write("valid", VALID);
+    let wrong = Settings::write("wrong", "nodeName = 7");
+    assert_eq!(output(&valid, &["--check"]).status.code(), Some(0));
+    let refused = output(&wrong, &["--check"]);
+    assert_eq!(refused.status.code(), Some(2));
+    assert_eq!(String::from_utf8_lossy(&refused.stderr).lines().count(), 1);
+    assert_eq!(output(&valid, &["--chekc"]).status.code(), Some(2));
+    assert_eq!(output(&valid, &["--log", "xml"]).status.code(), Some(2));
+    let help = output(&wrong, &["--help"]);
+    assert!(help.status.success() && String::from_utf8_lossy(&help.stdout).contains("--check"));
+}
+
+#[test]
+fn it_ends_in_order_on_sigterm_and_heeds_no_sighup() {
+    let settings = Settings::write("run", VALID);
+    let mut child = command(&settings, &["--log", "json"]).spawn().unwrap();
+    let mut events = BufReader::new(child.stderr.take().unwrap());
+    let mut line = String::new();
+    events.read_line(&mut line).unwrap();
+    assert!(line.starts_with('{') && line.contains("listens"), "{line}");
+    signal(&child, Signal::HUP);
+    line.clear();
+    events.read_line(&mut line).unwrap();
+    assert!(line.contains("settings changed"), "{line}");
+    signal(&child, Signal::TERM);
+    assert!(child.wait().unwrap().success());
+}
+
+#[test]
+fn it_answers_without_an_agent() {
+    let settings = Settings::write("alone", VALID);
+    let mut child = command(&settings, &[]).spawn().unwrap();
+    let mut events = BufReader::new(child.stderr.take().unwrap());
+    let mut line = String::new();
+    events.read_line(&mut line).unwrap();
+    let address = line.split("front=").nth(1).unwrap().split_whitespace().next().unwrap();
+    let mut client = TcpStream::connect(address).unwrap();
+    client.write_all(b"GET / HTTP/1.1\r\nHost: h\r\nX-Dunelink-Request-Id: a\r\n\r\n").unwrap();
+    let mut status = String::new();
+    BufReader::new(&client).read_line(&mut status).unwrap();
+    assert!(status.starts_with("HTTP/1.1 503 "), "{status}");
+    signal(&child, Signal::TERM);
+    assert!(child.wait().unwrap().success());
+}
--- /dev/null
+++ b/crates/proxy/tests/silence.rs
@@ -0,0 +1,78 @@
+//! Servers that fall silent without an end of their connections.
+
+mod common;
+
+use common::server::{Server, Step, answer, chunk, event, last_chunk, stream_head};
+use common::{System, run, until};
+
+/// Longer than what counts as silence.
+const PAUSE: std::time::Duration = std::time::Duration::from_millis(2_600);
+
+#[test]
+fn a_silent_server_is_passed_over_where_the_request_may_run_twice() {
+    run(async {
+        let begun = std::rc::Rc::new(std::cell::Cell::new(false));
+        let (a, b) = (begun.clone(), begun);
+        let one =
+            Server::start("i-1", move |_, _| first(&a, vec![Step::Hang], answer(200, "", "fine"))).await;
+        let two =
+            Server::start("i-2", move |_, _| first(&b, vec![Step::Hang], answer(200, "", "fine"))).await;
+        let system = System::with(&[&one, &two]).await;
+        // The target latency is 500 ms, the deadline 3 s.
+        let answered = system.client().await.call("/long/x", "a1").await;
+        assert_eq!((answered.status, one.count() + two.count()), (200, 2));
+        assert_eq!(one.closed.get() + two.closed.get(), 1);
+    });
+}
+
+fn first(begun: &std::cell::Cell<bool>, steps: Vec<Step>, then: Vec<Step>) -> Vec<Step> {
+    if begun.replace(true) { then } else { steps }
+}
+
+#[test]
+fn a_stream_of_a_silent_server_goes_on_elsewhere() {
+    run(async {
+        let begun = std::rc::Rc::new(std::cell::Cell::new(false));
+        let hangs = || vec![stream_head("first"), chunk(&event(0)), chunk("id: 1\nda"), Step::Hang];
+        let goes_on = || vec![stream_head("second"), chunk(&event(1)), last_chunk()];
+        let (a, b) = (begun.clone(), begun);
+        let one = Server::start("i-1", move |_, _| first(&a, hangs(), goes_on())).await;
+        let two = Server::start("i-2", move |_, _| first(&b, hangs(), goes_on())).await;
+        let system = System::with(&[&one, &two]).await;
+        let answered = system.client().await.call("/again/x", "a1").await;
+        assert!(answered.complete);
+        assert_eq!(answered.body, format!("{}{}", event(0), event(1)));
+    });
+}
+
+#[test]
+fn a_pause_with_no_other_server_does_not_end_a_stream() {
+    run(async {
+        let go = std::rc::Rc::new(tokio::sync::Notify::new());
+        let wait = go.clone();
+        let one = Server::start("i-1", move |_, _| {
+            vec![
+                stream_head("first"),
+                chunk(&event(0)),
+                Step::Wait(wait.clone()),
+                chunk(&event(1)),
+                last_chunk(),
+            ]
+        })
+        .await;
+        let system = System::with(&[&one]).await;
+        let mut client = system.client().await;
+        client.ask("/again/x", "a1").await;
+        client.head().await.unwrap();
+        assert_eq!(client.chunk().await.unwrap(), event(0));
+        // The pause is noticed, and nobody else can be asked.
+        let asked = || system.node.router.borrow().attempts_out();
+        assert_eq!(asked(), 1);
+        let noticed = tokio::time::Instant::now() + PAUSE;
+        until(|| tokio::time::Instant::now() > noticed).await;
+        assert_eq!(asked(), 1);
+        go.notify_one();
+        assert_eq!(client.chunk().await.unwrap(), event(1));
+        assert_eq!(client.chunk().await.unwrap(), "");
+    });
+}
--- /dev/null
+++ b/crates/replication/src/leader.rs
@@ -0,0 +1,405 @@
+//! What a leader does: heartbeats, replication, commit, proposals, handover.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::Micros;
+use crate::event::{Output, Refusal};
+use crate::members::{Member, ReplicaId};
+use crate::message::Message;
+use crate::progress::{Mode, Progress};
+use crate::quorum;
+use crate::record::{Entry, Payload};
+use crate::replica::Replica;
+use crate::status::Role;
+
+const MAX_ROUNDS: usize = 64;
+const MAX_ENTRIES_PER_MESSAGE: usize = 256;
+/// Heartbeats without an answer after which a voter is not worth a handover.
+const HANDOVER_HEARTBEATS: u64 = 4;
+/// How long a planned handover waits for a voter that has everything.
+const HANDOVER_WAIT: Micros = 300_000;
+
+/// State that only a leader has.
+#[derive(Debug)]
+pub(crate) struct Leading {
+    pub(crate) peers: BTreeMap<ReplicaId, Progress>,
+    /// Heartbeat rounds and when they were sent.
+    rounds: VecDeque<(u64, Micros)>,
+    next_heartbeat: Micros,
+    pub(crate) since: Micros,
+    /// First entry of this term.
+    pub(crate) first_index: u64,
+    /// Index and ticket of proposals without an answer.
+    tickets: VecDeque<(u64, u64)>,
+    uncommitted_bytes: usize,
+    /// Since when a planned handover waits.
+    handover_since: Option<Micros>,
+    /// Replicas that want to join.
+    pub(crate) joins: Vec<Member>,
+}
+
+impl Leading {
+    pub(crate) fn next_deadline(&self) -> Micros {
+        self.next_heartbeat
+    }
+
+    fn round(&self) -> u64 {
+        self.rounds.back().map_or(0, |(round, _)| *round)
+    }
+
+    fn sent_at(&self, round: u64) -> Option<Micros> {
+        self.rounds.iter().find(|(sent, _)| *sent == round).map(|(_, at)| *at)
+    }
+
+    fn begin_round(&mut self, now: Micros) {
+        let round = self.round() + 1;
+        self.rounds.push_back((round, now));
+        if self.rounds.len() > MAX_ROUNDS {
+            self.rounds.pop_front();
+        }
+    }
+}
+
+impl Replica {
+    /// Begins to lead.
+    pub(crate) fn lead(&mut self) {
+        self.role = Role::Leader;
+        self.leader = Some(self.me.clone());
+        self.votes.clear();
+        self.asking_promises = false;
+        self.leading = Some(Box::new(Leading {
+            peers: BTreeMap::new(),
+            rounds: VecDeque::new(),
+            next_heartbeat: self.now,
+            since: self.now,
+            first_index: self.log.last().index + 1,
+            tickets: VecDeque::new(),
+            uncommitted_bytes: 0,
+            handover_since: None,
+            joins: Vec::new(),
+        }));
+        self.sync_peers();
+        self.append(Payload::Noop);
+        self.lead_on();
+    }
+
+    /// What is due for a leader at this time.
+    pub(crate) fn lead_on(&mut self) {
+        let Some(leading) = &self.leading else { return };
+        let base = self.lease_end(self.now).unwrap_or(0).max(leading.since);
+        if self.now > base.saturating_add(self.settings.election_min) {
+            return self.follow(self.hard_state.term, None);
+        }
+        if self.holds_lease(self.now) {
+            self.contact = Some(self.now);
+        }
+        if self.now >= leading.next_heartbeat {
+            self.heartbeat();
+            self.reconfigure();
+        }
+    }
+
+    /// Stops to lead; proposals without an answer may still be committed.
+    pub(crate) fn abdicate(&mut self) {
+        let Some(leading) = self.leading.take() else { return };
+        for (_, ticket) in leading.tickets {
+            self.out.push(Output::Answer { ticket, result: Err(Refusal::Uncertain) });
+        }
+        self.reset_election_deadline();
+    }
+
+    fn heartbeat(&mut self) {
+        let interval = self.settings.heartbeat;
+        let Some(leading) = &mut self.leading else { return };
+        leading.next_heartbeat = self.now.saturating_add(interval);
+        leading.begin_round(self.now);
+        let ids: Vec<ReplicaId> = leading.peers.keys().copied().collect();
+        for id in ids {
+            self.send_heartbeat(id);
+        }
+    }
+
+    fn send_heartbeat(&mut self, id: ReplicaId) {
+        let lease = self.holds_lease(self.now);
+        let Some(member) = self.membership().get(id).cloned() else { return };
+        let Some(leading) = &mut self.leading else { return };
+        if let Some(progress) = leading.peers.get_mut(&id) {
+            progress.told_commit = self.commit;
+        }
+        let heartbeat = Message::Heartbeat {
+            term: self.hard_state.term,
+            round: leading.round(),
+            commit: self.commit,
+            lease,
+            leader: self.me.clone(),
+        };
+        self.send(member, heartbeat);
+    }
+
+    /// Begins to replicate to new members and forgets those that are gone.
+    pub(crate) fn sync_peers(&mut self) {
+        let members: Vec<ReplicaId> = self.membership().all().map(|member| member.id).collect();
+        let next = self.log.last().index + 1;
+        let Some(leading) = &mut self.leading else { return };
+        leading.peers.retain(|id, _| members.contains(id));
+        let mut added = Vec::new();
+        for id in members {
+            if id != self.me.id && !leading.peers.contains_key(&id) {
+                leading.peers.insert(id, Progress::new(next, self.now));
+                added.push(id);
+            }
+        }
+        if leading.rounds.is_empty() {
+            return;
+        }
+        for id in added {
+            self.send_heartbeat(id);
+        }
+    }
+
+    /// Adds an entry of this term.
+    pub(crate) fn append(&mut self, payload: Payload) -> u64 {
+        let entry = Entry { index: self.log.last().index + 1, term: self.hard_state.term, payload };
+        let index = entry.index;
+        if let Some(leading) = &mut self.leading {
+            leading.uncommitted_bytes += entry.size();
+        }
+        self.push_entry(entry);
+        index
+    }
+
+    pub(crate) fn propose(&mut self, ticket: u64, command: Vec<u8>) {
+        if let Err(refusal) = self.admits(command.len()) {
+            return self.out.push(Output::Answer { ticket, result: Err(refusal) });
+        }
+        let index = self.append(Payload::Command(command));
+        if let Some(leading) = &mut self.leading {
+            leading.tickets.push_back((index, ticket));
+        }
+    }
+
+    fn admits(&self, bytes: usize) -> Result<(), Refusal> {
+        let leading = self.leading.as_ref().ok_or(Refusal::NotLeader)?;
+        if leading.handover_since.is_some() {
+            return Err(Refusal::NotLeader);
+        }
+        let waiting = leading.uncommitted_bytes;
+        if waiting > 0 && waiting.saturating_add(bytes) > self.settings.max_uncommitted_bytes {
+            return Err(Refusal::Overloaded);
+        }
+        Ok(())
+    }
+
+    /// Commits what a majority has synced, if an entry of this term is among it.
+    pub(crate) fn advance_commit(&mut self) {
+        let Some(leading) = &self.leading else { return };
+        let synced = |id| {
+            if id == self.me.id {
+                return self.disk.synced_index();
+            }
+            leading.peers.get(&id).map_or(0, |progress| progress.matched)
+        };
+        let index = quorum::reached(self.membership(), synced, 0);
+        if index <= self.commit || self.log.term_at(index) != Some(self.hard_state.term) {
+            return;
+        }
+        self.release_bytes(index);
+        let changes =
+            self.commit < self.memberships.newest_index() && self.memberships.newest_index() <= index;
+        self.commit_to(index);
+        self.answer_tickets();
+        if changes {
+            self.reconfigure();
+        }
+    }
+
+    fn release_bytes(&mut self, index: u64) {
+        let Some(leading) = &mut self.leading else { return };
+        let first = leading.first_index.max(self.commit + 1);
+        let committed = self.log.from(first).take_while(|entry| entry.index <= index);
+        let bytes: usize = committed.map(Entry::size).sum();
+        leading.uncommitted_bytes = leading.uncommitted_bytes.saturating_sub(bytes);
+    }
+
+    fn answer_tickets(&mut self) {
+        let Some(leading) = &mut self.leading else { return };
+        while let Some((index, ticket)) =
+            leading.tickets.front().copied().filter(|(index, _)| *index <= self.commit)
+        {
+            leading.tickets.pop_front();
+            self.out.push(Output::Answer { ticket, result: Ok(index) });
+        }
+    }
+
+    pub(crate) fn on_follower_reply(&mut self, from: ReplicaId, message: Message) {
+        let (Message::HeartbeatReply { term, .. }
+        | Message::Appended { term, .. }
+        | Message::Rejected { term, .. }
+        | Message::ChunkReply { term, .. }) = &message
+        else {
+            return;
+        };
+        if *term > self.hard_state.term {
+            return self.follow(*term, None);
+        }
+        if *term < self.hard_state.term {
+            return;
+        }
+        let Some(progress) = self.leading.as_mut().and_then(|leading| leading.peers.get_mut(&from)) else {
+            return;
+        };
+        progress.heard = Some(self.now);
+        match message {
+            Message::HeartbeatReply { round, disk_healthy, .. } => {
+                progress.disk_healthy = disk_healthy;
+                self.on_round_answered(from, round);
+            }
+            Message::Appended { matched, .. } if matched <= self.log.last().index => {
+                progress.appended(self.now, matched);
+                self.advance_commit();
+            }
+            Message::Rejected { prev_index, hint_index, hint_term, needs_snapshot, .. } => {
+                self.on_rejected(from, prev_index, (hint_index, hint_term), needs_snapshot);
+            }
+            Message::ChunkReply { index, received, .. } => progress.received(self.now, index, received),
+            _ => {}
+        }
+    }
+
+    fn on_round_answered(&mut self, from: ReplicaId, round: u64) {
+        let Some(leading) = &mut self.leading else { return };
+        let Some(sent) = leading.sent_at(round) else { return };
+        if let Some(progress) = leading.peers.get_mut(&from) {
+            progress.acknowledged = progress.acknowledged.max(Some(sent));
+        }
+    }
+
+    fn on_rejected(&mut self, from: ReplicaId, compared: u64, hint: (u64, u64), needs_snapshot: bool) {
+        let log = &self.log;
+        let Some(progress) = self.leading.as_mut().and_then(|leading| leading.peers.get_mut(&from)) else {
+            return;
+        };
+        let stale = compared < progress.matched || matches!(progress.mode, Mode::Chunks(_));
+        if stale {
+            return;
+        }
+        progress.needs_snapshot |= needs_snapshot;
+        let (hint_index, hint_term) = hint;
+        let mut common = hint_index.min(compared.saturating_sub(1)).min(log.last().index);
+        while common > log.before() && log.term_at(common).is_some_and(|term| term > hint_term) {
+            common -= 1;
+        }
+        progress.probe(common + 1);
+    }
+
+    /// Sends to each peer what it lacks, within its limits.
+    pub(crate) fn replicate(&mut self) {
+        let Some(mut leading) = self.leading.take() else { return };
+        for (id, progress) in &mut leading.peers {
+            if let Some(member) = self.membership().get(*id).cloned() {
+                self.replicate_to(&member, progress);
+            }
+        }
+        self.leading = Some(leading);
+        self.consider_handover();
+    }
+
+    fn replicate_to(&mut self, member: &Member, progress: &mut Progress) {
+        if progress.silent_for(self.now) >= self.settings.election_max {
+            return;
+        }
+        if progress.disk_healthy {
+            progress.expire(self.now);
+        }
+        while progress.has_room(self.settings.max_append_bytes) && self.send_entries(member, progress) {}
+        self.send_chunk(member, progress);
+        let streams = matches!(progress.mode, Mode::Stream { .. });
+        if streams && progress.told_commit < self.commit {
+            progress.told_commit = self.commit;
+            self.send(member.clone(), Message::Commit { term: self.hard_state.term, commit: self.commit });
+        }
+    }
+
+    /// Sends one message of entries, or begins a transfer; whether there may be more to send.
+    fn send_entries(&mut self, member: &Member, progress: &mut Progress) -> bool {
+        let prev_index = progress.next - 1;
+        let Some(prev_term) = self.log.term_at(prev_index).filter(|_| !progress.needs_snapshot) else {
+            self.begin_snapshot(progress);
+            return false;
+        };
+        let probes = matches!(progress.mode, Mode::Probe { .. });
+        if !probes && progress.next > self.log.last().index {
+            return false;
+        }
+        let limit = progress.budget(self.settings.max_append_bytes);
+        let entries =
+            if probes && progress.resends() { Vec::new() } else { self.select(progress.next, limit) };
+        if entries.is_empty() && !probes {
+            self.begin_command(progress);
+            return false;
+        }
+        let bytes = entries.iter().map(Entry::size).sum();
+        let last_index = prev_index + entries.len() as u64;
+        progress.sent(self.now, last_index, bytes);
+        progress.told_commit = self.commit;
+        let (term, commit) = (self.hard_state.term, self.commit);
+        self.send(member.clone(), Message::Append { term, prev_index, prev_term, entries, commit });
+        true
+    }
+
+    /// Entries from `next` on that fit in one message; none if the first one has to be sent in parts.
+    fn select(&self, next: u64, limit: usize) -> Vec<Entry> {
+        let mut bytes = 0;
+        let fits = |entry: &&Entry| {
+            bytes += entry.size();
+            bytes <= limit || (entry.index == next && !matches!(entry.payload, Payload::Command(_)))
+        };
+        self.log.from(next).take_while(fits).take(MAX_ENTRIES_PER_MESSAGE).cloned().collect()
+    }
+
+    /// The process is about to end.
+    pub(crate) fn retire(&mut self) {
+        self.retiring = true;
+        if let Some(leading) = &mut self.leading {
+            leading.handover_since.get_or_insert(self.now);
+        }
+    }
+
+    /// Hands over if this replica should not lead and another can.
+    fn consider_handover(&mut self) {
+        let Some(leading) = &self.leading else { return };
+        let planned = leading.handover_since;
+        let outside =
+            !self.membership().is_voter(self.me.id) && self.memberships.newest_index() <= self.commit;
+        let must = outside || !self.disk_is_healthy();
+        if planned.is_none() && !must {
+            return;
+        }
+        let Some((target, matched)) = self.successor() else { return };
+        let waited = planned.is_some_and(|since| self.now.saturating_sub(since) >= HANDOVER_WAIT);
+        if !must && !waited && matched < self.log.last().index {
+            return;
+        }
+        let term = self.hard_state.term;
+        // The lease ends here: from now on votes for the successor may be given.
+        self.follow(term, None);
+        self.send(target, Message::StandNow { term });
+    }
+
+    /// The voter that is best to lead next, and what it has synced.
+    fn successor(&self) -> Option<(Member, u64)> {
+        let leading = self.leading.as_ref()?;
+        let membership = self.membership();
+        let voters = membership.incoming.as_ref().unwrap_or(&membership.voters);
+        let recent = HANDOVER_HEARTBEATS * self.settings.heartbeat;
+        let fit = |progress: &Progress| {
+            progress.disk_healthy
+                && progress.heard_within(self.now, recent)
+                && progress.matched >= self.commit
+        };
+        let candidates = voters.iter().filter_map(|voter| Some((voter, leading.peers.get(&voter.id)?)));
+        let best =
+            candidates.filter(|(_, progress)| fit(progress)).max_by_key(|(_, progress)| progress.matched)?;
+        Some((best.0.clone(), best.1.matched))
+    }
+}
--- /dev/null
+++ b/crates/replication/src/replica.rs
@@ -0,0 +1,511 @@
+//! The replica: its state, the dispatch of inputs, and what all roles share.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use crate::chunks::Assembly;
+use crate::disk::Disk;
+use crate::event::{Input, Output, Refusal};
+use crate::leader::Leading;
+use crate::log::Log;
+use crate::members::{Member, Membership, ReplicaId};
+use crate::message::Message;
+use crate::record::{Entry, HardState, Payload, Record, Recovered, Snapshot};
+use crate::settings::Settings;
+use crate::status::{PeerStatus, Role, Status};
+use crate::{Micros, members};
+
+/// A message that waits until a write is synced.
+#[derive(Debug)]
+struct Gated {
+    sequence: u64,
+    to: Member,
+    message: Message,
+}
+
+/// One replica of a group. See the crate's page for what its host must keep to.
+#[derive(Debug)]
+pub struct Replica {
+    pub(crate) settings: Settings,
+    pub(crate) me: Member,
+    pub(crate) random: fastrand::Rng,
+    /// Time of the current input; never goes back.
+    pub(crate) now: Micros,
+    pub(crate) out: Vec<Output>,
+    pub(crate) hard_state: HardState,
+    /// Write that makes the current term durable.
+    pub(crate) term_sequence: u64,
+    pub(crate) log: Log,
+    pub(crate) memberships: members::History,
+    pub(crate) disk: Disk,
+    staged: Vec<Record>,
+    gated: Vec<Gated>,
+    pub(crate) role: Role,
+    pub(crate) leader: Option<Member>,
+    pub(crate) leading: Option<Box<Leading>>,
+    /// Votes or promised votes in the current election.
+    pub(crate) votes: BTreeSet<ReplicaId>,
+    /// Whether the current election is still at its first half, the pre-vote.
+    pub(crate) asking_promises: bool,
+    /// Candidacy that waits for the replica's own vote to be synced.
+    pub(crate) candidacy: Option<Candidacy>,
+    /// Committed index; all up to it is applied.
+    pub(crate) commit: u64,
+    /// Last index that is known to equal the log of the current leader.
+    pub(crate) verified: u64,
+    pub(crate) heard_leader: Option<Micros>,
+    pub(crate) contact: Option<Micros>,
+    pub(crate) refuse_until: Micros,
+    pub(crate) election_deadline: Micros,
+    pub(crate) assembly: Option<Assembly>,
+    snapshot_request: Option<u64>,
+    bytes_since_snapshot: usize,
+    pub(crate) retiring: bool,
+    pub(crate) removed: bool,
+    started: bool,
+    reported_leader: Option<ReplicaId>,
+    reported_term: u64,
+    pub(crate) membership_changed: bool,
+}
+
+/// An election that waits for the replica's own vote.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Candidacy {
+    pub(crate) sequence: u64,
+    pub(crate) handover: bool,
+}
+
+impl Replica {
+    /// A replica at start. On an empty disk `founding` names the voters of the group that is founded, the same list
+    /// on each of them and `me` among them; without it, or with state on the disk, the replica waits for a leader.
+    pub fn new(
+        settings: Settings,
+        me: Member,
+        founding: Option<Vec<Member>>,
+        recovered: Recovered,
+        seed: u64,
+        now: Micros,
+    ) -> Self {
+        let fresh = recovered.is_empty();
+        let founding = founding.filter(|_| fresh);
+        let founds = founding.is_some();
+        let snapshot = recovered.snapshot.or_else(|| founding.map(founding_snapshot));
+        let base = snapshot.as_ref().map(|snapshot| (snapshot.index, snapshot.membership.clone()));
+        let log = Log::recovered(snapshot, recovered.entries);
+        let mut memberships = members::History::new(base);
+        for entry in log.from(0) {
+            memberships.note(entry);
+        }
+        let mut hard_state = recovered.hard_state.unwrap_or_default();
+        if log.last().term > hard_state.term {
+            hard_state = HardState { term: log.last().term, vote: None };
+        }
+        let refuse_until = if founds { now } else { now.saturating_add(settings.election_min) };
+        let commit = log.snapshot_index();
+        let mut replica = Self {
+            random: fastrand::Rng::with_seed(seed),
+            now,
+            out: Vec::new(),
+            hard_state,
+            term_sequence: 0,
+            disk: Disk::new(log.last().index),
+            log,
+            memberships,
+            staged: Vec::new(),
+            gated: Vec::new(),
+            role: Role::Follower,
+            leader: None,
+            leading: None,
+            votes: BTreeSet::new(),
+            asking_promises: false,
+            candidacy: None,
+            commit,
+            verified: commit,
+            heard_leader: None,
+            contact: None,
+            refuse_until,
+            election_deadline: now,
+            assembly: None,
+            snapshot_request: None,
+            bytes_since_snapshot: 0,
+            retiring: false,
+            removed: false,
+            started: false,
+            reported_leader: None,
+            reported_term: hard_state.term,
+            membership_changed: true,
+            settings,
+            me,
+        };
+        replica.role = replica.idle_role();
+        replica.membership_changed = !replica.membership().is_empty();
+        replica.set_first_deadline(founds);
+        if founds {
+            replica.stage_founding();
+        }
+        replica
+    }
+
+    /// Takes one input at a time of the steady clock, and appends what the host has to do.
+    pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
+        self.now = self.now.max(now);
+        if self.removed {
+            refuse_proposal(input, out);
+            return;
+        }
+        self.start();
+        self.check_time();
+        self.take(input);
+        self.retry_write();
+        if self.leading.is_some() {
+            self.replicate();
+        }
+        self.request_snapshot();
+        self.flush_staged();
+        self.report();
+        out.append(&mut self.out);
+    }
+
+    /// When to hand in [`Input::Tick`] at the latest.
+    pub fn next_deadline(&self) -> Micros {
+        if self.removed {
+            return Micros::MAX;
+        }
+        if !self.started {
+            return self.now;
+        }
+        let role = self.leading.as_ref().map_or(self.election_deadline, |leading| leading.next_deadline());
+        let stalled = self.disk.stalls_at(self.settings.disk_stall).filter(|at| *at > self.now);
+        let stalled = stalled.filter(|_| self.leading.is_some());
+        role.min(self.disk.retry_at().unwrap_or(Micros::MAX)).min(stalled.unwrap_or(Micros::MAX))
+    }
+
+    /// Whether this replica leads. It may have been replaced without its knowledge; see [`Replica::holds_lease`].
+    pub fn is_leader(&self) -> bool {
+        self.leading.is_some()
+    }
+
+    /// The leader that this replica follows, or itself.
+    pub fn leader(&self) -> Option<&Member> {
+        self.leader.as_ref()
+    }
+
+    /// Newest term seen.
+    pub fn term(&self) -> u64 {
+        self.hard_state.term
+    }
+
+    /// Last index that is committed and applied here.
+    pub fn commit_index(&self) -> u64 {
+        self.commit
+    }
+
+    /// Membership in force: the newest in the log, committed or not.
+    pub fn membership(&self) -> &Membership {
+        self.memberships.newest()
+    }
+
+    /// View for operators.
+    pub fn status(&self, now: Micros) -> Status {
+        let peers = self.leading.iter().flat_map(|leading| leading.peers.iter());
+        let peers = peers.map(|(id, progress)| PeerStatus {
+            id: *id,
+            matched: progress.matched,
+            heard: progress.heard.map(|heard| now.saturating_sub(heard)),
+            disk_healthy: progress.disk_healthy,
+        });
+        Status {
+            me: self.me.clone(),
+            role: self.role,
+            term: self.hard_state.term,
+            leader: self.leader.clone(),
+            holds_lease: self.holds_lease(now),
+            last_index: self.log.last().index,
+            synced_index: self.disk.synced_index(),
+            commit_index: self.commit,
+            snapshot_index: self.log.snapshot_index(),
+            log_bytes: self.log.bytes(),
+            disk_healthy: self.disk_is_healthy(),
+            membership: self.membership().clone(),
+            peers: peers.collect(),
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Tick => {}
+            Input::Received { from, message } => self.receive(from, message),
+            Input::Propose { ticket, command } => self.propose(ticket, command),
+            Input::Written { sequence } => self.written(sequence),
+            Input::WriteFailed { sequence } => {
+                let retry_at = self.now.saturating_add(self.settings.write_retry);
+                self.disk.write_failed(sequence, retry_at);
+                self.check_time();
+            }
+            Input::Join(member) => self.join(member),
+            Input::HandOver => self.retire(),
+            Input::State { index, bytes } => self.keep_snapshot(index, bytes),
+        }
+    }
+
+    fn receive(&mut self, from: ReplicaId, message: Message) {
+        if from == self.me.id || !message.is_plausible() {
+            return;
+        }
+        match message {
+            Message::PreVote { .. } | Message::Vote { .. } => self.on_vote_request(from, message),
+            Message::PreVoteReply { .. } | Message::VoteReply { .. } => self.on_vote_reply(from, message),
+            Message::AmIMember { member, .. } => self.on_member_question(from, member),
+            Message::NotMember { id } => self.on_not_member(id),
+            Message::HeartbeatReply { .. }
+            | Message::Appended { .. }
+            | Message::Rejected { .. }
+            | Message::ChunkReply { .. } => self.on_follower_reply(from, message),
+            Message::Heartbeat { .. }
+            | Message::Append { .. }
+            | Message::Commit { .. }
+            | Message::Chunk { .. }
+            | Message::StandNow { .. } => self.on_leader_message(from, message),
+        }
+    }
+
+    /// What is due before any input counts: a leader that was stopped for a while looks at the clock first.
+    fn check_time(&mut self) {
+        if self.leading.is_some() {
+            self.lead_on();
+        } else if self.now >= self.election_deadline {
+            self.election_due();
+        }
+    }
+
+    fn written(&mut self, sequence: u64) {
+        if !self.disk.written(self.now, sequence) {
+            return;
+        }
+        let (ready, waiting) = std::mem::take(&mut self.gated)
+            .into_iter()
+            .partition::<Vec<_>, _>(|gated| self.disk.is_synced(gated.sequence));
+        self.gated = waiting;
+        for gated in ready {
+            self.out.push(Output::Send { to: gated.to, message: gated.message });
+        }
+        self.continue_candidacy();
+        self.advance_commit();
+    }
+
+    /// Sends at once.
+    pub(crate) fn send(&mut self, to: Member, message: Message) {
+        self.out.push(Output::Send { to, message });
+    }
+
+    /// Sends once all that was changed up to now is synced.
+    pub(crate) fn send_synced(&mut self, to: Member, message: Message) {
+        let sequence = self.sequence();
+        self.send_after(sequence, to, message);
+    }
+
+    /// Sends once the current term is synced.
+    pub(crate) fn send_in_term(&mut self, to: Member, message: Message) {
+        self.send_after(self.term_sequence, to, message);
+    }
+
+    fn send_after(&mut self, sequence: u64, to: Member, message: Message) {
+        if self.disk.is_synced(sequence) {
+            return self.send(to, message);
+        }
+        // Only the newest of a kind counts: a stalled disk must not let them pile up.
+        let same = |gated: &&mut Gated| {
+            gated.sequence == sequence && gated.to.id == to.id && gated.message.is_same_kind(&message)
+        };
+        match self.gated.iter_mut().find(same) {
+            Some(gated) => gated.message.supersede(message),
+            None => self.gated.push(Gated { sequence, to, message }),
+        }
+    }
+
+    /// Write that covers all changes up to now.
+    pub(crate) fn sequence(&self) -> u64 {
+        self.disk.sequence(!self.staged.is_empty())
+    }
+
+    pub(crate) fn stage(&mut self, record: Record) {
+        self.staged.push(record);
+    }
+
+    /// Adds an entry to the log, to be written.
+    pub(crate) fn push_entry(&mut self, entry: Entry) {
+        self.membership_changed |= self.memberships.note(&entry);
+        self.stage(Record::Append(entry.clone()));
+        self.log.push(entry);
+    }
+
+    /// Removes entries from an index on.
+    pub(crate) fn truncate(&mut self, from: u64) {
+        self.membership_changed |= self.memberships.truncate(from);
+        self.log.truncate(from);
+        self.verified = self.verified.min(from.saturating_sub(1));
+        self.stage(Record::Truncate { from });
+    }
+
+    pub(crate) fn disk_is_healthy(&self) -> bool {
+        self.disk.is_healthy(self.now, self.settings.disk_stall)
+    }
+
+    /// Role without a leader or an election.
+    pub(crate) fn idle_role(&self) -> Role {
+        if self.membership().is_voter(self.me.id) { Role::Follower } else { Role::Learner }
+    }
+
+    /// Enters a term, newer or the same, as one who follows.
+    pub(crate) fn follow(&mut self, term: u64, leader: Option<Member>) {
+        self.abdicate();
+        if term > self.hard_state.term {
+            self.set_hard_state(HardState { term, vote: None });
+            self.verified = self.commit;
+            self.assembly = None;
+        }
+        self.role = self.idle_role();
+        self.votes.clear();
+        self.asking_promises = false;
+        self.candidacy = None;
+        self.leader = leader;
+    }
+
+    pub(crate) fn set_hard_state(&mut self, state: HardState) {
+        self.hard_state = state;
+        self.stage(Record::HardState(state));
+        self.term_sequence = self.sequence();
+    }
+
+    /// Commits and applies up to `index`, which is in the log.
+    pub(crate) fn commit_to(&mut self, index: u64) {
+        while self.commit < index {
+            let Some(entry) = self.log.get(self.commit + 1) else { return };
+            self.commit += 1;
+            self.bytes_since_snapshot += entry.size();
+            if let Payload::Command(command) = &entry.payload {
+                self.out.push(Output::Apply { index: self.commit, command: command.clone() });
+            }
+        }
+    }
+
+    /// Replaces log and state by a snapshot of the leader.
+    pub(crate) fn restore(&mut self, snapshot: Snapshot) {
+        // Entries from its index on differ from the leader's. They go first, so that a crash between the two records
+        // leaves no entry after the snapshot that does not belong to it.
+        if self.log.last().index >= snapshot.index {
+            self.stage(Record::Truncate { from: snapshot.index });
+        }
+        self.stage(Record::Snapshot(snapshot.clone()));
+        self.memberships = members::History::new(Some((snapshot.index, snapshot.membership.clone())));
+        self.membership_changed = true;
+        self.commit = snapshot.index;
+        self.verified = snapshot.index;
+        self.snapshot_request = None;
+        self.bytes_since_snapshot = 0;
+        self.out.push(Output::Restore { index: snapshot.index, state: snapshot.state.clone() });
+        self.log.restore(Arc::new(snapshot));
+        self.role = self.idle_role();
+    }
+
+    fn request_snapshot(&mut self) {
+        let entries = self.commit.saturating_sub(self.log.snapshot_index());
+        let enough = entries >= self.settings.snapshot_every_entries
+            || self.bytes_since_snapshot >= self.settings.snapshot_every_bytes;
+        if enough && entries > 0 && self.snapshot_request.is_none() {
+            self.snapshot_request = Some(self.commit);
+            self.out.push(Output::TakeSnapshot { index: self.commit });
+        }
+    }
+
+    fn keep_snapshot(&mut self, index: u64, state: Vec<u8>) {
+        if self.snapshot_request != Some(index) {
+            return;
+        }
+        self.snapshot_request = None;
+        let Some(term) = self.log.term_at(index) else { return };
+        let membership = self.memberships.at(index).clone();
+        let snapshot = Arc::new(Snapshot { index, term, membership, state });
+        self.stage(Record::Snapshot(Snapshot::clone(&snapshot)));
+        self.memberships.forget_before(index);
+        self.log.compact(snapshot, self.settings.keep_entries, self.settings.keep_bytes);
+        self.bytes_since_snapshot =
+            self.log.from(index + 1).take_while(|entry| entry.index <= self.commit).map(Entry::size).sum();
+    }
+
+    fn start(&mut self) {
+        if std::mem::replace(&mut self.started, true) {
+            return;
+        }
+        let Some(snapshot) = self.log.snapshot().filter(|snapshot| snapshot.index > 0) else { return };
+        self.out.push(Output::Restore { index: snapshot.index, state: snapshot.state.clone() });
+    }
+
+    fn stage_founding(&mut self) {
+        let snapshot = self.log.snapshot().map(|snapshot| Snapshot::clone(snapshot));
+        self.staged.extend(snapshot.map(Record::Snapshot));
+        self.set_hard_state(self.hard_state);
+    }
+
+    fn flush_staged(&mut self) {
+        if self.staged.is_empty() {
+            return;
+        }
+        let records = std::mem::take(&mut self.staged);
+        if let Some(sequence) = self.disk.submit(self.now, &records, self.log.last().index) {
+            self.out.push(Output::Write { sequence, records });
+        }
+    }
+
+    /// Writes again what a failed write left out, from the state as it is now.
+    fn retry_write(&mut self) {
+        self.flush_staged();
+        let Some((sequence, touched)) = self.disk.retry(self.now, self.log.last().index) else { return };
+        let mut records = Vec::new();
+        if touched.hard_state {
+            records.push(Record::HardState(self.hard_state));
+        }
+        if let Some(from) = touched.from {
+            records.push(Record::Truncate { from });
+        }
+        if touched.snapshot {
+            records.extend(self.log.snapshot().map(|snapshot| Record::Snapshot(Snapshot::clone(snapshot))));
+        }
+        if let Some(from) = touched.from {
+            let first = if touched.snapshot { from.max(self.log.snapshot_index() + 1) } else { from };
+            records.extend(self.log.from(first).cloned().map(Record::Append));
+        }
+        self.out.push(Output::Write { sequence, records });
+    }
+
+    fn report(&mut self) {
+        if std::mem::take(&mut self.membership_changed) {
+            if matches!(self.role, Role::Follower | Role::Learner) {
+                self.role = self.idle_role();
+            }
+            self.out.push(Output::MembershipChanged(self.membership().clone()));
+        }
+        let leader = self.leader.as_ref().map(|leader| leader.id);
+        if leader == self.reported_leader && (leader.is_none() || self.reported_term == self.hard_state.term)
+        {
+            return;
+        }
+        self.reported_leader = leader;
+        self.reported_term = self.hard_state.term;
+        self.out.push(Output::LeaderChanged {
+            leader: self.leader.clone(),
+            term: self.hard_state.term,
+            is_self: self.is_leader(),
+        });
+    }
+}
+
+fn founding_snapshot(voters: Vec<Member>) -> Snapshot {
+    Snapshot { index: 0, term: 0, membership: Membership::of_voters(voters), state: Vec::new() }
+}
+
+fn refuse_proposal(input: Input, out: &mut Vec<Output>) {
+    if let Input::Propose { ticket, .. } = input {
+        out.push(Output::Answer { ticket, result: Err(Refusal::NotLeader) });
+    }
+}
--- /dev/null
+++ b/crates/replication/src/settings.rs
@@ -0,0 +1,70 @@
+//! Timing and limits of a replica.
+
+use crate::Micros;
+
+const MILLISECOND: Micros = 1_000;
+
+/// Timing and limits; all members of a group use the same values.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Time between two heartbeats of a leader to one follower.
+    pub heartbeat: Micros,
+    /// Shortest time without a leader after which a follower stands; also the base of the lease.
+    pub election_min: Micros,
+    /// Longest time without a leader after which a follower stands.
+    pub election_max: Micros,
+    /// Largest difference between the rates of two clocks, in parts per thousand.
+    pub drift: u64,
+    /// Number of voters that the group grows to while caught-up learners are there.
+    pub target_voters: usize,
+    /// A voter that was not heard for this long is replaced by a caught-up learner.
+    pub replace_after: Micros,
+    /// A learner that was not heard for this long is dropped.
+    pub drop_learner_after: Micros,
+    /// A write unfinished for this long counts as a stalled disk.
+    pub disk_stall: Micros,
+    /// Time between a failed write and the next attempt.
+    pub write_retry: Micros,
+    /// Largest number of bytes in flight to one follower, and so of one message with entries or a part of them.
+    pub max_append_bytes: usize,
+    /// Largest number of bytes of proposals that are not yet committed; more are refused.
+    pub max_uncommitted_bytes: usize,
+    /// A snapshot is taken after this many bytes of log.
+    pub snapshot_every_bytes: usize,
+    /// A snapshot is taken after this many entries.
+    pub snapshot_every_entries: u64,
+    /// Entries kept behind the snapshot for slow followers.
+    pub keep_entries: u64,
+    /// Bytes of entries kept behind the snapshot for slow followers.
+    pub keep_bytes: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            heartbeat: 100 * MILLISECOND,
+            election_min: 600 * MILLISECOND,
+            election_max: 1_000 * MILLISECOND,
+            drift: 20,
+            target_voters: 3,
+            replace_after: 1_500 * MILLISECOND,
+            drop_learner_after: 10_000 * MILLISECOND,
+            disk_stall: 700 * MILLISECOND,
+            write_retry: 100 * MILLISECOND,
+            max_append_bytes: 256 * 1024,
+            max_uncommitted_bytes: 16 * 1024 * 1024,
+            snapshot_every_bytes: 8 * 1024 * 1024,
+            snapshot_every_entries: 512,
+            keep_entries: 64,
+            keep_bytes: 1024 * 1024,
+        }
+    }
+}
+
+impl Settings {
+    /// How long after the send time of an acknowledged heartbeat the lease lasts.
+    pub fn lease(&self) -> Micros {
+        let margin = self.election_min.saturating_mul(self.drift) / 1_000;
+        self.election_min.saturating_sub(margin)
+    }
+}
--- /dev/null
+++ b/crates/replication/tests/hostile.rs
@@ -0,0 +1,162 @@
+//! Messages that no healthy replica sends.
+
+mod support;
+
+use bolero::check;
+use dunelink_replication::{Blob, Entry, Input, Membership, Message, Output, Payload, ReplicaId, decode, encode};
+use support::cluster::Cluster;
+use support::machine::member;
+use support::{MILLISECOND, SECOND};
+
+/// Numbers near those of a young group, and the ends of their range.
+fn number(random: &mut fastrand::Rng) -> u64 {
+    match random.u32(0..8) {
+        0 => u64::MAX,
+        1 => u64::MAX - 1,
+        2 => 1 << 60,
+        3 => 0,
+        _ => random.u64(0..30),
+    }
+}
+
+fn membership(random: &mut fastrand::Rng) -> Membership {
+    let count = random.usize(0..4);
+    let voters = (0..count).map(|place| member(place, 1)).collect();
+    let incoming = random.bool().then(|| (0..random.usize(0..3)).map(|place| member(place, 1)).collect());
+    Membership { voters, incoming, learners: vec![member(random.usize(0..5), 1)] }
+}
+
+fn entry(random: &mut fastrand::Rng) -> Entry {
+    let payload = match random.u32(0..3) {
+        0 => Payload::Noop,
+        1 => Payload::Command(random.u64(..).to_le_bytes().to_vec()),
+        _ => Payload::Membership(membership(random)),
+    };
+    Entry { index: number(random), term: number(random), payload }
+}
+
+fn blob(random: &mut fastrand::Rng) -> Blob {
+    let (index, term) = (number(random), number(random));
+    if random.bool() {
+        return Blob::Snapshot { index, term, membership: membership(random) };
+    }
+    Blob::Command { index, term, prev_term: number(random) }
+}
+
+fn message(random: &mut fastrand::Rng, from: usize) -> Message {
+    let term = number(random);
+    let (last_index, last_term, candidate) = (number(random), number(random), member(from, 1));
+    match random.u32(0..15) {
+        0 => Message::PreVote { term, last_index, last_term, candidate },
+        1 => Message::PreVoteReply { term, asked: number(random), granted: random.bool() },
+        2 => Message::Vote { term, last_index, last_term, candidate, handover: random.bool() },
+        3 => Message::VoteReply { term, granted: random.bool() },
+        4 => Message::Heartbeat { term, round: last_index, commit: last_term, lease: random.bool(), leader: candidate },
+        5 => Message::HeartbeatReply { term, round: last_index, disk_healthy: random.bool() },
+        6 => {
+            let mut entries: Vec<Entry> = (0..random.usize(0..4)).map(|_| entry(random)).collect();
+            if random.bool() {
+                let numbered = entries.iter_mut().zip(1..);
+                numbered.for_each(|(entry, place)| entry.index = last_index.saturating_add(place));
+            }
+            Message::Append { term, prev_index: last_index, prev_term: last_term, entries, commit: number(random) }
+        }
+        7 => Message::Appended { term, matched: last_index },
+        8 => Message::Rejected {
+            term,
+            prev_index: last_index,
+            hint_index: number(random),
+            hint_term: last_term,
+            needs_snapshot: random.bool(),
+        },
+        9 => Message::Commit { term, commit: last_index },
+        10 => {
+            let bytes = vec![0; random.usize(0..20)];
+            Message::Chunk { term, blob: blob(random), offset: number(random), total: number(random), bytes }
+        }
+        11 => Message::ChunkReply { term, index: last_index, received: number(random) },
+        12 => Message::StandNow { term },
+        13 => Message::AmIMember { last_index, member: candidate },
+        _ => Message::NotMember { id: ReplicaId(number(random)) },
+    }
+}
+
+/// Hands random messages to one replica of a running group, without the group's checks: here only panics count.
+fn bombard(seed: u64) {
+    let mut cluster = Cluster::new(3, seed);
+    cluster.run_for(900 * MILLISECOND);
+    let mut random = fastrand::Rng::with_seed(seed);
+    let place = random.usize(0..3);
+    let mut now = cluster.machines[place].clock(cluster.now);
+    let mut replica = cluster.machines[place].replica.take().expect("a replica");
+    let mut out = Vec::new();
+    for _ in 0..300 {
+        let from = random.usize(0..5);
+        now += random.u64(0..100 * MILLISECOND);
+        let input = match random.u32(0..12) {
+            0 => Input::Tick,
+            1 => Input::Written { sequence: number(&mut random) },
+            2 => Input::WriteFailed { sequence: number(&mut random) },
+            3 => Input::Propose { ticket: 1, command: vec![1; random.usize(0..100)] },
+            4 => Input::State { index: number(&mut random), bytes: Vec::new() },
+            5 => Input::Join(member(random.usize(0..9), 1)),
+            _ => Input::Received { from: ReplicaId(from as u64 * 1_000 + 1), message: message(&mut random, from) },
+        };
+        replica.handle(now, input, &mut out);
+        for output in std::mem::take(&mut out) {
+            if let Output::Write { sequence, .. } = output
+                && random.bool()
+            {
+                replica.handle(now, Input::Written { sequence }, &mut out);
+            }
+        }
+        let _ = (replica.status(now), replica.next_deadline(), replica.holds_lease(now));
+    }
+}
+
+#[test]
+fn random_messages_cause_no_panic() {
+    (0..1_000).for_each(bombard);
+}
+
+#[test]
+fn random_bytes_decode_or_fail() {
+    check!().for_each(|bytes: &[u8]| {
+        if let Ok(message) = decode::<Message>(bytes) {
+            let again = decode::<Message>(&encode(&message)).expect("what was encoded decodes");
+            assert_eq!(again, message);
+        }
+    });
+}
+
+#[test]
+fn messages_survive_encoding() {
+    let mut random = fastrand::Rng::with_seed(1);
+    for _ in 0..2_000 {
+        let message = message(&mut random, 1);
+        assert_eq!(decode::<Message>(&encode(&message)).expect("it decodes"), message);
+        let mut longer = encode(&message);
+        longer.push(0);
+        assert!(decode::<Message>(&longer).is_err());
+    }
+}
+
+#[test]
+fn replica_that_is_no_member_does_not_disturb() {
+    let mut cluster = Cluster::new(3, 5);
+    let leader = cluster.wait_for_leader(3 * SECOND);
+    cluster.run_for(SECOND);
+    let term = cluster.replica(leader).term();
+    let stranger = member(7, 1);
+    for _ in 0..50 {
+        for place in 0..3 {
+            let (last_index, last_term) = (1_000_000, term + 5);
+            let candidate = stranger.clone();
+            let vote = Message::Vote { term: term + 5, last_index, last_term, candidate, handover: false };
+            cluster.handle(place, Input::Received { from: stranger.id, message: vote });
+        }
+        cluster.run_for(50 * MILLISECOND);
+    }
+    assert_eq!(cluster.leader(), Some(leader));
+    assert_eq!(cluster.replica(leader).term(), term);
+}
--- /dev/null
+++ b/crates/routing/tests/invariants.rs
@@ -0,0 +1,126 @@
+//! What holds whatever happens in whatever order.
+
+mod support;
+
+use bolero::{TypeGenerator, check};
+use dunelink_routing::*;
+use support::*;
+
+#[derive(Debug, TypeGenerator)]
+enum Step {
+    Choose { subject: u8, own: u8, tenant: Option<u8>, plain: bool, tokens: u16 },
+    Sent(u8),
+    First(u8),
+    Progressed(u8),
+    End { which: u8, outcome: u8 },
+    Load { which: u8, running: u8, waiting: u8 },
+    List { first: u8, count: u8, draining: u8, cold: bool },
+    Fleet(u8),
+    Later(u16),
+}
+
+const OUTCOMES: [Outcome; 8] = [
+    Outcome::Served,
+    Outcome::Rejected,
+    Outcome::WrongInstance,
+    Outcome::ServerError,
+    Outcome::Broken,
+    Outcome::ConnectFailed,
+    Outcome::TimedOut,
+    Outcome::Cancelled,
+];
+
+fn list(first: u8, count: u8, draining: u8, cold: bool) -> Vec<ServerInfo> {
+    let numbers = u32::from(first)..u32::from(first) + u32::from(count % 60);
+    let mut all: Vec<ServerInfo> = numbers.flat_map(|n| [server("llm", n), server("api", n)]).collect();
+    for (at, info) in all.iter_mut().enumerate() {
+        info.ready = draining == 0 || at % usize::from(draining) != 0;
+        info.cold_remaining_ms = if cold { 3_000 } else { 0 };
+    }
+    all
+}
+
+fn play(steps: &[Step]) {
+    let mut router = router(3, &list(0, 12, 0, false));
+    let mut out: Vec<(ServerHandle, AttemptId)> = Vec::new();
+    let mut now = 0;
+    for step in steps {
+        let pick = |which: &u8| out.get(usize::from(*which) % out.len().max(1)).copied();
+        match step {
+            Step::Choose { subject, own, tenant, plain: is_plain, tokens } => {
+                let tenant = tenant.map(|tenant| tenant.to_string());
+                let parts = prompt(u64::from(*subject), u64::from(*own));
+                let base = if *is_plain { plain() } else { request(&parts) };
+                let tokens_in = if *is_plain { 0 } else { u32::from(*tokens) };
+                let excluded: Vec<ServerHandle> = pick(own).map(|(server, _)| server).into_iter().collect();
+                let asked =
+                    RoutingRequest { tenant: tenant.as_deref(), tokens_in, excluded: &excluded, ..base };
+                match router.choose(now, &asked) {
+                    Decision::Send { server, attempt } => {
+                        assert!(router.is_usable(server), "a server that takes requests");
+                        assert!(!excluded.contains(&server), "not one that was tried");
+                        assert_eq!(router.server(server).expect("listed").service, asked.service);
+                        assert!(out.iter().all(|(_, other)| *other != attempt), "a number of its own");
+                        out.push((server, attempt));
+                    }
+                    Decision::Wait { retry_in } => assert!(retry_in > 0 && retry_in < asked.remaining),
+                    Decision::Refuse { retry_after, .. } => assert!(retry_after * 3 <= asked.remaining),
+                }
+            }
+            Step::Sent(which) => pick(which).into_iter().for_each(|(_, attempt)| router.sent(now, attempt)),
+            Step::First(which) => {
+                pick(which).into_iter().for_each(|(_, attempt)| router.first_event(now, attempt));
+            }
+            Step::Progressed(which) => {
+                pick(which).into_iter().for_each(|(_, attempt)| router.progressed(now, attempt, 1));
+            }
+            Step::End { which, outcome } => {
+                if let Some((_, attempt)) = pick(which) {
+                    out.retain(|(_, other)| *other != attempt);
+                    router.ended(now, attempt, OUTCOMES[usize::from(*outcome) % OUTCOMES.len()]);
+                    // An end that is told twice changes nothing.
+                    router.ended(now, attempt, Outcome::Broken);
+                }
+            }
+            Step::Load { which, running, waiting } => {
+                if let Some((server, _)) = pick(which) {
+                    router.observe_load(now, server, u32::from(*running), u32::from(*waiting), 64);
+                }
+            }
+            Step::List { first, count, draining, cold } => {
+                router.update_servers(now, &list(*first, *count, *draining, *cold));
+            }
+            Step::Fleet(nodes) => router.set_fleet(u32::from(*nodes)),
+            Step::Later(ms) => now += Micros::from(*ms) * MS,
+        }
+        check_state(&router, now, &out);
+    }
+}
+
+fn check_state(router: &Router, now: Micros, out: &[(ServerHandle, AttemptId)]) {
+    assert_eq!(router.attempts_out(), out.len());
+    let listed = out.iter().filter(|(server, _)| router.server(*server).is_some()).count();
+    let lines = router.status(now);
+    assert_eq!(lines.iter().map(|line| line.in_flight as usize).sum::<usize>(), listed);
+    assert!(lines.iter().all(|line| line.kept_tokens <= 380_000 && line.taken >= 0.0));
+    assert!(lines.iter().all(|line| line.relative_latency.is_finite() && line.relative_latency > 0.0));
+}
+
+#[test]
+fn any_order_of_events_keeps_the_state_whole() {
+    check!().with_type::<Vec<Step>>().for_each(|steps| play(steps));
+}
+
+#[test]
+fn a_request_is_sent_while_a_server_is_ready_and_idle() {
+    check!().with_type::<(u8, Vec<u8>)>().for_each(|(count, fails)| {
+        let mut router = router(1, &servers("llm", u32::from(*count % 20) + 1));
+        for (at, fail) in fails.iter().enumerate() {
+            let parts = prompt(u64::from(*fail), at as u64);
+            let now = at as Micros * S;
+            let (_, attempt) = sent(router.choose(now, &request(&parts)));
+            let outcome = OUTCOMES[usize::from(*fail) % OUTCOMES.len()];
+            router.ended(now, attempt, if outcome == Outcome::Rejected { Outcome::Broken } else { outcome });
+        }
+    });
+}
