--- /dev/null
+++ b/crates/routing/tests/support/mod.rs
@@ -0,0 +1,93 @@
+//! Servers, requests and routers as the tests need them.
+#![allow(dead_code, unreachable_pub)]
+
+use dunelink_routing::*;
+
+pub const MS: Micros = 1_000;
+pub const S: Micros = 1_000_000;
+
+/// A ready server of a service.
+pub fn server(service: &str, number: u32) -> ServerInfo {
+    ServerInfo {
+        id: format!("i-{service}-{number}"),
+        service: service.into(),
+        address: format!("10.0.{}.{}:80", number / 250, number % 250 + 1).parse().expect("an address"),
+        zone: "a".into(),
+        slots: 64,
+        ready: true,
+        cold_remaining_ms: 0,
+    }
+}
+
+pub fn servers(service: &str, count: u32) -> Vec<ServerInfo> {
+    (0..count).map(|number| server(service, number)).collect()
+}
+
+/// The model service `llm` and the plain service `api`.
+pub fn specs() -> Vec<ServiceSpec> {
+    let engine = EngineSpec { slots: 64, kv_tokens: 380_000, stride: 6 };
+    vec![
+        ServiceSpec { name: "llm".into(), max_conns: 400, engine: Some(engine) },
+        ServiceSpec { name: "api".into(), max_conns: 100, engine: None },
+    ]
+}
+
+pub fn router(seed: u64, list: &[ServerInfo]) -> Router {
+    let mut router = Router::new(RouterSettings { zone: "a".into() }, seed);
+    router.set_services(0, &specs());
+    router.update_servers(0, list);
+    router
+}
+
+/// A long prompt: a shared system prompt, a shared subject, and a part of its own.
+pub fn prompt(subject: u64, own: u64) -> [PromptPart; 3] {
+    [
+        PromptPart { id: 0x5c1e_07a2_0000_0001, tokens: 2_500 },
+        PromptPart { id: subject.wrapping_mul(0x9e37_79b9_7f4a_7c15), tokens: 3_800 },
+        PromptPart { id: own.wrapping_mul(0xc2b2_ae3d_27d4_eb4f) | 1, tokens: 2_900 },
+    ]
+}
+
+pub fn request<'a>(parts: &'a [PromptPart]) -> RoutingRequest<'a> {
+    RoutingRequest {
+        service: "llm",
+        tenant: Some("kaje80"),
+        parts,
+        tokens_in: parts.iter().map(|part| part.tokens).sum(),
+        tokens_out: 54,
+        priority: 1,
+        target_latency: 600 * MS,
+        remaining: 4 * S,
+        excluded: &[],
+        first_try: true,
+    }
+}
+
+pub fn plain<'a>() -> RoutingRequest<'a> {
+    RoutingRequest {
+        service: "api",
+        tokens_in: 0,
+        tokens_out: 0,
+        target_latency: 150 * MS,
+        remaining: 1_500 * MS,
+        ..request(&[])
+    }
+}
+
+/// The server and the attempt, where the decision is to send.
+pub fn sent(decision: Decision) -> (ServerHandle, AttemptId) {
+    match decision {
+        Decision::Send { server, attempt } => (server, attempt),
+        other => panic!("not sent: {other:?}"),
+    }
+}
+
+/// Chooses, plays a good answer at once, and gives the id of the server.
+pub fn served(router: &mut Router, now: Micros, request: &RoutingRequest<'_>) -> String {
+    let (server, attempt) = sent(router.choose(now, request));
+    let id = router.server(server).expect("a listed server").id.clone();
+    router.sent(now, attempt);
+    router.first_event(now + 60 * MS, attempt);
+    router.ended(now + 100 * MS, attempt, Outcome::Served);
+    id
+}
--- /dev/null
+++ b/crates/serving-model/src/server.rs
@@ -0,0 +1,335 @@
+//! One server: what of ours waits and runs there, what it keeps, and how long a new request would wait.
+
+use crate::reading::half;
+use crate::{KeptParts, LoadReading, Micros, PromptPart, Speed};
+
+/// Priorities go from 0, the most urgent, to this one.
+const LAST_PRIORITY: usize = 9;
+/// Part of the memory that running requests may take before a server counts as full. Shared prefixes that run
+/// with them are counted once or not at all, so that some is left for them.
+const MEMORY_USED: f64 = 0.8;
+/// A step's lengthening by each request that runs beside, as part of a free server's speed.
+const SLOWER_EACH: f64 = 0.01;
+/// What a plain server's taken slots count, as part of a request's work.
+const PLAIN_SPREAD: f64 = 0.1;
+/// How far one request moves the usual figures.
+const STEP: f64 = 0.05;
+/// How far one answer moves a server's relative latency, and how far one answer may be from the usual.
+const LATENCY_STEP: f64 = 0.2;
+const LATENCY_RANGE: (f64, f64) = (0.25, 8.0);
+/// After this long without an answer half of a server's relative latency counts no more: one that was slow is
+/// tried again.
+const LATENCY_HALF_LIFE: f64 = 4_000_000.0;
+
+/// What kind of server it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shape {
+    /// Requests worked on at once.
+    pub slots: u32,
+    /// Tokens of memory for running requests and kept parts; 0 for a server without an engine.
+    pub kv_tokens: u64,
+}
+
+impl Shape {
+    /// Whether a model runs there.
+    pub fn has_engine(&self) -> bool {
+        self.kv_tokens > 0
+    }
+
+    fn places(&self) -> f64 {
+        f64::from(self.slots.max(1))
+    }
+}
+
+/// What a request asks of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Workload<'a> {
+    /// The parts of its prompt in order.
+    pub parts: &'a [PromptPart],
+    /// Tokens of the prompt.
+    pub tokens_in: u32,
+    /// Tokens to be made at most.
+    pub tokens_out: u32,
+    /// From 0, most urgent, to 9; larger figures count as 9.
+    pub priority: u32,
+}
+
+/// What one request of ours takes at a server, from sending to its end.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Work {
+    sent_at: Micros,
+    prefill: u32,
+    /// Tokens of ours to be read before it; at a plain server, how many times its work its time was to be.
+    ahead: f32,
+    tokens: u32,
+    priority: u8,
+    started: bool,
+}
+
+impl Work {
+    /// Whether its first token has come.
+    pub fn has_started(&self) -> bool {
+        self.started
+    }
+}
+
+/// What is expected of a request at one server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Estimate {
+    /// Until its first token, or its answer at a plain server.
+    pub first_us: Micros,
+    /// The part of it by which a free server of usual speed would be faster.
+    pub queue_us: Micros,
+    /// Prompt tokens that it would read there.
+    pub prefill: u32,
+    /// Places taken there now, of `slots`, by all senders; may exceed it.
+    pub taken: f64,
+    /// Whether its memory has no room for the request beside those that run.
+    pub memory_full: bool,
+}
+
+/// The state of one server as far as it can be known. `nodes` is always the number of processes that send to it.
+pub struct ServerModel {
+    shape: Shape,
+    kept: KeptParts,
+    /// Tokens of ours left to read, by priority, as of `drained_at`.
+    unread: [f64; LAST_PRIORITY + 1],
+    /// What was to be read for requests of ours that have no token yet; bounds `unread`.
+    unstarted: [f64; LAST_PRIORITY + 1],
+    drained_at: Micros,
+    in_flight: u32,
+    tokens: u64,
+    /// Usual figures of our requests there: tokens to read, tokens held.
+    usual_prefill: f64,
+    usual_tokens: f64,
+    /// Requests of other senders that are usually there.
+    usual_others: f64,
+    /// How long its answers take against those of its service, by priority, and when that was seen.
+    latency: [(f32, Micros); LAST_PRIORITY + 1],
+    reading: Option<LoadReading>,
+}
+
+impl ServerModel {
+    /// A server of which nothing is known yet.
+    pub fn new(shape: Shape) -> ServerModel {
+        ServerModel {
+            shape,
+            kept: KeptParts::default(),
+            unread: [0.0; LAST_PRIORITY + 1],
+            unstarted: [0.0; LAST_PRIORITY + 1],
+            drained_at: 0,
+            in_flight: 0,
+            tokens: 0,
+            usual_prefill: 0.0,
+            usual_tokens: 0.0,
+            usual_others: 0.0,
+            latency: [(1.0, 0); LAST_PRIORITY + 1],
+            reading: None,
+        }
+    }
+
+    /// Its slots and memory.
+    pub fn shape(&self) -> Shape {
+        self.shape
+    }
+
+    /// Takes over new slots or memory; what is known stays.
+    pub fn set_shape(&mut self, shape: Shape) {
+        self.shape = shape;
+        self.kept.shrink(shape.kv_tokens);
+    }
+
+    /// Requests of ours that are there.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Tokens that our requests take there beside what was kept before, those still to be made included.
+    pub fn running_tokens(&self) -> u64 {
+        self.tokens
+    }
+
+    /// The parts it is believed to keep.
+    pub fn kept(&self) -> &KeptParts {
+        &self.kept
+    }
+
+    /// How long its answers to requests of that priority take against those of its service: 1 for a usual server,
+    /// more for a slower or a busier one.
+    pub fn relative_latency(&self, now: Micros, priority: u32) -> f64 {
+        let (seen, at) = self.latency[(priority as usize).min(LAST_PRIORITY)];
+        1.0 + (f64::from(seen) - 1.0) * half(now.saturating_sub(at), LATENCY_HALF_LIFE)
+    }
+
+    /// The largest relative latency over the priorities.
+    pub fn slowest_latency(&self, now: Micros) -> f64 {
+        let all = (0..=LAST_PRIORITY as u32).map(|priority| self.relative_latency(now, priority));
+        all.fold(0.0, f64::max)
+    }
+
+    /// Requests of all senders there, running and waiting.
+    pub fn taken(&self, now: Micros, nodes: u32) -> f64 {
+        f64::from(self.in_flight) + self.others(now, nodes)
+    }
+
+    fn others(&self, now: Micros, nodes: u32) -> f64 {
+        if nodes <= 1 {
+            return 0.0;
+        }
+        self.reading.map_or(0.0, |reading| reading.others(now, self.usual_others)).max(0.0)
+    }
+
+    /// What to expect of a request that is sent now. `assumed` tokens at the front of its prompt are taken to be
+    /// kept because other processes send the same prefix there.
+    pub fn estimate(
+        &self,
+        now: Micros,
+        nodes: u32,
+        speed: &Speed,
+        request: &Workload<'_>,
+        assumed: u32,
+    ) -> Estimate {
+        let others = self.others(now, nodes);
+        let taken = f64::from(self.in_flight) + others;
+        let latency = self.relative_latency(now, request.priority);
+        if !self.shape.has_engine() {
+            return self.estimate_plain(taken, speed.work_ms * latency);
+        }
+        let kept = self.kept.leading(request.parts).max(assumed).min(request.tokens_in);
+        let prefill = request.tokens_in - kept;
+        let ahead = self.ahead(now, speed, request.priority, others);
+        let batch = 1.0 + SLOWER_EACH * taken;
+        let beyond = (taken + 1.0 - self.shape.places()).max(0.0);
+        let slot_ms = beyond * speed.work_ms / self.shape.places();
+        let alone_ms = speed.first_ms(f64::from(prefill));
+        let first_ms = (alone_ms + speed.prefill_ms(ahead)) * batch * latency + slot_ms;
+        let held = self.tokens as f64 + others * self.usual_tokens;
+        let own = f64::from(prefill.saturating_add(request.tokens_out));
+        let memory_full = held + own > self.shape.kv_tokens as f64 * MEMORY_USED;
+        let first_us = (first_ms * 1_000.0) as Micros;
+        let queue_us = ((first_ms - alone_ms).max(0.0) * 1_000.0) as Micros;
+        Estimate { first_us, queue_us, prefill, taken, memory_full }
+    }
+
+    fn estimate_plain(&self, taken: f64, work_ms: f64) -> Estimate {
+        // Below its slots a server that has less is still the better one.
+        let spread = (taken / self.shape.places()).min(1.0) * PLAIN_SPREAD;
+        let rounds = self.rounds(taken);
+        let first_us = (work_ms * (rounds + spread) * 1_000.0) as Micros;
+        let queue_us = (work_ms * (rounds - 1.0) * 1_000.0) as Micros;
+        Estimate { first_us, queue_us, prefill: 0, taken, memory_full: false }
+    }
+
+    /// How many times a plain request's work its time is, beside so many others.
+    fn rounds(&self, taken: f64) -> f64 {
+        1.0 + ((taken + 1.0 - self.shape.places()) / self.shape.places()).max(0.0)
+    }
+
+    /// Tokens read there before those of a request of this priority.
+    fn ahead(&self, now: Micros, speed: &Speed, priority: u32, others: f64) -> f64 {
+        let until = (priority as usize).min(LAST_PRIORITY);
+        let drained = speed.prefill * now.saturating_sub(self.drained_at) as f64 / 1_000.0;
+        let own = (self.unread[..=until].iter().sum::<f64>() - drained).max(0.0);
+        let waiting = self.reading.map_or(0.0, |reading| reading.waiting(now)).min(others);
+        own + waiting * self.usual_prefill
+    }
+
+    /// Reads what the server must have read since it was last looked at, the most urgent first.
+    fn drain(&mut self, now: Micros, speed: &Speed) {
+        let span = now.saturating_sub(self.drained_at) as f64 / 1_000.0;
+        self.drained_at = self.drained_at.max(now);
+        let mut read = speed.prefill * span;
+        for left in &mut self.unread {
+            let part = left.min(read);
+            *left -= part;
+            read -= part;
+        }
+    }
+
+    /// Notes that a request is sent there, of which this was expected.
+    pub fn sent(
+        &mut self,
+        now: Micros,
+        nodes: u32,
+        speed: &Speed,
+        request: &Workload<'_>,
+        estimate: &Estimate,
+    ) -> Work {
+        self.drain(now, speed);
+        self.in_flight += 1;
+        let priority = (request.priority as usize).min(LAST_PRIORITY);
+        if !self.shape.has_engine() {
+            let ahead = self.rounds(estimate.taken) as f32;
+            return Work { sent_at: now, ahead, priority: priority as u8, ..Work::default() };
+        }
+        let prefill = f64::from(estimate.prefill);
+        let tokens = estimate.prefill.saturating_add(request.tokens_out);
+        let ahead = self.unread[..=priority].iter().sum::<f64>() as f32;
+        self.unread[priority] += prefill;
+        self.unstarted[priority] += prefill;
+        self.tokens += u64::from(tokens);
+        self.usual_prefill += (prefill - self.usual_prefill) * STEP;
+        self.usual_tokens += (f64::from(tokens) - self.usual_tokens) * STEP;
+        let room = self.shape.kv_tokens.saturating_sub(self.tokens / 2);
+        self.kept.used(request.parts, room, nodes);
+        let priority = priority as u8;
+        Work { sent_at: now, prefill: estimate.prefill, ahead, tokens, priority, started: false }
+    }
+
+    /// Notes the first token of a request, and learns from it.
+    pub fn first_event(&mut self, now: Micros, speed: &mut Speed, work: &mut Work) {
+        if std::mem::replace(&mut work.started, true) || !self.shape.has_engine() {
+            return;
+        }
+        self.drain(now, speed);
+        self.was_read(work);
+        let tokens = f64::from(work.prefill) + f64::from(work.ahead);
+        let took_ms = now.saturating_sub(work.sent_at) as f64 / 1_000.0;
+        self.observe_latency(now, work.priority, took_ms / speed.first_ms(tokens));
+        speed.observe_first(tokens, took_ms);
+    }
+
+    /// Notes the end of a request. `served` says whether its whole time may be learned from.
+    pub fn ended(&mut self, now: Micros, speed: &mut Speed, work: &Work, served: bool) {
+        self.drain(now, speed);
+        if !work.started {
+            self.was_read(work);
+        }
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.tokens = self.tokens.saturating_sub(u64::from(work.tokens));
+        if !served {
+            return;
+        }
+        let took_ms = now.saturating_sub(work.sent_at) as f64 / 1_000.0;
+        if self.shape.has_engine() {
+            speed.observe_whole(took_ms);
+            return;
+        }
+        let own_ms = took_ms / f64::from(work.ahead.max(1.0));
+        self.observe_latency(now, work.priority, own_ms / speed.work_ms);
+        speed.observe_whole(own_ms);
+    }
+
+    fn observe_latency(&mut self, now: Micros, priority: u8, seen: f64) {
+        let before = self.relative_latency(now, priority.into());
+        let seen = seen.clamp(LATENCY_RANGE.0, LATENCY_RANGE.1);
+        let after = before + (seen - before) * LATENCY_STEP;
+        self.latency[usize::from(priority)] = (after as f32, now);
+    }
+
+    /// Takes a request's tokens out of what is left to read.
+    fn was_read(&mut self, work: &Work) {
+        let priority = usize::from(work.priority);
+        let unstarted = (self.unstarted[priority] - f64::from(work.prefill)).max(0.0);
+        self.unstarted[priority] = unstarted;
+        self.unread[priority] = self.unread[priority].min(unstarted);
+    }
+
+    /// Takes in a load reading of all senders.
+    pub fn observe_load(&mut self, now: Micros, running: u32, waiting: u32) {
+        let own = self.in_flight;
+        let reading = LoadReading { at: now, running, waiting, own };
+        self.usual_others += (reading.told() - self.usual_others) * STEP * 2.0;
+        self.reading = Some(reading);
+    }
+}
--- /dev/null
+++ b/crates/shards/src/lib.rs
@@ -0,0 +1,32 @@
+//! Which shard of the control state a service belongs to, and who serves the shard; no I/O.
+//!
+//! Services are spread over a fixed number of shards by a hash of their names. Shard 0 holds the configuration and no
+//! service. Every member works out the same [`Assignment`] from the same list of members: the replicas of a shard by
+//! rendezvous hashing (Thaler and Ravishankar, 1998), spread over zones first, and out of these a preferred owner, by
+//! matching with a limit for each member (Gale and Shapley, 1962) so that owners are even. After a change of members
+//! [`Assignment::changed`] keeps most owners.
+//!
+//! ```
+//! use dunelink_shards::{Assignment, CONFIGURATION, Member, MemberId, shard_of};
+//!
+//! let members = [
+//!     Member { id: MemberId(1), zone: "a".to_owned() },
+//!     Member { id: MemberId(2), zone: "b".to_owned() },
+//!     Member { id: MemberId(3), zone: "c".to_owned() },
+//! ];
+//! let assignment = Assignment::new(&members, 16, 3);
+//! let shard = shard_of("chat", 16);
+//! assert_ne!(shard, CONFIGURATION);
+//! assert_eq!(assignment.replicas(shard).len(), 3);
+//! assert!(assignment.owner(shard).is_some());
+//! ```
+
+#![forbid(unsafe_code)]
+
+mod assignment;
+mod owners;
+mod rendezvous;
+mod shard;
+
+pub use assignment::{Assignment, Member, MemberId};
+pub use shard::{CONFIGURATION, SERVICE_SEED, ShardId, shard_of};
--- /dev/null
+++ b/crates/shards/tests/shards.rs
@@ -0,0 +1,35 @@
+//! The shard of a service is fixed and even.
+
+use dunelink_shards::{CONFIGURATION, SERVICE_SEED, ShardId, shard_of};
+
+#[test]
+fn the_hash_is_fixed() {
+    assert_eq!(SERVICE_SEED, 0x0073_6572_7669_6365);
+    let shards: Vec<u32> = ["", "chat", "search", "code"].iter().map(|name| shard_of(name, 64).0).collect();
+    assert_eq!(shards, [5, 18, 10, 31]);
+}
+
+#[test]
+fn a_service_is_never_with_the_configuration() {
+    for shards in 1..40 {
+        for service in 0..500 {
+            let ShardId(shard) = shard_of(&format!("service-{service}"), shards);
+            assert!((1..=shards).contains(&shard));
+        }
+    }
+    assert_eq!(shard_of("chat", 0), CONFIGURATION);
+}
+
+#[test]
+fn services_are_spread_evenly() {
+    const SERVICES: usize = 64_000;
+    const SHARDS: u32 = 64;
+    let mut counts = vec![0_usize; SHARDS as usize + 1];
+    for service in 0..SERVICES {
+        counts[shard_of(&format!("model-{service}"), SHARDS).0 as usize] += 1;
+    }
+    let mean = SERVICES / SHARDS as usize;
+    // Six standard deviations of a binomial with this mean, rounded up.
+    let slack = 190;
+    assert!(counts[1..].iter().all(|count| count.abs_diff(mean) < slack), "{counts:?}");
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod peers;
 pub mod reading;
 pub mod rig;
+pub mod system;
 
 use std::path::PathBuf;
 
