Quotas: nodes go on at the rate granted last through a change of leader; operators' command dunelink-fleet

Change: a grant's rate holds for 2.5 s beyond the grant; the new leader begins when no node in touch goes on by an old one.

--- a/crates/agent/src/downstream.rs
+++ b/crates/agent/src/downstream.rs
@@ -1,7 +1,7 @@
 //! The port at which the proxy on this machine reads its feed.
 
 use std::convert::Infallible;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -79,8 +79,8 @@
                 continue;
             }
         };
-        // A loopback peer runs on this machine whatever address it took.
-        if peer.ip() != shared.identity.ip && !peer.ip().is_loopback() {
+        // Where the machine's address is a loopback one, the system connects from 127.0.0.1, which is always local.
+        if peer.ip() != shared.identity.ip && peer.ip() != Ipv4Addr::LOCALHOST {
             shared.refuse_proxy(peer, &DownstreamError::Stranger);
             continue;
         }
--- a/crates/agent/tests/arguments_and_reports.rs
+++ b/crates/agent/tests/arguments_and_reports.rs
@@ -30,8 +30,13 @@
 }
 
 fn report(demand: &[(&str, f64)], observations: &[(&str, u32, u32)]) -> ProxyReport {
-    let demand =
-        demand.iter().map(|(tenant, rate)| TenantDemand { tenant: (*tenant).into(), rate_per_s: *rate, passed: 0.0, request_units: 1.0, incarnation: 1 });
+    let demand = demand.iter().map(|(tenant, rate)| TenantDemand {
+        tenant: (*tenant).into(),
+        rate_per_s: *rate,
+        passed: 0.0,
+        request_units: 1.0,
+        incarnation: 1,
+    });
     let observations = observations.iter().map(|(server, served, failed)| ServerObservation {
         server: (*server).into(),
         served: *served,
--- a/crates/agent/tests/feed_to_proxy.rs
+++ b/crates/agent/tests/feed_to_proxy.rs
@@ -9,7 +9,13 @@
 use site::{Control, Running, chunk, server, soon, tick, whole_roster};
 
 fn report(rate_per_s: f64) -> ProxyReport {
-    let demand = vec![TenantDemand { tenant: "t".into(), rate_per_s, passed: 0.0, request_units: 1.0, incarnation: 1 }];
+    let demand = vec![TenantDemand {
+        tenant: "t".into(),
+        rate_per_s,
+        passed: 0.0,
+        request_units: 1.0,
+        incarnation: 1,
+    }];
     ProxyReport { demand, observations: Vec::new() }
 }
 
@@ -101,7 +107,13 @@
     let control = Control::first().await;
     let agent = Running::start(&[&control]);
     let mut served = control.accept().await;
-    let tenants = vec![TenantGrant { tenant: "t".into(), rate_per_s: 5.0, ceiling: 9.0, overdraft: 2.0, incarnation: 1 }];
+    let tenants = vec![TenantGrant {
+        tenant: "t".into(),
+        rate_per_s: 5.0,
+        ceiling: 9.0,
+        overdraft: 2.0,
+        incarnation: 1,
+    }];
     let grants = GrantUpdate { valid_ms: 60_000, nodes: 2, configuration_version: 1, tenants };
     served.send(FeedMessage::Grants(grants.clone())).await;
     served.send(chunk(1, "one")).await;
--- a/crates/grants/src/allocator.rs
+++ b/crates/grants/src/allocator.rs
@@ -8,18 +8,19 @@
 
 use dunelink_protocol::{GrantUpdate, TenantDemand, TenantGrant};
 
-use crate::bounds::FLOOR_PART;
+use crate::bounds::{FLOOR_PART, LAPSE};
 use crate::{MILLISECOND, Micros, QuotaBounds, SECOND, TenantQuota};
 
 /// For how long a grant holds, in milliseconds.
 const VALID_MS: u64 = 1_500;
 /// After this long without a report a node may be cut off: its floor is set aside for it.
 const SILENT_AFTER: Micros = 700 * MILLISECOND;
-/// How long a new leader grants nothing, and how long what was issued to a silent node counts as out: an old grant may
-/// have been delivered late.
+/// For how long what was issued to a silent node counts as out: its last grant may have been delivered late.
 const KEPT_FOR: Micros = (VALID_MS + 300) * MILLISECOND;
 /// After this long all nodes in touch have reported to a new leader: their number, and so their floors, are known.
 const SETTLES_AFTER: Micros = 400 * MILLISECOND;
+/// The longest time that a node goes on by a grant, in milliseconds.
+const GRANTED_MOST_MS: u64 = VALID_MS + LAPSE / MILLISECOND;
 /// For how long a silent node counts for the floors: it may be cut off and serve on.
 const COUNTED_FOR: Micros = 30 * 1_000 * MILLISECOND;
 /// What is issued ahead to a node, in seconds of its demand.
@@ -47,12 +48,16 @@
     passed: f64,
     /// Units up to which it may go on.
     ceiling: f64,
+    /// Units a second granted last.
+    granted_rate: f64,
 }
 
 /// What is known of one node.
 #[derive(Debug, Default)]
 struct Node {
     reported_at: Micros,
+    /// Until then it goes on by grants of the leader before.
+    granted_until: Micros,
     accounts: BTreeMap<String, Account>,
 }
 
@@ -70,8 +75,8 @@
     bounds: QuotaBounds,
     /// Until then not all nodes have reported.
     settled_at: Micros,
-    /// Until then grants of the leader before may still hold.
-    begins_at: Micros,
+    /// Whether grants are given out: from when no node in touch goes on by those of the leader before.
+    begun: bool,
     nodes: BTreeMap<String, Node>,
     buckets: BTreeMap<String, Bucket>,
     /// Which node is the first to be issued to.
@@ -84,7 +89,7 @@
         Self {
             bounds,
             settled_at: now + SETTLES_AFTER,
-            begins_at: now + KEPT_FOR,
+            begun: false,
             nodes: BTreeMap::new(),
             buckets: BTreeMap::new(),
             turn: 0,
@@ -95,6 +100,8 @@
     pub fn report(&mut self, now: Micros, name: &str, demand: &[TenantDemand]) {
         let node = self.nodes.entry(name.to_owned()).or_default();
         let was_silent = node.is_silent(now);
+        let granted_ms = demand.iter().map(|told| told.granted_ms).max().unwrap_or(0);
+        node.granted_until = now + granted_ms.min(GRANTED_MOST_MS) * MILLISECOND;
         node.reported_at = now;
         node.accounts.values_mut().for_each(|account| account.rate_per_s = 0.0);
         for told in demand.iter().filter(|told| is_sane(told)) {
@@ -118,9 +125,11 @@
         if now < self.settled_at {
             return Vec::new();
         }
+        let goes_on = |node: &Node| !node.is_silent(now) && node.granted_until > now;
+        self.begun |= !self.nodes.values().any(goes_on);
         self.turn = self.turn.wrapping_add(1);
         let nodes = self.nodes.len() as u32;
-        let limited = || quotas.iter().filter(|quota| quota.rate_per_s > 0.0 && now >= self.begins_at);
+        let limited = || quotas.iter().filter(|quota| quota.rate_per_s > 0.0 && self.begun);
         let limited: Vec<_> = limited().collect();
         let mut tenants: BTreeMap<String, Vec<TenantGrant>> = BTreeMap::new();
         for quota in &limited {
@@ -143,10 +152,11 @@
     fn forget_silent(&mut self, now: Micros) {
         self.nodes.retain(|_, node| node.reported_at + COUNTED_FOR > now);
         for node in self.nodes.values_mut().filter(|node| node.reported_at + KEPT_FOR <= now) {
-            for (tenant, account) in std::mem::take(&mut node.accounts) {
-                if let Some(bucket) = self.buckets.get_mut(&tenant) {
+            for (tenant, account) in &mut node.accounts {
+                if let Some(bucket) = self.buckets.get_mut(tenant) {
                     bucket.level += account.unused();
                 }
+                account.ceiling = account.passed;
             }
         }
     }
@@ -154,12 +164,13 @@
     /// Fills a tenant's bucket with what its rate leaves beside the floors of silent nodes.
     fn fill(&mut self, now: Micros, quota: &TenantQuota) {
         let depth = self.bounds.depth(quota);
-        let silent = self.nodes.values().filter(|node| node.is_silent(now)).count() as f64;
-        let set_aside = FLOOR_PART * silent / self.nodes.len().max(1) as f64;
+        let floor = FLOOR_PART * quota.rate_per_s / self.nodes.len().max(1) as f64;
+        let silent = self.nodes.values().filter(|node| node.is_silent(now));
+        let set_aside: f64 = silent.map(|node| node.set_aside(now, quota, floor)).sum();
         let begin = || Bucket { level: depth * FILLED_AT_START, filled_at: now };
         let bucket = self.buckets.entry(quota.name.clone()).or_insert_with(begin);
         let span_s = now.saturating_sub(bucket.filled_at) as f64 / SECOND;
-        bucket.level = (bucket.level + quota.rate_per_s * (1.0 - set_aside) * span_s).min(depth);
+        bucket.level = (bucket.level + (quota.rate_per_s - set_aside).max(0.0) * span_s).min(depth);
         bucket.filled_at = now;
     }
 
@@ -190,11 +201,12 @@
             budget -= issued;
             bucket.level -= issued;
             account.ceiling = account.ceiling.max(account.passed) + issued;
+            account.granted_rate = rate_each * account.rate_per_s;
             let grant = TenantGrant {
                 tenant: quota.name.clone(),
                 ceiling: account.ceiling,
                 overdraft: if is_open { Account::overdraft(spare_each, largest) } else { 0.0 },
-                rate_per_s: rate_each * account.rate_per_s,
+                rate_per_s: account.granted_rate,
                 incarnation: account.incarnation,
             };
             (name.clone(), grant)
@@ -207,6 +219,12 @@
     fn is_silent(&self, now: Micros) -> bool {
         self.reported_at + SILENT_AFTER <= now
     }
+
+    /// Units a second that a silent node may be using: what it was granted last until that lapses, then its floor.
+    fn set_aside(&self, now: Micros, quota: &TenantQuota, floor: f64) -> f64 {
+        let granted = self.accounts.get(&quota.name).map_or(0.0, |account| account.granted_rate);
+        if self.reported_at + KEPT_FOR + LAPSE > now { granted.max(floor) } else { floor }
+    }
 }
 
 impl Account {
--- a/crates/grants/src/bounds.rs
+++ b/crates/grants/src/bounds.rs
@@ -1,5 +1,7 @@
 //! What the deployment bounds, and how it is divided.
 
+use crate::{MILLISECOND, Micros};
+
 /// Bounds of quotas, from the settings file.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct QuotaBounds {
@@ -35,6 +37,9 @@
 
 /// Part of the rate that is divided evenly as floors; the rest goes by demand.
 pub(crate) const FLOOR_PART: f64 = 0.5;
+/// For how long a node goes on at the rate that it was granted last when nothing renews the grant, so that a change of
+/// leader is not felt.
+pub(crate) const LAPSE: Micros = 2_500 * MILLISECOND;
 /// Part of what the bounds allow beyond the rate that is used. What was sent within one window may arrive within a
 /// shorter one; and a new allocator, which doesn't know what passed before, begins with a part of it.
 const USED_PART: f64 = 0.75;
--- a/crates/grants/src/gate.rs
+++ b/crates/grants/src/gate.rs
@@ -4,7 +4,7 @@
 
 use dunelink_protocol::{GrantUpdate, TenantDemand};
 
-use crate::bounds::FLOOR_PART;
+use crate::bounds::{FLOOR_PART, LAPSE};
 use crate::{MILLISECOND, Micros, QuotaBounds, SECOND, TenantQuota};
 
 /// Nodes assumed before the first grant tells their number.
@@ -37,6 +37,13 @@
     rate_per_s: f64,
 }
 
+impl Grant {
+    /// Until then its rate holds without a renewal.
+    fn lapses_at(&self) -> Micros {
+        if self.until == 0 { 0 } else { self.until + LAPSE }
+    }
+}
+
 /// One tenant's part at this node.
 #[derive(Debug)]
 struct Account {
@@ -144,6 +151,7 @@
             passed: account.passed,
             request_units: account.request_units,
             incarnation,
+            granted_ms: account.grant.lapses_at().saturating_sub(now) / MILLISECOND,
         });
         // Few tenants are told of before they ask for anything, so that their first request finds a grant.
         let few = self.accounts.len() <= TENANTS_ALL_TOLD;
@@ -174,7 +182,7 @@
 
     /// Units a second at this time.
     fn rate(&self, now: Micros, nodes: u32) -> f64 {
-        if now < self.grant.until { self.grant.rate_per_s } else { self.floor_rate(nodes) }
+        if now < self.grant.lapses_at() { self.grant.rate_per_s } else { self.floor_rate(nodes) }
     }
 
     fn floor_rate(&self, nodes: u32) -> f64 {
@@ -186,10 +194,14 @@
         (bounds.depth(&self.quota) / f64::from(nodes) * FILLED_AT_START).max(self.request_units)
     }
 
-    /// Adds to the floor's level what has accrued without a grant.
+    /// Adds to the floor's level what has accrued without a valid grant: at the rate granted last until that lapses, at
+    /// the floor's from then on.
     fn fill_floor(&mut self, now: Micros, bounds: &QuotaBounds, nodes: u32) {
-        let from = self.grant.until.clamp(self.floor_filled_at, now.max(self.floor_filled_at));
-        let accrued = now.saturating_sub(from) as f64 / SECOND * self.floor_rate(nodes);
+        let since = |from: Micros, until: Micros| until.saturating_sub(from) as f64 / SECOND;
+        let lapses_at = self.grant.lapses_at();
+        let at_grant = since(self.floor_filled_at.max(self.grant.until), now.min(lapses_at));
+        let at_floor = since(self.floor_filled_at.max(lapses_at), now);
+        let accrued = at_grant * self.grant.rate_per_s + at_floor * self.floor_rate(nodes);
         let depth = self.floor_depth(bounds, nodes);
         self.floor_level = (self.floor_level + accrued).min(depth.max(self.floor_level));
         self.floor_filled_at = now.max(self.floor_filled_at);
--- a/crates/grants/tests/quotas.rs
+++ b/crates/grants/tests/quotas.rs
@@ -141,7 +141,7 @@
         let mut fleet = Fleet::new(7, nodes, rate);
         fleet.play(6, 0.5, |_| true);
         let mut counts = [[0_u32; 2]; 2];
-        for _ in 0..(20 * SECOND / STEP) {
+        for _ in 0..(80 * SECOND / STEP) {
             fleet.now += STEP;
             let chance = 6.0 * rate / 4_600.0 * STEP as f64 / SECOND as f64;
             let arrivals = chance as usize + usize::from(fleet.random.f64() < chance.fract());
--- a/crates/operator/tests/data_folder.rs
+++ b/crates/operator/tests/data_folder.rs
@@ -13,6 +13,8 @@
 use testkit::system::scene::{KEY, first_configuration};
 
 const BODY_BYTES: usize = 2_000;
+/// Bytes between two that are changed, one at a time.
+const STEP: usize = 41;
 const ID: ReplicaId = ReplicaId(7);
 const LIMITS: Limits = Limits { segment_bytes: 10_000, disk_bytes: 1 << 20 };
 
@@ -166,3 +168,19 @@
     let empty = Folder::new();
     assert_eq!(fleet(&["config", "read", "--from", text(&empty)]).code, 2);
 }
+
+#[test]
+fn no_changed_byte_goes_unseen() {
+    let folder = Folder::new();
+    fill(folder.path());
+    let calm = dunelink_operator::disk::read(folder.path()).unwrap();
+    assert!(calm.damage.is_empty() && calm.notes.is_empty(), "{calm:?}");
+    for (name, bytes) in contents(folder.path()) {
+        for at in (0..bytes.len()).step_by(STEP) {
+            flip(&name, at);
+            let seen = dunelink_operator::disk::read(folder.path()).unwrap();
+            assert!(!seen.damage.is_empty() || !seen.notes.is_empty(), "byte {at} of {name}");
+            flip(&name, at);
+        }
+    }
+}
--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -29,7 +29,13 @@
 
 #[test]
 fn both_directions_round_trip() {
-    let demand = vec![TenantDemand { tenant: "a".into(), rate_per_s: 12.5, passed: 70.0, request_units: 9.0, incarnation: 1 }];
+    let demand = vec![TenantDemand {
+        tenant: "a".into(),
+        rate_per_s: 12.5,
+        passed: 70.0,
+        request_units: 9.0,
+        incarnation: 1,
+    }];
     let report = AgentMessage::Report(ProxyReport { demand, observations: Vec::new() });
     let roster = RosterOffset { epoch: 3, sequence: 4 };
     let subscribe = AgentMessage::Subscribe(Subscribe { configuration_version: 5, roster });
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,4 +1,5 @@
-//! Stand-in servers, rosters and clients on loopback, and the conformance suite. For tests only.
+//! Stand-in servers, rosters and clients on loopback, and the conformance suite. For tests; [`system`] alone, without the
+//! feature `suites`, also serves the demonstration of `dunelink-fleet`.
 
 #[cfg(feature = "suites")]
 pub mod conformance;
