Quotas: a new leader issues after 0.3 s, and what was issued stays usable

Ruled out: hot tenants alone (the others were refused as well). Not needed: its ceilings take the place of the old ones. Change: the allocator begins once nodes in touch have reported; a node keeps what was issued when a grant runs out.

--- a/crates/grants/src/allocator.rs
+++ b/crates/grants/src/allocator.rs
@@ -17,10 +17,9 @@
 const SILENT_AFTER: Micros = 700 * MILLISECOND;
 /// For how long what was issued to a silent node counts as out: its last grant may have been delivered late.
 const KEPT_FOR: Micros = (VALID_MS + 300) * MILLISECOND;
-/// After this long all nodes in touch have reported to a new leader: their number, and so their floors, are known.
-const SETTLES_AFTER: Micros = 400 * MILLISECOND;
-/// The longest time that a node goes on by a grant, in milliseconds.
-const GRANTED_MOST_MS: u64 = VALID_MS + LAPSE / MILLISECOND;
+/// After this long all nodes in touch have reported to a new leader, which may issue then: its ceilings take the place
+/// of the old leader's.
+const SETTLES_AFTER: Micros = 300 * MILLISECOND;
 /// For how long a silent node counts for the floors: it may be cut off and serve on.
 const COUNTED_FOR: Micros = 30 * 1_000 * MILLISECOND;
 /// What is issued ahead to a node, in seconds of its demand.
@@ -35,7 +34,7 @@
 /// Part of the bucket's depth that may be out at nodes, issued and not used: the rest is for those that ask next.
 const SAVED_PART: f64 = 1.0;
 /// Part of the bucket that a new leader, which doesn't know what passed before, begins with.
-const FILLED_AT_START: f64 = 0.25;
+const FILLED_AT_START: f64 = 0.3;
 
 /// What one node reported of one tenant, and what was issued to it.
 #[derive(Debug, Default, Clone)]
@@ -56,8 +55,6 @@
 #[derive(Debug, Default)]
 struct Node {
     reported_at: Micros,
-    /// Until then it goes on by grants of the leader before.
-    granted_until: Micros,
     accounts: BTreeMap<String, Account>,
 }
 
@@ -75,8 +72,6 @@
     bounds: QuotaBounds,
     /// Until then not all nodes have reported.
     settled_at: Micros,
-    /// Whether grants are given out: from when no node in touch goes on by those of the leader before.
-    begun: bool,
     nodes: BTreeMap<String, Node>,
     buckets: BTreeMap<String, Bucket>,
     /// Which node is the first to be issued to.
@@ -84,12 +79,11 @@
 }
 
 impl Allocator {
-    /// An allocator that gives out no grants until all of the one before it have run out.
+    /// An allocator that gives out no grants until the nodes in touch have reported.
     pub fn new(bounds: QuotaBounds, now: Micros) -> Self {
         Self {
             bounds,
             settled_at: now + SETTLES_AFTER,
-            begun: false,
             nodes: BTreeMap::new(),
             buckets: BTreeMap::new(),
             turn: 0,
@@ -100,8 +94,6 @@
     pub fn report(&mut self, now: Micros, name: &str, demand: &[TenantDemand]) {
         let node = self.nodes.entry(name.to_owned()).or_default();
         let was_silent = node.is_silent(now);
-        let granted_ms = demand.iter().map(|told| told.granted_ms).max().unwrap_or(0);
-        node.granted_until = now + granted_ms.min(GRANTED_MOST_MS) * MILLISECOND;
         node.reported_at = now;
         node.accounts.values_mut().for_each(|account| account.rate_per_s = 0.0);
         for told in demand.iter().filter(|told| is_sane(told)) {
@@ -113,8 +105,7 @@
         }
     }
 
-    /// The parts of all nodes that reported lately. While grants of another leader may hold they name no tenant and
-    /// tell the number of nodes alone, from which a node without a grant knows its floors.
+    /// The parts of all nodes that reported lately; none at first.
     pub fn allocate(
         &mut self,
         now: Micros,
@@ -125,12 +116,9 @@
         if now < self.settled_at {
             return Vec::new();
         }
-        let goes_on = |node: &Node| !node.is_silent(now) && node.granted_until > now;
-        self.begun |= !self.nodes.values().any(goes_on);
         self.turn = self.turn.wrapping_add(1);
         let nodes = self.nodes.len() as u32;
-        let limited = || quotas.iter().filter(|quota| quota.rate_per_s > 0.0 && self.begun);
-        let limited: Vec<_> = limited().collect();
+        let limited: Vec<_> = quotas.iter().filter(|quota| quota.rate_per_s > 0.0).collect();
         let mut tenants: BTreeMap<String, Vec<TenantGrant>> = BTreeMap::new();
         for quota in &limited {
             self.fill(now, quota);
--- a/crates/grants/src/gate.rs
+++ b/crates/grants/src/gate.rs
@@ -18,6 +18,8 @@
 const LEAST_DEMAND: f64 = 0.01;
 /// With so many tenants at most all are told of, also those without demand.
 const TENANTS_ALL_TOLD: usize = 64;
+/// Requests that a node may save up out of its floor.
+const SAVED_REQUESTS: f64 = 2.0;
 /// How far one request moves the average of their sizes.
 const SIZE_STEP: f64 = 0.02;
 /// Bounds of the time told to a client that is over its quota.
@@ -151,7 +153,6 @@
             passed: account.passed,
             request_units: account.request_units,
             incarnation,
-            granted_ms: account.grant.lapses_at().saturating_sub(now) / MILLISECOND,
         });
         // Few tenants are told of before they ask for anything, so that their first request finds a grant.
         let few = self.accounts.len() <= TENANTS_ALL_TOLD;
@@ -189,9 +190,10 @@
         self.quota.rate_per_s * FLOOR_PART / f64::from(nodes)
     }
 
-    /// The most that the floor's level rises to: one request, however many nodes there are.
+    /// The most that the floor's level rises to: two requests, however many nodes there are.
     fn floor_depth(&self, bounds: &QuotaBounds, nodes: u32) -> f64 {
-        (bounds.depth(&self.quota) / f64::from(nodes) * FILLED_AT_START).max(self.request_units)
+        (bounds.depth(&self.quota) / f64::from(nodes) * FILLED_AT_START)
+            .max(self.request_units * SAVED_REQUESTS)
     }
 
     /// Adds to the floor's level what has accrued without a valid grant: at the rate granted last until that lapses, at
@@ -213,7 +215,8 @@
         if now < self.grant.until {
             return self.grant.ceiling + self.grant.overdraft - self.passed + floor;
         }
-        self.floor_level
+        // What was issued stays issued.
+        self.floor_level + (self.grant.ceiling - self.passed).max(0.0)
     }
 
     /// The room at which a request passes, whatever its own size: else small ones would take what a large one waits
@@ -222,18 +225,18 @@
         self.request_units
     }
 
-    /// Takes a request's units out of the floor first: that is not renewed while there are grants.
+    /// Counts a request's units as passed. Without a valid grant they come out of what was issued before and then out
+    /// of the floor, else out of the floor first: that is not renewed while there are grants. What comes out of the
+    /// floor raises the ceiling, because the allocator has set it aside.
     fn pass(&mut self, now: Micros, units: f64) {
-        if now >= self.grant.until {
-            self.floor_level -= units;
-            self.passed += units;
-            return;
-        }
-        let from_floor = units.min(self.floor_level.max(0.0));
+        let from_floor = if now < self.grant.until {
+            units.min(self.floor_level.max(0.0))
+        } else {
+            units - units.min((self.grant.ceiling - self.passed).max(0.0))
+        };
         self.floor_level -= from_floor;
-        self.passed += units;
-        // The allocator counts all that passed; what came out of the floor was set aside.
         self.grant.ceiling += from_floor;
+        self.passed += units;
     }
 
     /// Takes a request's units into their average.
--- a/crates/protocol/src/report.rs
+++ b/crates/protocol/src/report.rs
@@ -63,9 +63,6 @@
     /// Drawn at random by the proxy at its start: `passed` counts from then.
     #[n(4)]
     pub incarnation: u64,
-    /// For how long the proxy goes on by what it was granted, in milliseconds; 0 without a grant.
-    #[n(5)]
-    pub granted_ms: u64,
 }
 
 /// Outcomes of one proxy's requests at a server since its last report.
