--- a/crates/control/src/disk.rs
+++ b/crates/control/src/disk.rs
@@ -16,7 +16,7 @@
 const GROUP_BYTES: usize = 8 * 1024 * 1024;
 
 /// What the disk thread is asked to do.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub enum DiskOrder {
     /// Make records durable for the replica of a generation.
     Write {
@@ -237,6 +237,17 @@
     trouble: Option<String>,
 }
 
+/// What follows an order.
+#[derive(Debug)]
+pub enum After {
+    /// Whatever is ordered next.
+    Idle,
+    /// This order, which was taken from the inbox already.
+    Next(DiskOrder),
+    /// The same order again after a pause, before any other: the disk refused it.
+    Refused(DiskOrder),
+}
+
 /// A write that waits: its sequence and records.
 type Waiting = (u64, Vec<Record>);
 
@@ -250,16 +261,30 @@
     pub fn work(mut self, inbox: &Receiver<DiskOrder>) {
         let mut next = None;
         while let Some(order) = next.take().or_else(|| inbox.recv().ok()) {
-            match order {
-                DiskOrder::Begin { generation, translator } => self.begin(generation, translator),
-                DiskOrder::Wipe { generation, id } => self.wipe(generation, id),
-                DiskOrder::Write { generation, sequence, records } => {
-                    let mut group = vec![(sequence, records)];
-                    next = gather(generation, &mut group, inbox);
-                    self.write(generation, group);
+            next = match self.carry_out(order, inbox) {
+                After::Idle => None,
+                After::Next(order) => Some(order),
+                After::Refused(order) => {
+                    std::thread::sleep(RETRY_PAUSE);
+                    Some(order)
                 }
+            };
+        }
+    }
+
+    /// Carries out one order, and the writes that wait behind it if it is a write.
+    pub fn carry_out(&mut self, order: DiskOrder, inbox: &Receiver<DiskOrder>) -> After {
+        match order {
+            DiskOrder::Begin { generation, translator } => self.begin(generation, translator),
+            DiskOrder::Wipe { generation, id } => return self.wipe(generation, id),
+            DiskOrder::Write { generation, sequence, records } => {
+                let mut group = vec![(sequence, records)];
+                let next = gather(generation, &mut group, inbox);
+                self.write(generation, group);
+                return next.map_or(After::Idle, After::Next);
             }
         }
+        After::Idle
     }
 
     fn begin(&mut self, generation: u64, translator: Translator) {
@@ -268,13 +293,14 @@
         self.gate = WriteGate::default();
     }
 
-    /// Tries until the disk allows it: an identity that was given up must not come back.
-    fn wipe(&mut self, generation: u64, id: ReplicaId) {
-        while let Err(error) = self.store.wipe() {
+    /// An identity that was given up must not come back: the order stays the next one until the disk allows it.
+    fn wipe(&mut self, generation: u64, id: ReplicaId) -> After {
+        if let Err(error) = self.store.wipe() {
             self.note(Some(&error));
-            std::thread::sleep(RETRY_PAUSE);
+            return After::Refused(DiskOrder::Wipe { generation, id });
         }
         self.begin(generation, Translator::new(id, HardState::default(), 0, false));
+        After::Idle
     }
 
     fn write(&mut self, generation: u64, group: Vec<Waiting>) {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod reader;
 pub mod reports;
 pub mod roster;
+pub mod start;
 pub mod state;
 pub mod status;
 
--- a/crates/control/src/program.rs
+++ b/crates/control/src/program.rs
@@ -10,7 +10,7 @@
 use dunelink_grants::QuotaBounds;
 use dunelink_protocol::hello::PROTOCOL_VERSION;
 use dunelink_protocol::{Hello, LinkKind};
-use dunelink_replication::{HardState, Member, Recovered, ReplicaId, Settings};
+use dunelink_replication::Member;
 use dunelink_runtime::Clock;
 use dunelink_runtime::log::logger;
 use dunelink_settings::Boot;
@@ -23,11 +23,12 @@
 use tokio::time::{sleep, timeout};
 
 use crate::arguments::{self, Command, HELP};
-use crate::disk::{self, DiskEvent, DiskOrder, Opened, Translator};
+use crate::disk::{self, DiskEvent, DiskOrder, Opened};
 use crate::engine::{Engine, seed};
-use crate::identity::{founders, founding_id, fresh_id, internal_address};
+use crate::identity::{founding_id, fresh_id, internal_address};
 use crate::node::{Node, NodeSettings};
 use crate::peer_links::PeerLinks;
+use crate::start::{Start, replication_settings};
 use crate::{feed_server, operator, reader};
 
 /// Exit code when the arguments or the settings are wrong.
@@ -172,46 +173,21 @@
     }
 }
 
-/// What the replica starts from.
-struct Start {
-    me: Member,
-    founding: Option<Vec<Member>>,
-    recovered: Recovered,
-}
-
-/// Decides who this replica is: whoever the store says, a founder, or someone new.
-fn identify(boot: &Boot, mut me: Member, opened: Opened, orders: &Sender<DiskOrder>, log: &Logger) -> Start {
+/// Decides who this replica is, and tells the disk thread whose the store is.
+fn identify(boot: &Boot, me: Member, opened: Opened, orders: &Sender<DiskOrder>, log: &Logger) -> Start {
     for note in &opened.notes {
         warn!(log, "the store was put right"; "note" => note);
     }
-    if let Some(identity) = opened.identity.filter(|_| !opened.damaged) {
-        me.id = identity.id;
-        if me.id == founding_id(me.control) {
-            me.zone = String::new();
-        }
-        info!(log, "going on"; "id" => %me.id, "term" => identity.hard_state.term);
-        let translator = Translator::of_store(identity, &opened.recovered);
-        order(orders, DiskOrder::Begin { generation: 1, translator });
-        return Start { me, founding: None, recovered: opened.recovered };
-    }
-    let founding = founders(boot.bootstrap, &boot.seeds, &me).filter(|_| !opened.damaged);
-    if founding.is_none() {
-        me.id = fresh_id(me.control);
-    }
-    info!(log, "starting empty"; "id" => %me.id, "founds" => founding.is_some(), "damaged" => opened.damaged);
-    order(orders, begin_empty(me.id, opened.damaged));
-    if founding.is_some() {
-        // Zones of others are not known, and the founding list has to be the same on all.
-        me.zone = String::new();
+    let damaged = opened.damaged;
+    let start = Start::of(boot.bootstrap, &boot.seeds, me, opened, fresh_id);
+    if let Some(state) = start.recovered.hard_state {
+        info!(log, "going on"; "id" => %start.me.id, "term" => state.term);
+    } else {
+        let founds = start.founding.is_some();
+        info!(log, "starting empty"; "id" => %start.me.id, "founds" => founds, "damaged" => damaged);
     }
-    Start { me, founding, recovered: Recovered::default() }
-}
-
-fn begin_empty(id: ReplicaId, damaged: bool) -> DiskOrder {
-    if damaged {
-        return DiskOrder::Wipe { generation: 1, id };
-    }
-    DiskOrder::Begin { generation: 1, translator: Translator::new(id, HardState::default(), 0, false) }
+    order(orders, start.order.clone());
+    start
 }
 
 fn order(orders: &Sender<DiskOrder>, order: DiskOrder) {
@@ -219,21 +195,11 @@
     let _ = orders.send(order);
 }
 
-/// Bounds of the time without a leader after which a replica stands for election, in microseconds. Machines of one
-/// deployment are milliseconds apart; a replica answers heartbeats whatever its disk does.
-const ELECTION_MIN: u64 = 350_000;
-const ELECTION_MAX: u64 = 600_000;
-
 fn node_settings(boot: &Boot) -> NodeSettings {
     let tolerated = usize::try_from(boot.fault_tolerance.machines.max(1)).unwrap_or(1);
     let bounds = &boot.bounds;
     NodeSettings {
-        replication: Settings {
-            target_voters: 2 * tolerated + 1,
-            election_min: ELECTION_MIN,
-            election_max: ELECTION_MAX,
-            ..Settings::default()
-        },
+        replication: replication_settings(tolerated),
         quota: QuotaBounds {
             window_s: bounds.quota_window_s,
             overshoot: bounds.quota_overshoot,
--- /dev/null
+++ b/crates/control/src/start.rs
@@ -0,0 +1,77 @@
+//! What a replica starts from.
+
+use std::net::SocketAddr;
+
+use dunelink_replication::{HardState, Member, Recovered, ReplicaId, Settings};
+
+use crate::disk::{DiskOrder, Opened, Translator};
+use crate::identity::{founders, founding_id};
+
+/// Bounds of the time without a leader after which a replica stands for election, in microseconds. Machines of one
+/// deployment are milliseconds apart; a replica answers heartbeats whatever its disk does.
+const ELECTION_MIN: u64 = 350_000;
+const ELECTION_MAX: u64 = 600_000;
+/// Number of the identity that a process starts with.
+const FIRST_GENERATION: u64 = 1;
+
+/// Timing of the replica group of a deployment in which so many machines may be lost at once.
+pub fn replication_settings(tolerated: usize) -> Settings {
+    Settings {
+        target_voters: 2 * tolerated + 1,
+        election_min: ELECTION_MIN,
+        election_max: ELECTION_MAX,
+        ..Settings::default()
+    }
+}
+
+/// Who a replica is, and what it goes on from.
+#[derive(Debug, Clone)]
+pub struct Start {
+    /// This replica.
+    pub me: Member,
+    /// The voters, if this start founds the group.
+    pub founding: Option<Vec<Member>>,
+    /// What the disk held.
+    pub recovered: Recovered,
+    /// The first order for the disk thread: whose the store is.
+    pub order: DiskOrder,
+}
+
+impl Start {
+    /// Whoever the store says, a founder, or someone new, whose identity `fresh` makes. `me` has the identity of a
+    /// founder.
+    pub fn of(
+        bootstrap: bool,
+        seeds: &[SocketAddr],
+        mut me: Member,
+        opened: Opened,
+        fresh: impl FnOnce(SocketAddr) -> ReplicaId,
+    ) -> Self {
+        if let Some(identity) = opened.identity.filter(|_| !opened.damaged) {
+            me.id = identity.id;
+            if me.id == founding_id(me.control) {
+                me.zone = String::new();
+            }
+            let translator = Translator::of_store(identity, &opened.recovered);
+            let order = DiskOrder::Begin { generation: FIRST_GENERATION, translator };
+            return Self { me, founding: None, recovered: opened.recovered, order };
+        }
+        let founding = founders(bootstrap, seeds, &me).filter(|_| !opened.damaged);
+        if founding.is_some() {
+            // Zones of others are not known, and the founding list has to be the same on all.
+            me.zone = String::new();
+        } else {
+            me.id = fresh(me.control);
+        }
+        let order = begin_empty(me.id, opened.damaged);
+        Self { me, founding, recovered: Recovered::default(), order }
+    }
+}
+
+fn begin_empty(id: ReplicaId, damaged: bool) -> DiskOrder {
+    if damaged {
+        return DiskOrder::Wipe { generation: FIRST_GENERATION, id };
+    }
+    let translator = Translator::new(id, HardState::default(), 0, false);
+    DiskOrder::Begin { generation: FIRST_GENERATION, translator }
+}
--- /dev/null
+++ b/crates/control/tests/cluster_simulation.rs
@@ -0,0 +1,76 @@
+//! Random fault schedules of whole control clusters; each seed replays one run.
+//!
+//! `CLUSTER_SCHEDULES=n` runs n schedules of each size in place of the few of an ordinary run, from
+//! `CLUSTER_FIRST_SEED` on.
+
+mod cluster;
+
+use std::panic::catch_unwind;
+
+use cluster::{Mistake, run_schedule};
+
+const FAULTS: u32 = 25;
+const SCHEDULES: u64 = 60;
+/// Schedules within which each mistake has to be found.
+const MISTAKE_SCHEDULES: u64 = 150;
+
+fn number(variable: &str, default: u64) -> u64 {
+    std::env::var(variable).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+/// Runs the schedules of a size; all that fail are told together.
+fn run(size: usize) {
+    let first = number("CLUSTER_FIRST_SEED", 0);
+    let seeds = first..first + number("CLUSTER_SCHEDULES", SCHEDULES);
+    let failed: Vec<u64> =
+        seeds.filter(|seed| catch_unwind(|| run_schedule(size, *seed, FAULTS, None)).is_err()).collect();
+    assert!(failed.is_empty(), "with {size} machines these seeds fail: {failed:?}");
+}
+
+#[test]
+fn three_machines_keep_what_was_acknowledged() {
+    run(3);
+}
+
+#[test]
+fn five_machines_keep_what_was_acknowledged() {
+    run(5);
+}
+
+#[test]
+fn a_seed_replays_a_run() {
+    let first = run_schedule(5, 7, FAULTS, None);
+    assert_eq!(first, run_schedule(5, 7, FAULTS, None));
+    assert!(first.acknowledgements > 10, "the run is too quiet: {first:?}");
+}
+
+fn assert_found(mistake: Mistake) {
+    let found = (0..MISTAKE_SCHEDULES)
+        .find(|seed| catch_unwind(|| run_schedule(3, *seed, FAULTS, Some(mistake))).is_err());
+    assert!(found.is_some(), "{mistake:?} is not found");
+    eprintln!("{mistake:?} is found by seed {found:?}");
+}
+
+macro_rules! found {
+    ($($name:ident: $mistake:ident,)*) => {
+        $(
+            #[test]
+            fn $name() {
+                assert_found(Mistake::$mistake);
+            }
+        )*
+    };
+}
+
+found! {
+    counting_before_the_sync_is_found: CountedBeforeSync,
+    syncs_that_do_nothing_are_found: FilesNotSynced,
+    counting_a_failure_as_written_is_found: FailureCountedAsWritten,
+    a_vote_that_is_not_kept_is_found: VoteNotKept,
+    the_same_identity_after_a_wipe_is_found: SameIdentityAfterWipe,
+    clocks_beyond_the_margin_are_found: NoDriftMargin,
+    an_answer_at_append_is_found: AnsweredAtAppend,
+    reads_without_a_lease_are_found: ReadWithoutLease,
+    a_refused_retry_is_found: RetryRefused,
+    an_answer_without_a_look_is_found: RetryAnsweredBlindly,
+}
--- a/crates/proxy/src/admission.rs
+++ b/crates/proxy/src/admission.rs
@@ -8,6 +8,7 @@
 use crate::configuration::{Configuration, RoutePolicy};
 use crate::node::Node;
 use crate::request::ClientRequest;
+use crate::table::spread;
 
 /// What the configuration says of a request that it allows.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -50,5 +51,5 @@
 }
 
 fn over_quota(after_us: u64) -> Reply {
-    Reply::new(StatusCode::TOO_MANY_REQUESTS).with_retry_after(Duration::from_micros(after_us))
+    Reply::new(StatusCode::TOO_MANY_REQUESTS).with_retry_after(spread(Duration::from_micros(after_us)))
 }
--- a/crates/proxy/src/answer.rs
+++ b/crates/proxy/src/answer.rs
@@ -19,6 +19,8 @@
 pub const DEADLINE: HeaderName = HeaderName::from_static("x-dunelink-deadline-ms");
 /// The id of the server that alone may run the request.
 pub const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("x-dunelink-expect-instance");
+/// How urgent a request is for a server that runs a model, from 0, the most urgent, to 9.
+pub const PRIORITY: HeaderName = HeaderName::from_static("priority");
 /// The tenant that holds the client's key.
 pub const TENANT: HeaderName = HeaderName::from_static("x-dunelink-tenant");
 /// Tokens of the prompt and tokens to be made at most.
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -14,7 +14,7 @@
 use http_body_util::Full;
 
 use crate::answer::{
-    AnswerBody, DEADLINE, EXPECT_INSTANCE, NOT_EXECUTED, REQUEST_ID, SEAL, SERVER_LOAD, TENANT,
+    AnswerBody, DEADLINE, EXPECT_INSTANCE, NOT_EXECUTED, PRIORITY, REQUEST_ID, SEAL, SERVER_LOAD, TENANT,
 };
 use crate::exchange::{Exchange, TIME_LEAST};
 use crate::table::Unanswered;
@@ -125,6 +125,10 @@
         if let Some(tenant) = self.admitted.tenant {
             headers.insert(TENANT, self.configuration.tenant_value(tenant).clone());
         }
+        let admitted = &self.admitted;
+        if let Some(priority) = self.configuration.priority_value(admitted.service, admitted.priority) {
+            headers.insert(PRIORITY, priority);
+        }
         *request.headers_mut() = headers;
         let length = head_length(&request) + self.request.body.len() as u64;
         (request, length)
--- a/crates/proxy/src/configuration.rs
+++ b/crates/proxy/src/configuration.rs
@@ -11,8 +11,13 @@
     /// As the operator gave it.
     pub fleet: FleetConfig,
     tenants: Vec<HeaderValue>,
+    /// Whether some requests are more urgent than others.
+    ranked: bool,
 }
 
+/// The least urgent rank that servers know.
+const PRIORITY_LAST: u32 = 9;
+
 /// What a route says of how its requests are treated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RoutePolicy {
@@ -54,7 +59,8 @@
     pub fn new(fleet: FleetConfig) -> Self {
         let value = |name: &str| HeaderValue::from_str(name).unwrap_or(HeaderValue::from_static(""));
         let tenants = fleet.tenants.iter().map(|tenant| value(&tenant.name)).collect();
-        Self { fleet, tenants }
+        let ranked = is_ranked(&fleet);
+        Self { fleet, tenants, ranked }
     }
 
     /// The name of a tenant as a header value.
@@ -62,6 +68,13 @@
         &self.tenants[tenant]
     }
 
+    /// What a server of this service is told of a request's urgency; nothing where all requests are alike, or where
+    /// servers do not heed it.
+    pub fn priority_value(&self, service: usize, priority: u32) -> Option<HeaderValue> {
+        let heeds = self.ranked && self.fleet.services[service].engine.is_some();
+        heeds.then(|| HeaderValue::from(priority.min(PRIORITY_LAST)))
+    }
+
     /// What is charged for a request of a tenant: `tokens` if it states any and tokens are counted.
     pub fn units(&self, tenant: usize, tokens: Option<u64>) -> f64 {
         let tenant = &self.fleet.tenants[tenant];
@@ -111,3 +124,11 @@
             .collect()
     }
 }
+
+/// Whether routes and tenants differ in priority.
+fn is_ranked(fleet: &FleetConfig) -> bool {
+    let routes = fleet.routes.iter().map(|route| route.priority);
+    let tenants = fleet.tenants.iter().filter_map(|tenant| tenant.priority);
+    let mut all = routes.chain(tenants).map(|priority| priority.min(PRIORITY_LAST));
+    all.next().is_some_and(|first| all.any(|other| other != first))
+}
--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -36,12 +36,21 @@
     idle_since: Cell<Option<Instant>>,
     /// Told when it is to end once no request is open on it.
     close: Notify,
+    /// Told when it is to end at once.
+    cut: Notify,
+    /// What was read of requests.
+    heads: Heads,
 }
 
 impl ClientConnection {
     /// A connection that was just accepted.
     pub fn new() -> Rc<Self> {
-        Rc::new(Self { idle_since: Cell::new(Some(Instant::now())), close: Notify::new() })
+        Rc::new(Self {
+            idle_since: Cell::new(Some(Instant::now())),
+            close: Notify::new(),
+            cut: Notify::new(),
+            heads: Heads::default(),
+        })
     }
 
     /// Since when no request is open on it.
@@ -53,6 +62,27 @@
     pub fn close(&self) {
         self.close.notify_one();
     }
+
+    /// Ends it if it rests for longer than `rest` and nothing has come of a next request.
+    pub fn end_resting(&self, now: Instant, rest: Duration) {
+        let rests = self.idle_since.get().is_some_and(|since| now.saturating_duration_since(since) >= rest);
+        if rests && self.heads.partial_since().is_none() {
+            self.close();
+        }
+    }
+
+    /// Ends it if it rests for longer than `rest`, or if a request that has begun lacks a part of its head for longer
+    /// than `head`.
+    pub fn bound(&self, now: Instant, rest: Duration, head: Duration) {
+        let Some(idle_since) = self.idle_since.get() else { return };
+        let is_over = |since: Instant, most: Duration| now.saturating_duration_since(since) > most;
+        match self.heads.partial_since() {
+            // What came while a request was open counts from the end of that one.
+            Some(since) if is_over(since.max(idle_since), head) => self.cut.notify_one(),
+            None if is_over(idle_since, rest) => self.close(),
+            _ => {}
+        }
+    }
 }
 
 /// Ends the request that is open on a connection.
@@ -73,11 +103,19 @@
 
 /// Serves a client's connection to its end.
 pub async fn serve(node: Rc<Node>, connection: Rc<ClientConnection>, stream: TcpStream) {
+    tokio::select! {
+        biased;
+        () = connection.cut.notified() => {}
+        () = serve_to_end(node, &connection, stream) => {}
+    }
+}
+
+async fn serve_to_end(node: Rc<Node>, connection: &Rc<ClientConnection>, stream: TcpStream) {
     let limits = node.configuration().map(|configuration| configuration.fleet.limits.clone());
     let head_most = limits.map_or(HEADER_BYTES, |limits| limits.max_header_bytes) as usize;
-    let (socket, heads) = ClientSocket::new(stream);
+    let socket = ClientSocket::new(stream, connection.heads.clone());
     let service = service_fn(|request| {
-        let (node, open, heads) = (node.clone(), Open::new(&connection), heads.clone());
+        let (node, open, heads) = (node.clone(), Open::new(connection), connection.heads.clone());
         async move { Ok::<_, Infallible>(respond(node, request, open, &heads).await) }
     });
     let mut builder = http1::Builder::new();
@@ -87,7 +125,6 @@
         biased;
         _ = serving.as_mut() => return,
         () = connection.close.notified() => serving.as_mut().graceful_shutdown(),
-        () = node.close_idle.notified() => serving.as_mut().graceful_shutdown(),
     }
     // Its errors are the client's: what it lacks it asks for again.
     let _ = serving.await;
@@ -129,7 +166,7 @@
     let Some(configuration) = node.configuration() else {
         let left =
             request.deadline.map_or(Duration::MAX, |deadline| deadline.saturating_sub(began.elapsed()));
-        let how = Unanswered::unconfigured(node.clock.age()).within(left);
+        let how = Unanswered::unconfigured(node.clock.age()).spread().within(left);
         return how.reply().response(Some(&request.id));
     };
     match admit(node, &configuration, &request) {
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -138,7 +138,7 @@
             let name = &self.configuration.fleet.tenants[tenant].name;
             self.node.quota.borrow_mut().refund(name, self.admitted.units);
         }
-        how.within(self.left()).reply().response(Some(&self.request.id))
+        how.spread().within(self.left()).reply().response(Some(&self.request.id))
     }
 
     /// Whether the request may be sent once more; that is charged to the budget of repeats.
--- a/crates/proxy/src/feed.rs
+++ b/crates/proxy/src/feed.rs
@@ -1,18 +1,18 @@
 //! What the agent on the machine feeds: configuration, servers, grants.
 
-use std::collections::HashMap;
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use dunelink_feed::{Change, FeedError, FeedReader, FeedState, Listed};
 use dunelink_protocol::hello::PROTOCOL_VERSION;
-use dunelink_protocol::{
-    ConfigurationChunk, FeedMessage, Hello, LinkKind, ProxyMessage, RosterOffset, RosterUpdate, ServerEntry,
-};
+use dunelink_protocol::{FeedMessage, Hello, LinkKind, ProxyMessage};
 use dunelink_routing::ServerInfo;
 use dunelink_runtime::{LinkError, LinkWriter, dial};
 use dunelink_settings::FleetConfig;
 use slog::{info, warn};
+use thiserror::Error;
 use tokio::time::{Instant, MissedTickBehavior};
 
 use crate::configuration::Configuration;
@@ -27,6 +27,20 @@
 /// How often the agent is told of demand and outcomes.
 const REPORT_EVERY: Duration = Duration::from_millis(150);
 
+/// Why a connection to the agent ended.
+#[derive(Debug, Error)]
+enum Ended {
+    /// It was lost.
+    #[error(transparent)]
+    Link(#[from] LinkError),
+    /// The agent broke the rules of the feed.
+    #[error(transparent)]
+    Feed(#[from] FeedError),
+    /// The agent's changes follow another roster than the one held.
+    #[error("the agent's changes follow another roster than the one held: the connection is opened anew")]
+    Gap,
+}
+
 /// Takes in what the agent feeds, for as long as it is polled.
 pub async fn run(node: Rc<Node>) {
     let mut intake = Intake::new(node.clone());
@@ -39,14 +53,14 @@
 }
 
 /// One connection to the agent, to its end.
-async fn follow(node: &Node, intake: &mut Intake) -> LinkError {
+async fn follow(node: &Node, intake: &mut Intake) -> Ended {
     match follow_to_end(node, intake).await {
         Ok(never) => match never {},
         Err(error) => error,
     }
 }
 
-async fn follow_to_end(node: &Node, intake: &mut Intake) -> Result<std::convert::Infallible, LinkError> {
+async fn follow_to_end(node: &Node, intake: &mut Intake) -> Result<Infallible, Ended> {
     let agent = SocketAddr::new(node.boot.ip, node.boot.agent_feed_port());
     let (mut reader, mut writer) = dial(agent, DIAL_WITHIN, SILENCE).await?;
     writer.write(&hello(node)).await?;
@@ -58,11 +72,11 @@
         tokio::select! {
             message = reader.read::<FeedMessage>() => {
                 heard = Instant::now();
-                intake.take(message?);
+                intake.take(message?)?;
             }
             _ = reports.tick() => {
                 if heard.elapsed() > SILENCE {
-                    return Err(LinkError::Silent(SILENCE));
+                    return Err(LinkError::Silent(SILENCE).into());
                 }
                 report(node, &mut writer).await?;
             }
@@ -84,77 +98,50 @@
     }
 }
 
-/// Assembles what comes in parts.
+/// What was fed, from one connection to the next.
 struct Intake {
     node: Rc<Node>,
-    configuration: Option<PartialConfiguration>,
-    roster: Roster,
-}
-
-/// The parts of a configuration that have come.
-struct PartialConfiguration {
-    version: u64,
-    total: u64,
-    bytes: Vec<u8>,
-}
-
-/// The servers as last fed.
-#[derive(Default)]
-struct Roster {
-    offset: Option<RosterOffset>,
-    servers: HashMap<String, Listed>,
-}
-
-/// A server, and until when it stays slow from its start.
-struct Listed {
-    entry: ServerEntry,
-    address: SocketAddr,
-    cold_until: Instant,
+    state: FeedState,
+    reader: FeedReader,
 }
 
 impl Intake {
     fn new(node: Rc<Node>) -> Self {
-        Self { node, configuration: None, roster: Roster::default() }
+        Self { node, state: FeedState::default(), reader: FeedReader::new() }
     }
 
-    /// A new connection begins with a whole configuration and a whole roster.
+    /// A new connection begins with a whole configuration and a whole roster; what is held already is left out.
     fn connected(&mut self) {
-        self.configuration = None;
+        self.reader = FeedReader::new();
     }
 
-    fn take(&mut self, message: FeedMessage) {
-        match message {
-            FeedMessage::Configuration(chunk) => self.take_chunk(chunk),
-            FeedMessage::Roster(update) => self.take_roster(update),
-            FeedMessage::Tick(tick) => self.node.tick(&tick),
-            FeedMessage::Grants(update) => self.node.apply_grants(&update),
-            FeedMessage::Members(_) | FeedMessage::Suspicions(_) => {}
-        }
-    }
-
-    fn take_chunk(&mut self, chunk: ConfigurationChunk) {
-        if chunk.version <= self.node.version() {
-            return;
-        }
-        if chunk.offset == 0 {
-            let (version, total) = (chunk.version, chunk.total_bytes);
-            self.configuration = Some(PartialConfiguration { version, total, bytes: Vec::new() });
-        }
-        let Some(partial) = &mut self.configuration else { return };
-        if partial.version != chunk.version || partial.bytes.len() as u64 != chunk.offset {
-            self.configuration = None;
-            return;
-        }
-        partial.bytes.extend_from_slice(&chunk.bytes);
-        if partial.bytes.len() as u64 >= partial.total
-            && let Some(whole) = self.configuration.take()
-        {
-            self.take_configuration(&whole);
+    fn take(&mut self, message: FeedMessage) -> Result<(), Ended> {
+        let now = self.node.clock.now();
+        match self.reader.take(&mut self.state, message, now)? {
+            Change::Nothing | Change::Members => {}
+            Change::Configuration => self.take_configuration(),
+            Change::Roster => self.node.set_servers(&self.servers(now)),
+            Change::Tick(tick) => self.node.tick(&tick),
+            Change::Grants => {
+                if let Some((update, _)) = self.state.grants.get() {
+                    self.node.apply_grants(update);
+                }
+            }
+            Change::Suspicions => {
+                if let Some((suspicions, _)) = self.state.suspicions.get() {
+                    self.node.suspect(suspicions);
+                }
+            }
+            Change::Resubscribe => return Err(Ended::Gap),
         }
+        Ok(())
     }
 
-    fn take_configuration(&self, whole: &PartialConfiguration) {
-        match FleetConfig::parse(&whole.bytes) {
+    /// Puts what was fed last in force. Its bytes are not kept.
+    fn take_configuration(&mut self) {
+        let Some(whole) = &mut self.state.configuration else { return };
+        let bytes = std::mem::take(&mut whole.bytes);
+        match FleetConfig::parse(&bytes) {
             Ok(fleet) => {
                 info!(self.node.log, "configuration in force"; "version" => fleet.version);
                 self.node.put_in_force(Configuration::new(fleet));
@@ -165,49 +152,21 @@
         }
     }
 
-    fn take_roster(&mut self, update: RosterUpdate) {
-        if self.roster.apply(update) {
-            self.node.set_servers(&self.roster.list());
-        }
-    }
-}
-
-impl Roster {
-    /// Applies a whole roster or changes; false if the changes do not follow on what is there.
-    fn apply(&mut self, update: RosterUpdate) -> bool {
-        match update.base {
-            None => self.servers.clear(),
-            base if base != self.offset => return false,
-            _ => {}
-        }
-        self.offset = Some(update.offset);
-        for id in &update.removed {
-            self.servers.remove(id);
-        }
-        for entry in update.changed {
-            let Ok(address) = entry.address.parse() else { continue };
-            let cold_until = Instant::now() + Duration::from_millis(entry.cold_remaining_ms);
-            self.servers.insert(entry.id.clone(), Listed { entry, address, cold_until });
-        }
-        true
-    }
-
-    fn list(&self) -> Vec<ServerInfo> {
-        let now = Instant::now();
-        self.servers.values().map(|listed| listed.info(now)).collect()
+    fn servers(&self, now: u64) -> Vec<ServerInfo> {
+        self.state.roster.servers().filter_map(|listed| server(listed, now)).collect()
     }
 }
 
-impl Listed {
-    fn info(&self, now: Instant) -> ServerInfo {
-        ServerInfo {
-            id: self.entry.id.clone(),
-            service: self.entry.service.clone(),
-            address: self.address,
-            zone: self.entry.zone.clone(),
-            slots: self.entry.slots,
-            ready: self.entry.ready,
-            cold_remaining_ms: self.cold_until.saturating_duration_since(now).as_millis() as u64,
-        }
-    }
+/// A server for the router; nothing if its address can't be read.
+fn server(listed: &Listed, now: u64) -> Option<ServerInfo> {
+    let entry = listed.entry_at(now);
+    Some(ServerInfo {
+        id: entry.id,
+        service: entry.service,
+        address: entry.address.parse().ok()?,
+        zone: entry.zone,
+        slots: entry.slots,
+        ready: entry.ready,
+        cold_remaining_ms: entry.cold_remaining_ms,
+    })
 }
--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -26,8 +26,6 @@
 pub const SWEEP: Duration = Duration::from_secs(1);
 /// Part of the time that clients may rest after which a connection is closed: clients keep below it.
 const IDLE_PART: f64 = 1.1;
-/// Rest that clients are given before there is a configuration.
-const IDLE_DEFAULT: Duration = Duration::from_secs(15);
 
 /// Listens at an address, also if connections to it linger from before a restart.
 ///
@@ -142,21 +140,24 @@
         }
     }
 
-    /// Ends connections that rest for too long, of clients and to servers, for as long as it is polled.
+    /// Ends connections on which nothing has come of a request for `rest`.
+    pub fn end_resting(&self, rest: Duration) {
+        let now = Instant::now();
+        self.connections.borrow().values().for_each(|connection| connection.end_resting(now, rest));
+    }
+
+    /// Ends connections that rest or take for too long, of clients and to servers, for as long as it is polled.
     pub async fn sweep(self: Rc<Self>) {
         loop {
             tokio::time::sleep(SWEEP).await;
             self.node.pool.sweep();
-            let most = match self.node.configuration() {
-                Some(configuration) => Duration::from_millis(configuration.fleet.limits.idle_timeout_ms),
-                None => IDLE_DEFAULT,
-            };
-            let most = most.mul_f64(IDLE_PART);
+            let limits = self.node.configuration().map(|configuration| configuration.fleet.limits.clone());
+            let limits = limits.unwrap_or_default();
+            let rest = Duration::from_millis(limits.idle_timeout_ms).mul_f64(IDLE_PART);
+            let head = Duration::from_millis(limits.header_timeout_ms);
             let now = Instant::now();
             for connection in self.connections.borrow().values() {
-                if connection.idle_since().is_some_and(|since| now.saturating_duration_since(since) > most) {
-                    connection.close();
-                }
+                connection.bound(now, rest, head);
             }
         }
     }
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -5,12 +5,11 @@
 use std::rc::Rc;
 
 use dunelink_grants::{QuotaBounds, QuotaGate, RetryBounds, RetryBudget};
-use dunelink_protocol::{GrantUpdate, ProxyReport, ServerObservation, Tick};
+use dunelink_protocol::{GrantUpdate, ProxyReport, ServerObservation, ServerSuspicion, Tick};
 use dunelink_routing::{Router, RouterSettings, ServerInfo};
 use dunelink_runtime::Clock;
 use dunelink_settings::Boot;
 use slog::Logger;
-use tokio::sync::Notify;
 
 use crate::configuration::Configuration;
 use crate::upstream::Pool;
@@ -41,8 +40,6 @@
     pub retries: RefCell<RetryBudget>,
     /// Connections to servers.
     pub pool: Rc<Pool>,
-    /// Notified when idle connections of clients are to end.
-    pub close_idle: Notify,
     configuration: RefCell<Option<Rc<Configuration>>>,
     confirmed: Cell<bool>,
     ready_servers: Cell<usize>,
@@ -76,7 +73,6 @@
             incarnation,
             retries: RefCell::new(RetryBudget::new(retry)),
             pool: Pool::new(servers),
-            close_idle: Notify::new(),
             configuration: RefCell::default(),
             confirmed: Cell::new(false),
             ready_servers: Cell::new(0),
@@ -144,11 +140,22 @@
         self.pool.set_nodes(update.nodes);
     }
 
-    /// Takes in a sign of life of the agent.
+    /// Takes over which servers other nodes find failing.
+    pub fn suspect(&self, suspicions: &[ServerSuspicion]) {
+        let now = self.clock.now();
+        let mut router = self.router.borrow_mut();
+        for suspicion in suspicions {
+            router.suspect(now, &suspicion.server, suspicion.failed_share);
+        }
+    }
+
+    /// Takes in a sign of life of the agent. A proof from before the process started says nothing of a version that
+    /// was committed since.
     pub fn tick(&self, tick: &Tick) {
         let version = self.version();
-        let current = tick.confirmed_age_ms < CONFIRMED_WITHIN_MS && tick.configuration_version <= version;
-        if current && version > 0 {
+        let own = self.clock.age().as_millis() as u64;
+        let proven = tick.confirmed_age_ms < CONFIRMED_WITHIN_MS.min(own.saturating_add(1));
+        if proven && tick.configuration_version <= version && version > 0 {
             self.confirmed.set(true);
         }
     }
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -15,9 +15,11 @@
 /// How often it is looked whether anything is in hand.
 const LOOK: Duration = Duration::from_millis(50);
 /// The process ends so long before it would be killed.
-const BEFORE_KILL: Duration = Duration::from_millis(500);
-/// Part of the grace in which new connections are taken: what comes by later ones may not end in time.
+const BEFORE_KILL: Duration = Duration::from_millis(400);
+/// Part of the grace in which new connections are taken, at most: what comes by later ones may not end in time.
 const OPEN_PART: f64 = 0.5;
+/// A connection rests for so long before it is ended: the first request of a new one may be on its way.
+const RESTS: Duration = Duration::from_millis(300);
 
 /// The signals that the process heeds.
 pub struct Signals {
@@ -47,19 +49,15 @@
     }
 }
 
-/// Waits until nothing is in hand, or the time for that is over. New connections are taken until nothing is in hand,
-/// half of the grace at most: the platform may have no other node for them. None is taken any more when the process
-/// ends, as it would be cut with the request on it.
+/// Waits until nothing is in hand, or the time for that is over. New connections are taken while the platform sends
+/// them, and none afterwards, as it would be cut with the request on it. What the kernel holds by then is taken too.
 pub async fn finish(node: &Rc<Node>, clients: &Clients) {
     let told = Instant::now();
     let grace = Duration::from_secs_f64(node.boot.bounds.grace_s);
     let last = told + grace.saturating_sub(BEFORE_KILL);
-    let open_until = last.min(told + grace.mul_f64(OPEN_PART));
+    let open_until = told + STILL_SENT.min(grace.mul_f64(OPEN_PART));
     info!(node.log, "told to end"; "in_hand" => node.in_hand());
-    tokio::time::sleep_until((told + STILL_SENT).min(open_until)).await;
-    while Instant::now() < open_until && !is_done(node, clients) {
-        tokio::time::sleep(LOOK).await;
-    }
+    tokio::time::sleep_until(open_until).await;
     clients.refuse_more().await;
     while Instant::now() < last && !is_done(node, clients) {
         tokio::time::sleep(LOOK).await;
@@ -69,6 +67,6 @@
 
 /// Whether no connection of a client is left; those without a request are told to end.
 fn is_done(node: &Node, clients: &Clients) -> bool {
-    node.close_idle.notify_waiters();
+    clients.end_resting(RESTS);
     node.in_hand() == 0 && clients.count() == 0
 }
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -11,19 +11,43 @@
 use http::header::{self, HeaderMap};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 /// The heads of the requests on a connection as they stood on the wire.
 #[derive(Debug, Clone, Default)]
-pub struct Heads(Rc<RefCell<Scanner>>);
+pub struct Heads(Rc<RefCell<Followed>>);
+
+#[derive(Debug, Default)]
+struct Followed {
+    scanner: Scanner,
+    /// Since when a part of a request is there, if the rest is not.
+    partial_since: Option<Instant>,
+}
+
+impl Followed {
+    fn take(&mut self, bytes: &[u8]) {
+        self.scanner.take(bytes);
+        if !self.scanner.has_begun() {
+            self.partial_since = None;
+        } else if self.partial_since.is_none() {
+            self.partial_since = Some(Instant::now());
+        }
+    }
+}
 
 impl Heads {
+    /// Since when a part of a request is there, if the rest is not. Bodies in chunks are not followed.
+    pub fn partial_since(&self) -> Option<Instant> {
+        self.0.borrow().partial_since
+    }
+
     /// Whether the request that was just handed over ends where hyper says.
     ///
     /// # Errors
     ///
     /// It states its end in two ways, or it comes in chunks and its head could not be followed.
     pub fn check(&self, headers: &HeaderMap) -> Result<(), Fault> {
-        match self.0.borrow_mut().next_head() {
+        match self.0.borrow_mut().scanner.next_head() {
             Some(head) => head.check(),
             None if headers.contains_key(header::TRANSFER_ENCODING) => Err(Fault::TwoFramings),
             None => Ok(()),
@@ -32,7 +56,7 @@
 
     /// The body in chunks of the request at hand has come whole: what comes next is a head.
     pub fn end_chunks(&self) {
-        *self.0.borrow_mut() = Scanner::default();
+        *self.0.borrow_mut() = Followed::default();
     }
 }
 
@@ -43,10 +67,9 @@
 }
 
 impl ClientSocket {
-    /// Follows the heads that come.
-    pub fn new(stream: TcpStream) -> (Self, Heads) {
-        let heads = Heads::default();
-        (Self { stream, heads: heads.clone() }, heads)
+    /// Follows the heads that come, in `heads`.
+    pub fn new(stream: TcpStream, heads: Heads) -> Self {
+        Self { stream, heads }
     }
 }
 
--- a/crates/proxy/src/table.rs
+++ b/crates/proxy/src/table.rs
@@ -13,15 +13,18 @@
 use crate::answer::Reply;
 
 /// When a client may come back after a server turned its request down and no other could be tried.
-const AFTER_REJECTION: Duration = Duration::from_millis(200);
+const AFTER_REJECTION: Duration = Duration::from_millis(300);
 
-/// The first configuration is expected within this time from the start, also when all programs of the fleet have
-/// started at once: the control machines elect their leader, then feed all.
-const CONFIGURED_WITHIN: Duration = Duration::from_millis(1_000);
+/// Requests should be let pass within this time from the start, also when all programs of the fleet have started at
+/// once: the control machines, which may start later, elect their leader, feed all, and issue the first grants.
+const CONFIGURED_WITHIN: Duration = Duration::from_millis(1_500);
 
 /// When a client may come back at the soonest while there is no configuration.
 const AFTER_UNCONFIGURED: Duration = Duration::from_millis(300);
 
+/// Times to come back differ by up to this part, so that clients that were refused together do not come together.
+const SPREAD: f64 = 0.15;
+
 /// Clients heed a time to come back up to a third of the time that they have left.
 const HEEDED_PART: f64 = 0.3;
 
@@ -49,6 +52,14 @@
         Self::NotRun { retry_after: CONFIGURED_WITHIN.saturating_sub(age).max(AFTER_UNCONFIGURED) }
     }
 
+    /// With a time to come back that differs from one client to the next.
+    pub fn spread(self) -> Self {
+        match self {
+            Self::NotRun { retry_after } => Self::NotRun { retry_after: spread(retry_after) },
+            how => how,
+        }
+    }
+
     /// With a time to come back that a client with `left` before its deadline heeds.
     pub fn within(self, left: Duration) -> Self {
         match self {
@@ -70,3 +81,8 @@
         }
     }
 }
+
+/// A time to come back, a little shorter or longer.
+pub fn spread(retry_after: Duration) -> Duration {
+    retry_after.mul_f64(1.0 + SPREAD * (2.0 * fastrand::f64() - 1.0))
+}
--- a/crates/proxy/tests/common/agent.rs
+++ b/crates/proxy/tests/common/agent.rs
@@ -5,7 +5,7 @@
     ConfigurationChunk, FeedMessage, GrantUpdate, Hello, ProxyMessage, ProxyReport, RosterOffset,
     RosterUpdate, ServerEntry, Tick, decode, encode,
 };
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -18,6 +18,8 @@
     messages: UnboundedSender<FeedMessage>,
     pub(crate) reports: Rc<RefCell<Vec<ProxyReport>>>,
     pub(crate) hellos: Rc<RefCell<Vec<Hello>>>,
+    /// Position of the roster fed last.
+    sequence: Cell<u64>,
 }
 
 impl Agent {
@@ -26,7 +28,7 @@
         let port = listener.local_addr().unwrap().port();
         let (messages, mut queue) = unbounded_channel::<FeedMessage>();
         let (reports, hellos) = (Rc::default(), Rc::default());
-        let agent = Self { port, messages, reports, hellos };
+        let agent = Self { port, messages, reports, hellos, sequence: Cell::new(0) };
         let (reports, hellos) = (agent.reports.clone(), agent.hellos.clone());
         tokio::task::spawn_local(async move {
             loop {
@@ -82,9 +84,16 @@
         self.list(servers.iter().map(|server| server.entry()).collect());
     }
 
+    /// Feeds a whole roster, newer than the one before.
     pub(crate) fn list(&self, changed: Vec<ServerEntry>) {
-        let offset = RosterOffset { epoch: 1, sequence: 0 };
-        let update = RosterUpdate { base: None, offset, changed, removed: Vec::new() };
+        self.sequence.set(self.sequence.get() + 1);
+        self.list_at(self.sequence.get(), None, changed);
+    }
+
+    /// Feeds a roster at a position: a whole one, or changes since the position `base`.
+    pub(crate) fn list_at(&self, sequence: u64, base: Option<u64>, changed: Vec<ServerEntry>) {
+        let at = |sequence| RosterOffset { epoch: 1, sequence };
+        let update = RosterUpdate { base: base.map(at), offset: at(sequence), changed, removed: Vec::new() };
         self.send(FeedMessage::Roster(update));
     }
 
--- a/crates/proxy/tests/common/client.rs
+++ b/crates/proxy/tests/common/client.rs
@@ -28,6 +28,12 @@
     }
 }
 
+fn request(path: &str, id: &str, fields: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Dunelink-Request-Id: {id}\r\nX-Dunelink-Deadline-Ms: 3000\r\n{fields}Content-Length: 4\r\n\r\nbody"
+    )
+}
+
 impl Client {
     pub(crate) async fn connect(address: SocketAddr) -> Self {
         let stream = TcpStream::connect(address).await.unwrap();
@@ -35,6 +41,12 @@
         Self { stream, buffer: Vec::new() }
     }
 
+    /// A connection, if one is taken.
+    pub(crate) async fn connect_if_taken(address: SocketAddr) -> Option<Self> {
+        let stream = TcpStream::connect(address).await.ok()?;
+        Some(Self { stream, buffer: Vec::new() })
+    }
+
     pub(crate) async fn send(&mut self, text: &str) {
         self.stream.write_all(text.as_bytes()).await.unwrap();
     }
@@ -45,10 +57,22 @@
     }
 
     pub(crate) async fn ask_with(&mut self, path: &str, id: &str, fields: &str) {
-        let text = format!(
-            "POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Dunelink-Request-Id: {id}\r\nX-Dunelink-Deadline-Ms: 3000\r\n{fields}Content-Length: 4\r\n\r\nbody"
-        );
-        self.send(&text).await;
+        self.send(&request(path, id, fields)).await;
+    }
+
+    /// Sends a request, if the connection still stands.
+    pub(crate) async fn try_ask(&mut self, path: &str, id: &str) -> bool {
+        self.stream.write_all(request(path, id, "").as_bytes()).await.is_ok()
+    }
+
+    /// Reads a whole answer; nothing if the connection ends before it.
+    pub(crate) async fn answer_if_any(&mut self) -> Option<Answer> {
+        while self.buffer.is_empty() {
+            if !self.fill().await {
+                return None;
+            }
+        }
+        Some(self.answer().await)
     }
 
     /// Asks and reads the whole answer.
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -136,6 +136,11 @@
         Client::connect(self.front).await
     }
 
+    /// A new connection of a client, if one is taken.
+    pub(crate) async fn client_if_taken(&self) -> Option<Client> {
+        Client::connect_if_taken(self.front).await
+    }
+
     /// Whether a client can connect.
     pub(crate) async fn accepts(&self) -> bool {
         tokio::net::TcpStream::connect(self.front).await.is_ok()
--- a/crates/proxy/tests/ending.rs
+++ b/crates/proxy/tests/ending.rs
@@ -64,3 +64,48 @@
         assert!(!system.accepts().await, "nobody is left to answer a request on a connection taken now");
     });
 }
+
+/// Connects and asks until nobody listens any more; gives how many answers came whole.
+async fn ask_until_refused(system: &System, number: usize) -> usize {
+    let mut answered = 0;
+    while let Some(mut client) = system.client_if_taken().await {
+        let id = format!("c{number}-{answered}");
+        // A connection that is closed before its request was read lost nothing.
+        if !client.try_ask("/safe/x", &id).await {
+            continue;
+        }
+        if let Some(answer) = client.answer_if_any().await {
+            assert!(answer.complete && answer.status == 200, "{answer:?}");
+            answered += 1;
+        }
+    }
+    answered
+}
+
+#[test]
+fn clients_that_keep_connecting_do_not_keep_the_process_and_lose_nothing() {
+    run(async {
+        let one = Server::start("i-1", |_, _| answer(200, "", "fine")).await;
+        let system = System::with(&[&one]).await;
+        let began = tokio::time::Instant::now();
+        let asking = async {
+            let all: [usize; 4] = std::array::from_fn(|number| number);
+            let [a, b, c, d] = all.map(|number| ask_until_refused(&system, number));
+            let (a, b, c, d) = tokio::join!(a, b, c, d);
+            a + b + c + d
+        };
+        let (in_hand, answered) = tokio::join!(
+            async {
+                system.finish().await;
+                (system.node.in_hand(), system.clients.count())
+            },
+            asking
+        );
+        assert_eq!(in_hand, (0, 0));
+        // What a server got was answered.
+        assert_eq!(one.count(), answered);
+        // The grace is four seconds; clients were sent for half of it.
+        let took = began.elapsed();
+        assert!(took < std::time::Duration::from_millis(3_600), "{took:?}");
+    });
+}
--- a/crates/proxy/tests/requests.rs
+++ b/crates/proxy/tests/requests.rs
@@ -156,3 +156,40 @@
         until(|| system.agent.reports.borrow().iter().any(|report| !report.demand.is_empty())).await;
     });
 }
+
+/// A configuration whose service runs a model, if `engine` says so, and whose tenants have these priorities.
+fn ranked(version: u64, engine: bool, tenants: [u32; 2]) -> String {
+    let tenants = [("acme", "k1", tenants[0]), ("blue", "k2", tenants[1])];
+    let tenants = tenants.map(|(name, key, priority)| {
+        format!(r#"{{"name":"{name}","apiKeys":["{key}"],"priority":{priority}}}"#)
+    });
+    let plain = configuration(version, &routes(), &tenants.join(","));
+    let with = r#""maxConns":64,"engine":{"slots":8,"kvTokens":1000,"stride":6,"models":[{"name":"m"}]}"#;
+    if engine { plain.replace(r#""maxConns":64"#, with) } else { plain }
+}
+
+#[test]
+fn model_servers_are_told_how_urgent_a_request_is_where_requests_differ() {
+    run(async {
+        let one = Server::start("i-1", |_, _| answer(200, "", "fine")).await;
+        let system = System::with(&[&one]).await;
+        let node = system.node.clone();
+        // Routes have priority 0, which stands for no tenant here.
+        let told = [
+            (ranked(2, true, [3, 12]), [Some("3"), Some("9")]),
+            (ranked(3, true, [0, 0]), [None, None]),
+            (ranked(4, false, [3, 12]), [None, None]),
+        ];
+        for (number, (configuration, told)) in told.into_iter().enumerate() {
+            system.agent.configure(&configuration);
+            until(|| node.version() == number as u64 + 2).await;
+            for (key, told) in ["k1", "k2"].into_iter().zip(told) {
+                let mut client = system.client().await;
+                client.ask_with("/safe/x", "a1", &format!("Authorization: Bearer {key}\r\n")).await;
+                assert_eq!(client.answer().await.status, 200);
+                let received = one.received.borrow().last().cloned().unwrap();
+                assert_eq!(received.header("priority"), told, "{number}, {key}");
+            }
+        }
+    });
+}
--- a/crates/proxy/tests/silence.rs
+++ b/crates/proxy/tests/silence.rs
@@ -76,3 +76,50 @@
         assert_eq!(client.chunk().await.unwrap(), "");
     });
 }
+
+/// Longer than the configuration gives for a head.
+const HEAD_PAUSE: std::time::Duration = std::time::Duration::from_millis(1_800);
+
+#[test]
+fn half_a_head_is_not_waited_for_and_rests_are() {
+    run(async {
+        let one = Server::start("i-1", |_, _| answer(200, "", "fine")).await;
+        let system = System::with(&[&one]).await;
+        let (mut half, mut fresh) = (system.client().await, system.client().await);
+        half.send("POST /once/x HTTP/1.1\r\nHost: h.exa").await;
+        // The head of a second request counts as the first one does.
+        let mut second = system.client().await;
+        assert_eq!(second.call("/once/x", "a1").await.status, 200);
+        second.send("POST /onc").await;
+        let mut kept = system.client().await;
+        assert_eq!(kept.call("/once/x", "a2").await.status, 200);
+        let over = tokio::time::Instant::now() + HEAD_PAUSE;
+        assert!(half.is_closed().await && second.is_closed().await);
+        until(|| tokio::time::Instant::now() > over).await;
+        // Those without a part of a head may rest for longer.
+        assert_eq!(fresh.call("/once/x", "a3").await.status, 200);
+        assert_eq!(kept.call("/once/x", "a4").await.status, 200);
+        assert_eq!(one.count(), 4);
+    });
+}
+
+#[test]
+fn a_head_in_pieces_that_is_whole_in_time_is_served() {
+    run(async {
+        let one = Server::start("i-1", |_, _| answer(200, "", "fine")).await;
+        let system = System::with(&[&one]).await;
+        let mut client = system.client().await;
+        for number in 0..20 {
+            client
+                .send(&format!(
+                    "POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Dunelink-Request-Id: b{number}\r\nCont"
+                ))
+                .await;
+            tokio::task::yield_now().await;
+            client.send("ent-Length: 4\r\n\r\nbo").await;
+            tokio::task::yield_now().await;
+            client.send("dy").await;
+            assert_eq!(client.answer().await.status, 200);
+        }
+    });
+}
--- a/crates/routing/src/choose.rs
+++ b/crates/routing/src/choose.rs
@@ -252,7 +252,8 @@
         let anew_us = speed.prefill_ms(anew) * 1_000.0 * READ_ANEW;
         let mut cost = first_us.saturating_add(bias.more).saturating_add(anew_us as Micros);
         cost += silence(query.now, server).saturating_mul(SILENCE_COST);
-        cost += (query.request.target_latency as f64 * server.health.failing() * FAILING_COST) as Micros;
+        cost +=
+            (query.request.target_latency as f64 * server.health.failing(query.now) * FAILING_COST) as Micros;
         if estimate.memory_full {
             cost += MEMORY_FULL_US;
         }
--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -23,6 +23,8 @@
 const FULL_FOR: Micros = 40_000;
 /// The longest such time.
 const FULL_MOST: Micros = 640_000;
+/// How long a word of other processes stands if it is not renewed.
+const SUSPECTED_FOR: Micros = 3_000_000;
 
 /// What is known of one server's failures.
 #[derive(Clone, Copy, Debug, Default)]
@@ -38,6 +40,9 @@
     probe: Option<AttemptId>,
     full_until: Micros,
     full_in_row: u32,
+    /// The failing part of what other processes saw, and until when that stands.
+    suspected: f64,
+    suspected_until: Micros,
 }
 
 impl Health {
@@ -66,9 +71,16 @@
         self.full_until
     }
 
-    /// The failing part of its recent answers; few answers say little.
-    pub(crate) fn failing(&self) -> f64 {
-        self.failing * self.answers / (self.answers + FAILING_FROM)
+    /// The failing part of its recent answers, by what this process or others saw; few answers say little.
+    pub(crate) fn failing(&self, now: Micros) -> f64 {
+        let own = self.failing * self.answers / (self.answers + FAILING_FROM);
+        if now < self.suspected_until { own.max(self.suspected) } else { own }
+    }
+
+    /// Takes in what other processes saw: the failing part of its answers.
+    pub(crate) fn suspect(&mut self, now: Micros, failed_share: f64) {
+        self.suspected = failed_share;
+        self.suspected_until = now + SUSPECTED_FOR;
     }
 
     /// Notes that a request is sent; it probes a server whose cool-down has passed.
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -221,6 +221,16 @@
         }
     }
 
+    /// Takes in that other processes find a server failing: the failing part of its answers, 0 to 1. For three seconds
+    /// it counts as if this process had seen that; it is compared by it, and never ejected for it. A server that is
+    /// not listed is left out.
+    pub fn suspect(&mut self, now: Micros, server: &str, failed_share: f32) {
+        let share = if failed_share.is_finite() { f64::from(failed_share.clamp(0.0, 1.0)) } else { 0.0 };
+        if let Some(server) = self.servers.by_id_mut(server) {
+            server.health.suspect(now, share);
+        }
+    }
+
     /// Ejects a server, unless half of its service would then be ejected.
     pub(crate) fn eject(&mut self, now: Micros, handle: ServerHandle) {
         let Some(server) = self.servers.get(handle) else { return };
--- a/crates/routing/src/servers.rs
+++ b/crates/routing/src/servers.rs
@@ -61,6 +61,12 @@
         }
     }
 
+    /// The server of this id, if it is listed.
+    pub(crate) fn by_id_mut(&mut self, id: &str) -> Option<&mut Server> {
+        let place = *self.by_id.get(id)?;
+        self.at_mut(place)
+    }
+
     pub(crate) fn at(&self, place: u32) -> Option<&Server> {
         self.places.get(place as usize)?.server.as_ref()
     }
--- a/crates/routing/tests/health.rs
+++ b/crates/routing/tests/health.rs
@@ -155,3 +155,44 @@
         (0..50).map(|at| served(&mut router, 6 * S + at * S, &plain())).collect();
     assert_eq!(seen.len(), 2);
 }
+
+/// How many of 200 requests of different prompts go to this server at `now`.
+fn share(router: &mut Router, now: Micros, id: &str) -> usize {
+    let mut at = 0;
+    for own in 0..200 {
+        let parts = prompt(own, own);
+        at += usize::from(served(router, now, &request(&parts)) == id);
+    }
+    at
+}
+
+#[test]
+fn a_server_that_others_find_failing_gets_less_for_three_seconds() {
+    let list = servers("llm", 4);
+    let usual = share(&mut router(1, &list), S, &list[0].id);
+    let mut router = router(1, &list);
+    router.suspect(0, &list[0].id, 1.0);
+    // Others are not listed any more, and a share may be none.
+    router.suspect(0, "i-gone", 1.0);
+    router.suspect(0, &list[1].id, f32::NAN);
+    let suspected = share(&mut router, S, &list[0].id);
+    assert!(usual > 20 && suspected * 4 < usual, "{suspected} of {usual}");
+    assert_eq!(ejected(&router, S), 0);
+    let renewed = 2 * S;
+    router.suspect(renewed, &list[0].id, 1.0);
+    assert!(share(&mut router, renewed + 2 * S, &list[0].id) * 4 < usual);
+    let after = share(&mut router, renewed + 3 * S, &list[0].id);
+    assert!(after * 2 > usual, "{after} of {usual}");
+}
+
+#[test]
+fn suspicion_of_all_servers_keeps_nobody_away() {
+    let list = servers("llm", 3);
+    let mut router = router(1, &list);
+    list.iter().for_each(|server| router.suspect(0, &server.id, 1.0));
+    for own in 0..50 {
+        let parts = prompt(own, own);
+        served(&mut router, S, &request(&parts));
+    }
+    assert_eq!(ejected(&router, S), 0);
+}
