Failing servers are named again each second while they fail

Cause: control told of them only when the list changed, and proxies forget them after 3 s. Ruled out: the agent (it passes on each message). Change: reports::Pool repeats a list that isn't empty after 1 s.

--- a/crates/cherryusher/src/labels.rs
+++ b/crates/cherryusher/src/labels.rs
@@ -1,5 +1,5 @@
-//! The labelling rule of the design: a tenant's hash names a label, and each label in turn claims the servers that
-//! rank highest for it. Every node derives the same labelling from the same list.
+//! The labelling rule of the design: a tenant's hash names a label, and each label in turn claims the servers
+//! that rank highest for it. Every node derives the same labelling from the same list.
 
 use std::cmp::Reverse;
 
--- a/crates/control/src/reports.rs
+++ b/crates/control/src/reports.rs
@@ -12,6 +12,8 @@
 const MAX_SERVERS: usize = 8_192;
 /// Length of the window of pooled outcomes, in microseconds.
 const WINDOW: u64 = 5_000_000;
+/// Time after which the same servers are named again, in microseconds.
+const REPEAT_EVERY: u64 = 1_000_000;
 /// Nodes that have to report failures before a server is named.
 const MIN_REPORTERS: usize = 2;
 /// Failed part of the requests from which a server is named.
@@ -63,6 +65,7 @@
 pub struct Pool {
     servers: BTreeMap<String, BTreeMap<String, VecDeque<Sample>>>,
     told: Vec<ServerSuspicion>,
+    told_at: u64,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -81,15 +84,18 @@
         }
     }
 
-    /// The servers that several nodes find failing, if they are others than last time.
+    /// The servers that several nodes find failing, if they are others than last time or were told a while ago: those
+    /// that hear of them forget them when they aren't repeated.
     pub fn changed(&mut self, now: u64) -> Option<Vec<ServerSuspicion>> {
         self.forget(now.saturating_sub(WINDOW));
         let suspicions: Vec<_> =
             self.servers.iter().filter_map(|(server, nodes)| suspicion(server, nodes)).collect();
-        if suspicions == self.told {
+        let is_due = !suspicions.is_empty() && now >= self.told_at + REPEAT_EVERY;
+        if suspicions == self.told && !is_due {
             return None;
         }
         self.told.clone_from(&suspicions);
+        self.told_at = now;
         Some(suspicions)
     }
 
--- a/crates/control/tests/cluster/checks.rs
+++ b/crates/control/tests/cluster/checks.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use dunelink_control::node::Node;
+use dunelink_replication::{Replica, ReplicaId};
 
 /// An order as its operator sees it: the base and the body.
 pub(crate) type OrderKey = (u64, Bytes);
@@ -19,6 +20,8 @@
     pub(crate) floor: u64,
     /// When it rose, with the version.
     rises: Vec<(u64, u64)>,
+    /// Who led in each term.
+    leaders: HashMap<u64, ReplicaId>,
     acknowledged: HashMap<OrderKey, u64>,
     /// Orders that came into force.
     taken: HashSet<OrderKey>,
@@ -54,6 +57,14 @@
         self.taken.insert(key);
     }
 
+    /// At most one replica leads in a term.
+    pub(crate) fn leader(&mut self, replica: &Replica) {
+        if let Some(leader) = replica.leader().filter(|_| replica.is_leader()) {
+            let known = *self.leaders.entry(replica.term()).or_insert(leader.id);
+            assert_eq!(known, leader.id, "two lead in term {}", replica.term());
+        }
+    }
+
     /// What a holder of the lease has in force.
     pub(crate) fn holder(&self, number: usize, version: u64) {
         assert!(
--- a/crates/control/tests/cluster/mistake.rs
+++ b/crates/control/tests/cluster/mistake.rs
@@ -7,6 +7,12 @@
     CountedBeforeSync,
     /// Syncs of files do nothing.
     FilesNotSynced,
+    /// Syncs of the folder do nothing.
+    FolderNotSynced,
+    /// Messages for another identity at the same address are taken in.
+    IdentityIgnored,
+    /// The clock is read before a stop of the process and used after it.
+    ClockReadBeforeStop,
     /// A failed write is reported as durable.
     FailureCountedAsWritten,
     /// Term and vote are not kept.
@@ -21,6 +27,6 @@
     ReadWithoutLease,
     /// An order that was taken is refused when it is sent again.
     RetryRefused,
-    /// The feed shows what is not committed yet.
+    /// An order is said to be taken because a version as high is in force.
     RetryAnsweredBlindly,
 }
--- a/crates/control/tests/cluster/mod.rs
+++ b/crates/control/tests/cluster/mod.rs
@@ -2,6 +2,8 @@
 //!
 //! One seed decides everything, so that it replays a run.
 
+mod calls;
+mod carrying;
 mod checks;
 mod disk;
 mod faults;
