--- a/crates/control/src/feed_server.rs
+++ b/crates/control/src/feed_server.rs
@@ -147,6 +147,8 @@
             let large = matches!(message, FeedMessage::Configuration(_) | FeedMessage::Roster(_));
             note_sent(door, &message);
             self.writer.queue(&message);
+            // A reader that is slow costs the bytes only, not the whole roster beside them.
+            drop(message);
             if large {
                 self.flush().await?;
             }
--- a/crates/grants/src/allocator.rs
+++ b/crates/grants/src/allocator.rs
@@ -4,7 +4,7 @@
 //! What is issued is told as a *ceiling* on the sum that a node has let pass since its start, so that a grant that is
 //! lost, late or repeated does no harm.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use dunelink_protocol::{GrantUpdate, TenantDemand, TenantGrant};
 
@@ -120,13 +120,19 @@
         let nodes = self.nodes.len() as u32;
         let limited: Vec<_> = quotas.iter().filter(|quota| quota.rate_per_s > 0.0).collect();
         let mut tenants: BTreeMap<String, Vec<TenantGrant>> = BTreeMap::new();
+        let any_silent = self.nodes.values().any(|node| node.is_silent(now));
+        let known = self.known_tenants();
         for quota in &limited {
-            self.fill(now, quota);
+            self.fill(now, quota, any_silent);
+            if !known.contains(&quota.name) {
+                continue;
+            }
             for (node, grant) in self.issue(now, quota) {
                 tenants.entry(node).or_default().push(grant);
             }
         }
-        self.buckets.retain(|name, _| limited.iter().any(|quota| quota.name == *name));
+        let names: BTreeSet<&str> = limited.iter().map(|quota| quota.name.as_str()).collect();
+        self.buckets.retain(|name, _| names.contains(name.as_str()));
         let in_touch = self.nodes.iter().filter(|(_, node)| !node.is_silent(now));
         in_touch
             .map(|(name, _)| {
@@ -136,6 +142,17 @@
             .collect()
     }
 
+    /// Tenants that a node has told of.
+    fn known_tenants(&self) -> BTreeSet<String> {
+        let mut known = BTreeSet::new();
+        for name in self.nodes.values().flat_map(|node| node.accounts.keys()) {
+            if !known.contains(name) {
+                known.insert(name.clone());
+            }
+        }
+        known
+    }
+
     /// Nodes that were silent for long count no more; what was issued to one whose grants have run out is void.
     fn forget_silent(&mut self, now: Micros) {
         self.nodes.retain(|_, node| node.reported_at + COUNTED_FOR > now);
@@ -150,10 +167,12 @@
     }
 
     /// Fills a tenant's bucket with what its rate leaves beside the floors of silent nodes.
-    fn fill(&mut self, now: Micros, quota: &TenantQuota) {
+    fn fill(&mut self, now: Micros, quota: &TenantQuota, any_silent: bool) {
         let depth = self.bounds.depth(quota);
         let floor = FLOOR_PART * quota.rate_per_s / self.nodes.len().max(1) as f64;
-        let silent = self.nodes.values().filter(|node| node.is_silent(now));
+        // Almost always none is silent: then no node is looked at for each tenant.
+        let looked_at = if any_silent { self.nodes.len() } else { 0 };
+        let silent = self.nodes.values().take(looked_at).filter(|node| node.is_silent(now));
         let set_aside: f64 = silent.map(|node| node.set_aside(now, quota, floor)).sum();
         let begin = || Bucket { level: depth * FILLED_AT_START, filled_at: now };
         let bucket = self.buckets.entry(quota.name.clone()).or_insert_with(begin);
