Nodes with few requests of a tenant pass a share of them beyond their ceilings

Change: nothing is issued ahead to such nodes; the leader tells which share of the requests may pass beyond the ceiling, from the bucket's level and the demand; without new grants for 400 ms no more passes than is spare.

--- a/crates/agent/tests/feed_to_proxy.rs
+++ b/crates/agent/tests/feed_to_proxy.rs
@@ -112,7 +112,9 @@
         rate_per_s: 5.0,
         ceiling: 9.0,
         overdraft: 2.0,
+        spare: 2.0,
         incarnation: 1,
+        pass_share: 0.5,
     }];
     let grants = GrantUpdate { valid_ms: 60_000, nodes: 2, configuration_version: 1, tenants };
     served.send(FeedMessage::Grants(grants.clone())).await;
--- a/crates/control/examples/scale/node_costs.rs
+++ b/crates/control/examples/scale/node_costs.rs
@@ -42,8 +42,10 @@
         tenant: quota.name.clone(),
         ceiling: 1_000.0,
         overdraft: 0.0,
+        spare: 0.0,
         rate_per_s: 350.0,
         incarnation: 7,
+        pass_share: 1.0,
     };
     let tenants = quotas.iter().take(active).map(grant).collect();
     GrantUpdate { valid_ms: 1_500, nodes: 450, configuration_version: 1, tenants }
--- a/crates/grants/src/allocator.rs
+++ b/crates/grants/src/allocator.rs
@@ -24,13 +24,15 @@
 const COUNTED_FOR: Micros = 30 * 1_000 * MILLISECOND;
 /// What is issued ahead to a node, in seconds of its demand.
 const AHEAD_S: f64 = 0.5;
+/// Requests by which a node may exceed its ceiling while less than one is issued to it ahead: chance brings several
+/// between two reports.
+const SPARSE_REQUESTS: f64 = 3.0;
 /// Part of the bucket's level by which all nodes together may exceed their ceilings.
 const OVERDRAFT_PART: f64 = 0.8;
-/// With so many nodes that a request each is more than that, they may exceed their ceilings by one if this many seconds
-/// of the tenant's demand are: what it may send, at many times its usual, until all have heard that it is held.
-const OVERDRAFT_S: f64 = 1.5;
-/// The same in seconds of the tenant's rate: more than that is not sent within the time in which all hear of it.
-const OVERDRAFT_MOST_S: f64 = 3.0;
+/// In how many seconds a bucket's debt is paid back: short, as the demand told lags behind one that rises.
+const DEBT_TIME_S: f64 = 0.4;
+/// In how many seconds a bucket's level is spent by what passes beyond ceilings.
+const LEVEL_TIME_S: f64 = 2.0;
 /// Part of the bucket's depth that may be out at nodes, issued and not used: the rest is for those that ask next.
 const SAVED_PART: f64 = 1.0;
 /// Part of the bucket that a new leader, which doesn't know what passed before, begins with.
@@ -192,9 +194,10 @@
         let largest = accounts.iter().map(|(_, account)| account.request_units).fold(0.0, f64::max);
         let spare = bucket.level * OVERDRAFT_PART;
         let spare_each = spare / accounts.len().max(1) as f64;
-        let at_once = (demand * OVERDRAFT_S).min(quota.rate_per_s * OVERDRAFT_MOST_S);
-        let is_open = spare_each >= largest || at_once <= spare;
-        let lacking: f64 = accounts.iter().map(|(_, account)| account.lacks(is_open, spare_each)).sum();
+        let is_plenty = spare_each >= largest;
+        let pass_share = if is_plenty { 1.0 } else { pass_share(quota.rate_per_s, spare, demand) };
+
+        let lacking: f64 = accounts.iter().map(|(_, account)| account.lacks(is_plenty, spare_each)).sum();
         let unused: f64 = accounts.iter().map(|(_, account)| account.unused()).sum();
         let mut budget = (depth * SAVED_PART - unused).min(bucket.level).max(0.0);
         let part = if lacking > 0.0 { (budget / lacking).min(1.0) } else { 0.0 };
@@ -203,7 +206,7 @@
         let turn = self.turn % accounts.len().max(1);
         accounts.rotate_left(turn);
         let grants = accounts.iter_mut().map(|(name, account)| {
-            let lacks = account.lacks(is_open, spare_each);
+            let lacks = account.lacks(is_plenty, spare_each);
             let issued = lacks.min((lacks * part).max(account.request_units)).min(budget);
             budget -= issued;
             bucket.level -= issued;
@@ -212,9 +215,11 @@
             let grant = TenantGrant {
                 tenant: quota.name.clone(),
                 ceiling: account.ceiling,
-                overdraft: if is_open { Account::overdraft(spare_each, largest) } else { 0.0 },
+                overdraft: account.overdraft(pass_share, spare_each, largest),
                 rate_per_s: account.granted_rate,
                 incarnation: account.incarnation,
+                pass_share,
+                spare: spare_each.max(0.0),
             };
             (name.clone(), grant)
         });
@@ -254,29 +259,43 @@
         (self.ceiling - self.passed).max(0.0)
     }
 
-    /// Units by which a node may exceed its ceiling: its part of what is there, and a request at least.
-    fn overdraft(spare_each: f64, largest: f64) -> f64 {
-        spare_each.max(largest)
+    /// Whether less than a request would be issued to it ahead. Whole requests issued to many such nodes would wait at
+    /// some for what others ask, so they go beyond their ceilings instead.
+    fn is_sparse(&self) -> bool {
+        self.rate_per_s * AHEAD_S < self.request_units
+    }
+
+    /// Units by which a node may exceed its ceiling.
+    fn overdraft(&self, pass_share: f64, spare_each: f64, largest: f64) -> f64 {
+        match (self.is_sparse(), pass_share >= 1.0) {
+            (true, _) => spare_each.max(largest * SPARSE_REQUESTS),
+            (false, true) => spare_each.max(largest),
+            (false, false) => 0.0,
+        }
     }
 
-    /// Units to be issued. A node that may exceed its ceiling by a request needs nothing for a demand below that, unless
-    /// there is enough for all; one that may not saves up for a whole request.
-    fn lacks(&self, is_open: bool, spare_each: f64) -> f64 {
+    /// Units to be issued. `is_plenty` says that the bucket holds a request for each node beyond what was issued, and
+    /// `spare_each` how much that is.
+    fn lacks(&self, is_plenty: bool, spare_each: f64) -> f64 {
         if self.rate_per_s <= 0.0 {
             return 0.0;
         }
-        let ahead = self.rate_per_s * AHEAD_S;
-        let wanted = match is_open {
-            true if ahead < self.request_units => {
-                (spare_each - self.request_units).clamp(0.0, self.request_units)
-            }
-            true => ahead,
-            false => ahead.max(self.request_units),
+        let wanted = match (self.is_sparse(), is_plenty) {
+            (true, true) => (spare_each - self.request_units).clamp(0.0, self.request_units),
+            (true, false) => 0.0,
+            (false, _) => self.rate_per_s * AHEAD_S,
         };
         (wanted - self.unused()).max(0.0)
     }
 }
 
+/// Part of a demand that may pass so that the bucket's level is spent within [`LEVEL_TIME_S`], or its debt paid back
+/// within [`DEBT_TIME_S`].
+fn pass_share(rate_per_s: f64, spare: f64, demand: f64) -> f64 {
+    let time_s = if spare > 0.0 { LEVEL_TIME_S } else { DEBT_TIME_S };
+    ((rate_per_s + spare / time_s) / demand.max(1.0)).clamp(0.0, 1.0)
+}
+
 fn is_sane(told: &TenantDemand) -> bool {
     let figures = [told.rate_per_s, told.passed, told.request_units];
     figures.iter().all(|figure| figure.is_finite() && *figure >= 0.0)
--- a/crates/grants/src/gate.rs
+++ b/crates/grants/src/gate.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use dunelink_protocol::{GrantUpdate, TenantDemand};
+use dunelink_protocol::{GrantUpdate, TenantDemand, TenantGrant};
 
 use crate::bounds::{FLOOR_PART, LAPSE};
 use crate::{MILLISECOND, Micros, QuotaBounds, SECOND, TenantQuota};
@@ -13,7 +13,7 @@
 /// it restarted is forgotten.
 const FILLED_AT_START: f64 = 0.25;
 /// Time constant of the demand's average.
-const DEMAND_TIME: Micros = 2_000 * MILLISECOND;
+const DEMAND_TIME: Micros = 700 * MILLISECOND;
 /// Demand below this many units a second is left out of reports.
 const LEAST_DEMAND: f64 = 0.01;
 /// With so many tenants at most all are told of, also those without demand.
@@ -30,16 +30,41 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RetryAfter(pub Micros);
 
+/// Grants that claim to hold for longer than this, in milliseconds, hold for this long.
+const VALID_MOST_MS: u64 = 60_000;
+/// Without a new grant for so long the leader may be gone: no more passes beyond a ceiling than all nodes may use
+/// without a word between them.
+const FRESH_FOR: Micros = 400 * MILLISECOND;
+/// Steps of the sequence that decides which requests beyond a ceiling pass: the fraction of the golden ratio, whose
+/// multiples lie evenly between 0 and 1.
+const GOLDEN_STEP: f64 = 0.618_033_988_749_895;
+
 /// What the allocator granted.
 #[derive(Debug, Default, Clone, Copy)]
 struct Grant {
+    fresh_until: Micros,
     until: Micros,
     ceiling: f64,
     overdraft: f64,
+    spare: f64,
     rate_per_s: f64,
+    pass_share: f64,
 }
 
 impl Grant {
+    fn new(now: Micros, valid_ms: u64, told: &TenantGrant) -> Self {
+        let until = now + valid_ms.min(VALID_MOST_MS) * MILLISECOND;
+        Self {
+            fresh_until: until.min(now + FRESH_FOR),
+            until,
+            ceiling: told.ceiling,
+            overdraft: told.overdraft,
+            spare: told.spare,
+            rate_per_s: told.rate_per_s,
+            pass_share: told.pass_share,
+        }
+    }
+
     /// Until then its rate holds without a renewal.
     fn lapses_at(&self) -> Micros {
         if self.until == 0 { 0 } else { self.until + LAPSE }
@@ -61,6 +86,8 @@
     /// Units of a request, an average.
     request_units: f64,
     demand: Demand,
+    /// Between 0 and 1: the last of the sequence that decides which requests pass beyond the ceiling.
+    draw: f64,
 }
 
 /// Units asked for, averaged over [`DEMAND_TIME`].
@@ -90,7 +117,9 @@
     pub fn set_tenants(&mut self, now: Micros, tenants: &[TenantQuota]) {
         let mut before = std::mem::take(&mut self.accounts);
         for quota in tenants.iter().filter(|quota| quota.rate_per_s > 0.0) {
-            let mut account = before.remove(&quota.name).unwrap_or_else(|| Account::new(now, quota.clone()));
+            let mut account = before
+                .remove(&quota.name)
+                .unwrap_or_else(|| Account::new(now, quota.clone(), self.incarnation));
             account.fill_floor(now, &self.bounds, self.nodes);
             account.quota = quota.clone();
             self.accounts.insert(quota.name.clone(), account);
@@ -107,12 +136,10 @@
             account.start(&self.bounds, self.nodes);
         }
         for told in update.tenants.iter().filter(|told| told.incarnation == self.incarnation) {
-            let figures = [told.ceiling, told.overdraft, told.rate_per_s];
+            let figures = [told.ceiling, told.overdraft, told.rate_per_s, told.pass_share, told.spare];
             let Some(account) = self.accounts.get_mut(&told.tenant) else { continue };
             if figures.iter().all(|figure| figure.is_finite()) {
-                let until = now + update.valid_ms.min(60_000) * MILLISECOND;
-                let [ceiling, overdraft, rate_per_s] = figures;
-                account.grant = Grant { until, ceiling, overdraft, rate_per_s };
+                account.grant = Grant::new(now, update.valid_ms, told);
             }
         }
     }
@@ -128,7 +155,7 @@
         account.observe_size(units);
         account.fill_floor(now, &self.bounds, self.nodes);
         let room = account.room(now);
-        if room >= account.needed() {
+        if room >= account.needed() || account.may_exceed(now, room) {
             account.pass(now, units);
             return Ok(());
         }
@@ -161,7 +188,8 @@
 }
 
 impl Account {
-    fn new(now: Micros, quota: TenantQuota) -> Self {
+    /// An account without grants. The sequence of each start of each node begins elsewhere.
+    fn new(now: Micros, quota: TenantQuota, incarnation: u64) -> Self {
         Self {
             quota,
             grant: Grant::default(),
@@ -171,6 +199,7 @@
             started: false,
             request_units: 0.0,
             demand: Demand { rate_per_s: 0.0, counted_at: now },
+            draw: incarnation as f64 / u64::MAX as f64,
         }
     }
 
@@ -209,16 +238,34 @@
         self.floor_filled_at = now.max(self.floor_filled_at);
     }
 
-    /// Units that may pass now.
+    /// Units that may pass now without exceeding the ceiling.
     fn room(&self, now: Micros) -> f64 {
         let floor = self.floor_level.max(0.0);
         if now < self.grant.until {
-            return self.grant.ceiling + self.grant.overdraft - self.passed + floor;
+            return self.grant.ceiling - self.passed + floor;
         }
         // What was issued stays issued.
         self.floor_level + (self.grant.ceiling - self.passed).max(0.0)
     }
 
+    /// Whether a request passes beyond the ceiling: as many do as the allocator says, or, once its word is old, as what
+    /// is spare for this node allows.
+    fn may_exceed(&mut self, now: Micros, room: f64) -> bool {
+        let request = self.request_units;
+        let (share, overdraft) = match now {
+            _ if now < self.grant.fresh_until => (self.grant.pass_share, self.grant.overdraft),
+            _ if now < self.grant.until => {
+                (self.grant.spare / request.max(1.0), self.grant.spare.max(request))
+            }
+            _ => return false,
+        };
+        if room + overdraft < self.needed() {
+            return false;
+        }
+        self.draw = (self.draw + GOLDEN_STEP).fract();
+        self.draw < share
+    }
+
     /// The room at which a request passes, whatever its own size: else small ones would take what a large one waits
     /// for. What a large one takes beyond that is made up for before the next passes.
     fn needed(&self) -> f64 {
--- a/crates/grants/tests/quotas.rs
+++ b/crates/grants/tests/quotas.rs
@@ -22,6 +22,10 @@
     on_its_way: Vec<(usize, dunelink_protocol::GrantUpdate)>,
     passed: Vec<u64>,
     refused: usize,
+    /// Requests whose clients ask again at another node, and when.
+    returning: Vec<u64>,
+    /// Whether a refused client asks again, once.
+    repeats: bool,
     random: fastrand::Rng,
     now: u64,
 }
@@ -29,12 +33,24 @@
 impl Fleet {
     fn new(seed: u64, nodes: usize, rate_per_s: f64) -> Self {
         let quota = quota(rate_per_s);
-        let mut gates: Vec<_> = (0..nodes).map(|_| QuotaGate::new(BOUNDS, 1)).collect();
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut gates: Vec<_> = (0..nodes).map(|_| QuotaGate::new(BOUNDS, random.u64(..))).collect();
         gates.iter_mut().for_each(|gate| gate.set_tenants(SECOND, std::slice::from_ref(&quota)));
         let allocator = Allocator::new(BOUNDS, SECOND);
-        let random = fastrand::Rng::with_seed(seed);
         let (on_its_way, passed) = (Vec::new(), Vec::new());
-        Self { quota, gates, allocator, on_its_way, passed, refused: 0, random, now: SECOND }
+        let (returning, repeats) = (Vec::new(), false);
+        Self {
+            quota,
+            gates,
+            allocator,
+            on_its_way,
+            passed,
+            refused: 0,
+            returning,
+            repeats,
+            random,
+            now: SECOND,
+        }
     }
 
     /// Plays `seconds` with a demand of `times` the quota's rate, uneven over nodes; `in_touch` tells which nodes
@@ -51,6 +67,7 @@
                     self.request(i);
                 }
             }
+            self.ask_again();
             if self.now.is_multiple_of(EXCHANGE) {
                 self.exchange(&in_touch);
             }
@@ -60,10 +77,35 @@
     fn request(&mut self, node: usize) {
         match self.gates[node].admit(self.now, "bureau", REQUEST) {
             Ok(()) => self.passed.push(self.now),
+            Err(after) if self.repeats => self.returning.push(self.now + after.0),
             Err(_) => self.refused += 1,
         }
     }
 
+    /// Requests that were refused and come back, once, at any node.
+    fn ask_again(&mut self) {
+        let now = self.now;
+        let due: Vec<u64> = self.returning.extract_if(.., |at| *at <= now).collect();
+        for _ in due {
+            let node = self.random.usize(..self.gates.len());
+            match self.gates[node].admit(now, "bureau", REQUEST) {
+                Ok(()) => self.passed.push(now),
+                Err(_) => self.refused += 1,
+            }
+        }
+    }
+
+    /// All proxies and the leader start anew.
+    fn restart_all(&mut self) {
+        let quota = self.quota.clone();
+        for gate in &mut self.gates {
+            *gate = QuotaGate::new(BOUNDS, self.random.u64(..));
+            gate.set_tenants(self.now, std::slice::from_ref(&quota));
+        }
+        self.allocator = Allocator::new(BOUNDS, self.now);
+        self.on_its_way.clear();
+    }
+
     fn exchange(&mut self, in_touch: &impl Fn(usize) -> bool) {
         for (node, update) in std::mem::take(&mut self.on_its_way) {
             if in_touch(node) {
@@ -101,11 +143,18 @@
 /// Few nodes and many; a small tenant and a large one.
 const FLEETS: [(usize, f64); 6] =
     [(6, 29_000.0), (8, 170_000.0), (8, 400_000.0), (58, 29_000.0), (58, 290_000.0), (68, 1_200_000.0)];
+/// Many more nodes than requests a second.
+const SPARSE_FLEETS: [(usize, f64); 4] =
+    [(99, 170_000.0), (299, 29_000.0), (299, 170_000.0), (450, 400_000.0)];
+
+fn all_fleets() -> impl Iterator<Item = (usize, f64)> {
+    FLEETS.into_iter().chain(SPARSE_FLEETS)
+}
 
 #[test]
 fn usual_demand_passes_almost_whole() {
     // A small tenant's limit is three requests a second here: chance alone goes beyond it now and then.
-    let most = [0.05, 0.01, 0.01, 0.05, 0.2, 0.03];
+    let most = [0.03, 0.015, 0.01, 0.03, 0.01, 0.03];
     for ((nodes, rate), most) in FLEETS.into_iter().zip(most) {
         let mut fleet = Fleet::new(1, nodes, rate);
         fleet.play(8, 0.3, |_| true);
@@ -117,10 +166,28 @@
     }
 }
 
+/// With far more nodes than requests, none may keep what others wait for: refused clients that ask again would then be
+/// refused for ever.
+#[test]
+fn usual_demand_passes_at_many_nodes_after_all_have_restarted() {
+    for (nodes, rate) in SPARSE_FLEETS {
+        let mut fleet = Fleet::new(11, nodes, rate);
+        fleet.repeats = true;
+        fleet.play(8, 1.0 / 1.3, |_| true);
+        fleet.restart_all();
+        fleet.play(3, 1.0 / 1.3, |_| true);
+        fleet.forget();
+        fleet.play(30, 1.0 / 1.3, |_| true);
+        let part = fleet.refused_part();
+        println!("{nodes} nodes, {rate} a second: {part:.4} refused");
+        assert!(part < 0.03, "{part} refused at {nodes} nodes with {rate} a second");
+        fleet.assert_within();
+    }
+}
+
 #[test]
 fn a_tenant_at_many_times_its_usual_is_held_and_gets_its_quota() {
-    // A small tenant's parts are whole requests that some of many nodes keep for a while.
-    let least = [0.9, 0.9, 0.9, 0.6, 0.9, 0.9];
+    let least = [0.9, 0.9, 0.9, 0.85, 0.9, 0.9];
     for ((nodes, rate), least) in FLEETS.into_iter().zip(least) {
         for seed in 0..5 {
             let mut fleet = Fleet::new(seed, nodes, rate);
@@ -135,8 +202,7 @@
 
 #[test]
 fn large_requests_of_a_held_tenant_pass_as_often_as_small_ones() {
-    // Where a node sees a request of a tenant every few seconds, its average of their sizes is rough.
-    let least = [0.7, 0.7, 0.7, 0.45, 0.6, 0.7];
+    let least = [0.7, 0.7, 0.7, 0.7, 0.7, 0.7];
     for ((nodes, rate), least) in FLEETS.into_iter().zip(least) {
         let mut fleet = Fleet::new(7, nodes, rate);
         fleet.play(6, 0.5, |_| true);
@@ -163,20 +229,36 @@
 
 #[test]
 fn peaks_by_turns_keep_the_quota() {
-    for (nodes, rate) in FLEETS {
-        let mut fleet = Fleet::new(5, nodes, rate);
-        fleet.play(8, 0.5, |_| true);
-        for _ in 0..6 {
-            fleet.play(2, 6.0, |_| true);
-            fleet.play(4, 0.3, |_| true);
+    for (nodes, rate) in all_fleets() {
+        for seed in 5..9 {
+            let mut fleet = Fleet::new(seed, nodes, rate);
+            fleet.play(8, 0.5, |_| true);
+            for _ in 0..6 {
+                fleet.play(2, 6.0, |_| true);
+                fleet.play(4, 0.3, |_| true);
+            }
+            fleet.assert_within();
+        }
+    }
+}
+
+#[test]
+fn a_peak_that_begins_as_the_leader_goes_keeps_the_quota() {
+    for (nodes, rate) in all_fleets() {
+        for seed in 0..4 {
+            let mut fleet = Fleet::new(seed, nodes, rate);
+            fleet.play(10, 1.0 / 1.3, |_| true);
+            fleet.play(4, 7.5, |_| false);
+            fleet.allocator = Allocator::new(BOUNDS, fleet.now);
+            fleet.play(8, 7.5, |_| true);
+            fleet.assert_within();
         }
-        fleet.assert_within();
     }
 }
 
 #[test]
 fn cuts_and_a_new_leader_never_raise_the_sum() {
-    for (nodes, rate) in FLEETS {
+    for (nodes, rate) in all_fleets() {
         for seed in 0..5 {
             let mut fleet = Fleet::new(seed, nodes, rate);
             fleet.play(10, 5.0, |_| true);
@@ -191,7 +273,7 @@
 
 #[test]
 fn proxies_that_restart_bring_no_full_buckets() {
-    for (nodes, rate) in FLEETS {
+    for (nodes, rate) in all_fleets() {
         let mut fleet = Fleet::new(3, nodes, rate);
         fleet.play(10, 5.0, |_| true);
         for restart in 2..6 {
--- a/crates/protocol/src/feed.rs
+++ b/crates/protocol/src/feed.rs
@@ -147,7 +147,7 @@
     /// The sum of units (tokens or requests) let pass since the proxy's start up to which it may go on.
     #[n(1)]
     pub ceiling: f64,
-    /// Units by which this node may exceed the ceiling, because the tenant is well within its quota.
+    /// Units by which this node may exceed the ceiling while grants come.
     #[n(2)]
     pub overdraft: f64,
     /// Units a second that the ceiling rises by at present demand.
@@ -156,6 +156,14 @@
     /// The start of the proxy that the ceiling was computed for; it means nothing to another.
     #[n(4)]
     pub incarnation: u64,
+    /// Part of the requests beyond the ceiling that may pass, 0 to 1, so that the sum over all nodes keeps the quota
+    /// while grants come.
+    #[n(5)]
+    pub pass_share: f64,
+    /// Units that are not issued to anybody, divided by the nodes: what this node may use beyond its ceiling without
+    /// harm once no more grants come.
+    #[n(6)]
+    pub spare: f64,
 }
 
 /// A control machine.
--- a/crates/proxy/tests/requests.rs
+++ b/crates/proxy/tests/requests.rs
@@ -12,7 +12,15 @@
 fn granted(node: &Node, ceiling: f64) -> FeedMessage {
     let incarnation = node.incarnation();
     let tenant = "acme".to_owned();
-    let tenants = vec![TenantGrant { tenant, ceiling, overdraft: 0.0, rate_per_s: ceiling, incarnation }];
+    let tenants = vec![TenantGrant {
+        tenant,
+        ceiling,
+        overdraft: 0.0,
+        spare: 0.0,
+        rate_per_s: ceiling,
+        incarnation,
+        pass_share: 0.0,
+    }];
     FeedMessage::Grants(GrantUpdate { valid_ms: 60_000, nodes: 1, configuration_version: 2, tenants })
 }
 
