Tenants that a node did not tell of pass by default; those that are held are named to all nodes

Change: what a node has not told of passes, three requests between two reports; the leader names the tenants that are held with the share that may pass; nodes tell what no leader has counted, and a new leader counts that.

--- a/crates/agent/tests/arguments_and_reports.rs
+++ b/crates/agent/tests/arguments_and_reports.rs
@@ -36,6 +36,7 @@
         passed: 0.0,
         request_units: 1.0,
         incarnation: 1,
+        counted: 0.0,
     });
     let observations = observations.iter().map(|(server, served, failed)| ServerObservation {
         server: (*server).into(),
--- a/crates/agent/tests/feed_to_proxy.rs
+++ b/crates/agent/tests/feed_to_proxy.rs
@@ -15,6 +15,7 @@
         passed: 0.0,
         request_units: 1.0,
         incarnation: 1,
+        counted: 0.0,
     }];
     ProxyReport { demand, observations: Vec::new() }
 }
@@ -115,8 +116,10 @@
         spare: 2.0,
         incarnation: 1,
         pass_share: 0.5,
+        counted: 0.0,
     }];
-    let grants = GrantUpdate { valid_ms: 60_000, nodes: 2, configuration_version: 1, tenants };
+    let grants =
+        GrantUpdate { valid_ms: 60_000, nodes: 2, configuration_version: 1, tenants, held: Vec::new() };
     served.send(FeedMessage::Grants(grants.clone())).await;
     served.send(chunk(1, "one")).await;
     let mut proxy = agent.proxy().await;
--- a/crates/control/examples/scale/hollow.rs
+++ b/crates/control/examples/scale/hollow.rs
@@ -250,6 +250,7 @@
             passed,
             request_units: 212.7,
             incarnation: self.number as u64 + 0x5eed_0000_0000,
+            counted: 0.0,
         });
         let observations = (0..load.observed).map(|nth| ServerObservation {
             server: format!("i-{:08x}", self.number * load.observed + nth),
--- a/crates/control/examples/scale/node_costs.rs
+++ b/crates/control/examples/scale/node_costs.rs
@@ -46,9 +46,10 @@
         rate_per_s: 350.0,
         incarnation: 7,
         pass_share: 1.0,
+        counted: 0.0,
     };
     let tenants = quotas.iter().take(active).map(grant).collect();
-    GrantUpdate { valid_ms: 1_500, nodes: 450, configuration_version: 1, tenants }
+    GrantUpdate { valid_ms: 1_500, nodes: 450, configuration_version: 1, tenants, held: Vec::new() }
 }
 
 /// The middle of the times that a step took, in microseconds; it is given the time of its round.
--- a/crates/control/tests/agent_sessions.rs
+++ b/crates/control/tests/agent_sessions.rs
@@ -85,6 +85,7 @@
         nodes: 3,
         configuration_version: version,
         tenants: Vec::new(),
+        held: Vec::new(),
     };
     session.grant(grant(1));
     session.grant(grant(2));
--- a/crates/control/tests/engine_tasks.rs
+++ b/crates/control/tests/engine_tasks.rs
@@ -107,6 +107,7 @@
             nodes: 2,
             configuration_version: 3,
             tenants: Vec::new(),
+            held: Vec::new(),
         };
         engine.act(|_, _, effects| {
             effects.push(dunelink_control::node::Effect::Grants {
--- a/crates/control/tests/node_group.rs
+++ b/crates/control/tests/node_group.rs
@@ -191,7 +191,14 @@
 }
 
 fn demand() -> TenantDemand {
-    TenantDemand { tenant: "t".to_owned(), rate_per_s: 5.0, passed: 0.0, request_units: 1.0, incarnation: 1 }
+    TenantDemand {
+        tenant: "t".to_owned(),
+        rate_per_s: 5.0,
+        passed: 0.0,
+        request_units: 1.0,
+        incarnation: 1,
+        counted: 0.0,
+    }
 }
 
 #[test]
--- a/crates/feed/tests/readers_and_sources.rs
+++ b/crates/feed/tests/readers_and_sources.rs
@@ -111,7 +111,13 @@
 #[test]
 fn grants_are_sent_with_what_is_left_of_them() {
     let mut state = FeedState::default();
-    let grants = GrantUpdate { valid_ms: 500, nodes: 3, configuration_version: 1, tenants: Vec::new() };
+    let grants = GrantUpdate {
+        valid_ms: 500,
+        nodes: 3,
+        configuration_version: 1,
+        tenants: Vec::new(),
+        held: Vec::new(),
+    };
     state.grants.set(grants, NOW);
     let sent = drain(&mut FeedSource::from_nothing(), &state, NOW + 200 * MS);
     let FeedMessage::Grants(passed) = &sent[0] else { panic!("grants") };
--- a/crates/grants/src/allocator.rs
+++ b/crates/grants/src/allocator.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use dunelink_protocol::{GrantUpdate, TenantDemand, TenantGrant};
+use dunelink_protocol::{GrantUpdate, HeldTenant, TenantDemand, TenantGrant};
 
 use crate::bounds::{FLOOR_PART, LAPSE};
 use crate::{MILLISECOND, Micros, QuotaBounds, SECOND, TenantQuota};
@@ -42,6 +42,8 @@
 #[derive(Debug, Default, Clone)]
 struct Account {
     incarnation: u64,
+    /// Whether the node's last report told of the tenant.
+    is_told: bool,
     /// Units a second asked for.
     rate_per_s: f64,
     request_units: f64,
@@ -97,7 +99,9 @@
         let node = self.nodes.entry(name.to_owned()).or_default();
         let was_silent = node.is_silent(now);
         node.reported_at = now;
-        node.accounts.values_mut().for_each(|account| account.rate_per_s = 0.0);
+        for account in node.accounts.values_mut() {
+            (account.is_told, account.rate_per_s) = (false, 0.0);
+        }
         for told in demand.iter().filter(|told| is_sane(told)) {
             let account = node.accounts.entry(told.tenant.clone()).or_default();
             let exceeded = account.take(told, was_silent);
@@ -122,6 +126,7 @@
         let nodes = self.nodes.len() as u32;
         let limited: Vec<_> = quotas.iter().filter(|quota| quota.rate_per_s > 0.0).collect();
         let mut tenants: BTreeMap<String, Vec<TenantGrant>> = BTreeMap::new();
+        let mut held = Vec::new();
         let any_silent = self.nodes.values().any(|node| node.is_silent(now));
         let known = self.known_tenants();
         for quota in &limited {
@@ -129,7 +134,11 @@
             if !known.contains(&quota.name) {
                 continue;
             }
-            for (node, grant) in self.issue(now, quota) {
+            let (pass_share, grants) = self.issue(now, quota);
+            if pass_share < 1.0 {
+                held.push(HeldTenant { tenant: quota.name.clone(), pass_share });
+            }
+            for (node, grant) in grants {
                 tenants.entry(node).or_default().push(grant);
             }
         }
@@ -139,7 +148,9 @@
         in_touch
             .map(|(name, _)| {
                 let tenants = tenants.remove(name).unwrap_or_default();
-                (name.clone(), GrantUpdate { valid_ms: VALID_MS, nodes, configuration_version, tenants })
+                let held = held.clone();
+                let update = GrantUpdate { valid_ms: VALID_MS, nodes, configuration_version, tenants, held };
+                (name.clone(), update)
             })
             .collect()
     }
@@ -183,13 +194,14 @@
         bucket.filled_at = now;
     }
 
-    /// Raises the ceilings of the nodes in touch by what the bucket holds, in proportion to what each lacks.
-    fn issue(&mut self, now: Micros, quota: &TenantQuota) -> Vec<(String, TenantGrant)> {
+    /// Raises the ceilings of the nodes in touch that told of the tenant by what the bucket holds, in proportion to what
+    /// each lacks; and gives the part of the requests beyond ceilings that may pass.
+    fn issue(&mut self, now: Micros, quota: &TenantQuota) -> (f64, Vec<(String, TenantGrant)>) {
         let depth = self.bounds.depth(quota);
-        let Some(bucket) = self.buckets.get_mut(&quota.name) else { return Vec::new() };
+        let Some(bucket) = self.buckets.get_mut(&quota.name) else { return (1.0, Vec::new()) };
         let in_touch = self.nodes.iter_mut().filter(|(_, node)| !node.is_silent(now));
         let accounts = in_touch.filter_map(|(name, node)| Some((name, node.accounts.get_mut(&quota.name)?)));
-        let mut accounts: Vec<_> = accounts.collect();
+        let (mut accounts, others): (Vec<_>, Vec<_>) = accounts.partition(|(_, account)| account.is_told);
         let demand: f64 = accounts.iter().map(|(_, account)| account.rate_per_s).sum();
         let largest = accounts.iter().map(|(_, account)| account.request_units).fold(0.0, f64::max);
         let spare = bucket.level * OVERDRAFT_PART;
@@ -198,7 +210,7 @@
         let pass_share = if is_plenty { 1.0 } else { pass_share(quota.rate_per_s, spare, demand) };
 
         let lacking: f64 = accounts.iter().map(|(_, account)| account.lacks(is_plenty, spare_each)).sum();
-        let unused: f64 = accounts.iter().map(|(_, account)| account.unused()).sum();
+        let unused: f64 = accounts.iter().chain(&others).map(|(_, account)| account.unused()).sum();
         let mut budget = (depth * SAVED_PART - unused).min(bucket.level).max(0.0);
         let part = if lacking > 0.0 { (budget / lacking).min(1.0) } else { 0.0 };
         let rate_each = quota.rate_per_s / demand.max(1.0);
@@ -220,10 +232,11 @@
                 incarnation: account.incarnation,
                 pass_share,
                 spare: spare_each.max(0.0),
+                counted: account.passed,
             };
             (name.clone(), grant)
         });
-        grants.collect()
+        (pass_share, grants.collect())
     }
 }
 
@@ -244,8 +257,11 @@
     /// its floor.
     fn take(&mut self, told: &TenantDemand, was_silent: bool) -> f64 {
         if self.incarnation != told.incarnation {
-            *self = Self { incarnation: told.incarnation, ceiling: told.passed, ..Self::default() };
+            // What no leader has counted yet counts now.
+            let ceiling = told.counted.min(told.passed);
+            *self = Self { incarnation: told.incarnation, ceiling, ..Self::default() };
         }
+        self.is_told = true;
         self.rate_per_s = told.rate_per_s;
         self.request_units = told.request_units;
         self.passed = told.passed;
@@ -297,6 +313,6 @@
 }
 
 fn is_sane(told: &TenantDemand) -> bool {
-    let figures = [told.rate_per_s, told.passed, told.request_units];
+    let figures = [told.rate_per_s, told.passed, told.request_units, told.counted];
     figures.iter().all(|figure| figure.is_finite() && *figure >= 0.0)
 }
--- a/crates/grants/src/gate.rs
+++ b/crates/grants/src/gate.rs
@@ -35,6 +35,8 @@
 /// Without a new grant for so long the leader may be gone: no more passes beyond a ceiling than all nodes may use
 /// without a word between them.
 const FRESH_FOR: Micros = 400 * MILLISECOND;
+/// Requests of a tenant that pass before this node has told of it.
+const SPARSE_REQUESTS: f64 = 3.0;
 /// Steps of the sequence that decides which requests beyond a ceiling pass: the fraction of the golden ratio, whose
 /// multiples lie evenly between 0 and 1.
 const GOLDEN_STEP: f64 = 0.618_033_988_749_895;
@@ -46,25 +48,47 @@
     until: Micros,
     ceiling: f64,
     overdraft: f64,
+    overdraft_requests: f64,
     spare: f64,
     rate_per_s: f64,
     pass_share: f64,
 }
 
 impl Grant {
-    fn new(now: Micros, valid_ms: u64, told: &TenantGrant) -> Self {
-        let until = now + valid_ms.min(VALID_MOST_MS) * MILLISECOND;
+    /// What is granted of a tenant that this node has told of.
+    fn told(now: Micros, until: Micros, told: &TenantGrant) -> Self {
         Self {
             fresh_until: until.min(now + FRESH_FOR),
             until,
             ceiling: told.ceiling,
             overdraft: told.overdraft,
+            overdraft_requests: 0.0,
             spare: told.spare,
             rate_per_s: told.rate_per_s,
             pass_share: told.pass_share,
         }
     }
 
+    /// What is granted of a tenant that this node need not tell of: its next requests pass, as many as chance may bring
+    /// until it has told of them.
+    fn untold(&self, now: Micros, until: Micros, pass_share: f64) -> Self {
+        Self {
+            fresh_until: until.min(now + FRESH_FOR),
+            until,
+            ceiling: self.ceiling,
+            overdraft: 0.0,
+            overdraft_requests: SPARSE_REQUESTS,
+            spare: 0.0,
+            rate_per_s: 0.0,
+            pass_share,
+        }
+    }
+
+    /// Units by which the ceiling may be exceeded, with requests of that size.
+    fn overdraft(&self, request_units: f64) -> f64 {
+        self.overdraft + self.overdraft_requests * request_units
+    }
+
     /// Until then its rate holds without a renewal.
     fn lapses_at(&self) -> Micros {
         if self.until == 0 { 0 } else { self.until + LAPSE }
@@ -78,6 +102,8 @@
     grant: Grant,
     /// Units let pass since the start.
     passed: f64,
+    /// Units that a leader has told to have taken in.
+    counted: f64,
     /// Units that may pass without a grant, out of the floor; below zero after a request larger than what was left.
     floor_level: f64,
     floor_filled_at: Micros,
@@ -135,11 +161,21 @@
         for account in self.accounts.values_mut() {
             account.start(&self.bounds, self.nodes);
         }
-        for told in update.tenants.iter().filter(|told| told.incarnation == self.incarnation) {
-            let figures = [told.ceiling, told.overdraft, told.rate_per_s, told.pass_share, told.spare];
-            let Some(account) = self.accounts.get_mut(&told.tenant) else { continue };
-            if figures.iter().all(|figure| figure.is_finite()) {
-                account.grant = Grant::new(now, update.valid_ms, told);
+        let until = now + update.valid_ms.min(VALID_MOST_MS) * MILLISECOND;
+        let told = update.tenants.iter().filter(|told| told.incarnation == self.incarnation && is_sane(told));
+        let told: HashMap<&str, &TenantGrant> = told.map(|told| (told.tenant.as_str(), told)).collect();
+        let held = update.held.iter().map(|held| (held.tenant.as_str(), held.pass_share));
+        let held: HashMap<&str, f64> = held.collect();
+        for (name, account) in &mut self.accounts {
+            account.grant = match told.get(name.as_str()) {
+                Some(told) => Grant::told(now, until, told),
+                None => {
+                    let pass_share = held.get(name.as_str()).copied().unwrap_or(1.0);
+                    account.grant.untold(now, until, pass_share)
+                }
+            };
+            if let Some(told) = told.get(name.as_str()) {
+                account.counted = told.counted;
             }
         }
     }
@@ -180,10 +216,11 @@
             passed: account.passed,
             request_units: account.request_units,
             incarnation,
+            counted: account.counted,
         });
-        // Few tenants are told of before they ask for anything, so that their first request finds a grant.
+        // Few tenants are told of before they ask for anything, so that their first requests find a grant of their own.
         let few = self.accounts.len() <= TENANTS_ALL_TOLD;
-        told.filter(|told| few || told.rate_per_s >= LEAST_DEMAND).collect()
+        told.filter(|told| few || told.rate_per_s >= LEAST_DEMAND || told.passed != told.counted).collect()
     }
 }
 
@@ -194,6 +231,7 @@
             quota,
             grant: Grant::default(),
             passed: 0.0,
+            counted: 0.0,
             floor_level: 0.0,
             floor_filled_at: now,
             started: false,
@@ -253,7 +291,7 @@
     fn may_exceed(&mut self, now: Micros, room: f64) -> bool {
         let request = self.request_units;
         let (share, overdraft) = match now {
-            _ if now < self.grant.fresh_until => (self.grant.pass_share, self.grant.overdraft),
+            _ if now < self.grant.fresh_until => (self.grant.pass_share, self.grant.overdraft(request)),
             _ if now < self.grant.until => {
                 (self.grant.spare / request.max(1.0), self.grant.spare.max(request))
             }
@@ -306,3 +344,8 @@
         self.counted_at = now;
     }
 }
+
+fn is_sane(told: &TenantGrant) -> bool {
+    let figures = [told.ceiling, told.overdraft, told.rate_per_s, told.pass_share, told.spare, told.counted];
+    figures.iter().all(|figure| figure.is_finite())
+}
--- a/crates/protocol/src/feed.rs
+++ b/crates/protocol/src/feed.rs
@@ -133,9 +133,24 @@
     /// Version of the configuration that the grants were computed for.
     #[n(2)]
     pub configuration_version: u64,
-    /// One entry for each tenant with demand at this node.
+    /// One entry for each tenant that the node has told of. Of all others it may let a few requests pass before it tells
+    /// of them.
     #[n(3)]
     pub tenants: Vec<TenantGrant>,
+    /// Tenants that ask for more than their quota in the whole fleet.
+    #[n(4)]
+    pub held: Vec<HeldTenant>,
+}
+
+/// A tenant that asks for more than its quota.
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub struct HeldTenant {
+    /// Name of the tenant.
+    #[n(0)]
+    pub tenant: String,
+    /// Part of its requests that may pass, 0 to 1.
+    #[n(1)]
+    pub pass_share: f64,
 }
 
 /// A node's part of one tenant's quota.
@@ -164,6 +179,9 @@
     /// harm once no more grants come.
     #[n(6)]
     pub spare: f64,
+    /// What the node let pass since its start as far as the leader has taken it in, in units.
+    #[n(7)]
+    pub counted: f64,
 }
 
 /// A control machine.
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -17,8 +17,8 @@
 pub mod report;
 
 pub use feed::{
-    ConfigurationChunk, ControlMember, FeedMessage, GrantUpdate, RosterOffset, RosterUpdate, ServerEntry,
-    ServerSuspicion, TenantGrant, Tick,
+    ConfigurationChunk, ControlMember, FeedMessage, GrantUpdate, HeldTenant, RosterOffset, RosterUpdate,
+    ServerEntry, ServerSuspicion, TenantGrant, Tick,
 };
 pub use frame::{FrameError, MAX_FRAME_BYTES, decode, encode};
 pub use hello::{Hello, LinkKind};
--- a/crates/protocol/src/report.rs
+++ b/crates/protocol/src/report.rs
@@ -37,7 +37,7 @@
 /// What a proxy wants and has seen.
 #[derive(Debug, Clone, PartialEq, Default, Encode, Decode)]
 pub struct ProxyReport {
-    /// Demand by tenant; tenants without any are left out.
+    /// Demand by tenant. Where there are many tenants, those without any are left out once all that passed was counted.
     #[n(0)]
     pub demand: Vec<TenantDemand>,
     /// Outcomes by server; servers without any are left out.
@@ -63,6 +63,9 @@
     /// Drawn at random by the proxy at its start: `passed` counts from then.
     #[n(4)]
     pub incarnation: u64,
+    /// The part of `passed` that a leader has told to have taken in; a new leader counts what lies beyond.
+    #[n(5)]
+    pub counted: f64,
 }
 
 /// Outcomes of one proxy's requests at a server since its last report.
--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -35,6 +35,7 @@
         passed: 70.0,
         request_units: 9.0,
         incarnation: 1,
+        counted: 0.0,
     }];
     let report = AgentMessage::Report(ProxyReport { demand, observations: Vec::new() });
     let roster = RosterOffset { epoch: 3, sequence: 4 };
--- a/crates/proxy/tests/common/agent.rs
+++ b/crates/proxy/tests/common/agent.rs
@@ -104,7 +104,13 @@
     }
 
     pub(crate) fn grant(&self, nodes: u32) {
-        let update = GrantUpdate { valid_ms: 1_000, nodes, configuration_version: 1, tenants: Vec::new() };
+        let update = GrantUpdate {
+            valid_ms: 1_000,
+            nodes,
+            configuration_version: 1,
+            tenants: Vec::new(),
+            held: Vec::new(),
+        };
         self.send(FeedMessage::Grants(update));
     }
 }
--- a/crates/proxy/tests/requests.rs
+++ b/crates/proxy/tests/requests.rs
@@ -20,8 +20,15 @@
         rate_per_s: ceiling,
         incarnation,
         pass_share: 0.0,
+        counted: 0.0,
     }];
-    FeedMessage::Grants(GrantUpdate { valid_ms: 60_000, nodes: 1, configuration_version: 2, tenants })
+    FeedMessage::Grants(GrantUpdate {
+        valid_ms: 60_000,
+        nodes: 1,
+        configuration_version: 2,
+        tenants,
+        held: Vec::new(),
+    })
 }
 
 #[test]
