Large configurations are read beside the programs' own threads; two tests of the node in service hold on any machine

The proxy read it on the thread that serves clients. Change: bodies over 64 KiB are read by a thread of their own, in control (orders, quotas) and proxy. Tests: a_long_request_goes_elsewhere... took it that 2 MB don't fit into socket buffers; here the kernel buffers up to 37 MB, so that all was written and 502 is right. Its broken server now buffers 64 KiB and the body has 6 MB, stricter than before. nobody() gave away a port that another test's server could be given; it is held now.

--- a/crates/control/src/engine.rs
+++ b/crates/control/src/engine.rs
@@ -8,14 +8,17 @@
 use std::sync::mpsc::Sender;
 use std::time::Duration;
 
+use bytes::Bytes;
 use dunelink_protocol::{FeedMessage, GrantUpdate, ServerEntry};
 use dunelink_replication::Member;
 use dunelink_runtime::Clock;
 use slog::{Logger, warn};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::{Notify, oneshot};
+use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until, timeout};
 
+use crate::checking::quotas_aside;
 use crate::disk::{DiskEvent, DiskOrder};
 use crate::feed_session::FeedSession;
 use crate::identity::fresh_id;
@@ -146,6 +149,7 @@
                     self.0.list_requests.borrow_mut().push((request, to));
                     self.0.list_requested.notify_one();
                 }
+                Effect::ReadQuotas { version, body } => self.read_quotas(version, body),
                 Effect::Rejoin => self.rejoin(),
             }
         }
@@ -154,6 +158,14 @@
         }
     }
 
+    fn read_quotas(&self, version: u64, body: Bytes) {
+        let engine = self.clone();
+        spawn_local(async move {
+            let quotas = quotas_aside(body).await;
+            engine.act(|node, _, _| node.quotas_read(version, quotas));
+        });
+    }
+
     fn order(&self, order: DiskOrder) {
         if self.0.disk.send(order).is_err() {
             warn!(self.0.log, "the disk thread has ended");
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -2,11 +2,12 @@
 //!
 //! [`node::Node`] is the state machine that ties the parts together: it takes in messages, orders and results and
 //! gives back [`node::Effect`]s. [`engine::Engine`] carries them out on sockets and the disk thread. All tasks run
-//! on one thread; the only other thread is the disk's.
+//! on one thread; the disk has a thread of its own, and so have checks of large configurations.
 
 #![forbid(unsafe_code)]
 
 pub mod arguments;
+pub mod checking;
 pub mod disk;
 pub mod engine;
 pub mod feed_server;
--- a/crates/control/src/node/deciding.rs
+++ b/crates/control/src/node/deciding.rs
@@ -1,10 +1,9 @@
 //! Orders of the operator: who decides, and what is answered.
 
-use bytes::Bytes;
 use dunelink_replication::{Input, Refusal, encode};
-use dunelink_settings::FleetConfig;
 
 use super::{Effect, LEADER_HEARD, Node};
+use crate::checking::CheckedBody;
 use crate::orders::{CallId, Order, Reply};
 use crate::state::{Command, Digest, Verdict};
 
@@ -13,6 +12,8 @@
 /// Nobody leads the group as far as is known here.
 const LEADERLESS: Reply =
     Reply::Unavailable("no leader is known here: send it again, to any control machine");
+/// The leadership came here while the order was on its way.
+const UNCHECKED: Reply = Reply::Unavailable("the leader has just changed: send it again");
 /// The outcome of a proposal is not known.
 pub(super) const UNCERTAIN: Reply =
     Reply::Unavailable("the outcome is not known yet: send it again, to any control machine");
@@ -24,10 +25,10 @@
         now: u64,
         call: CallId,
         base: Option<u64>,
-        body: Bytes,
+        checked: CheckedBody,
         effects: &mut Vec<Effect>,
     ) {
-        if let Some(reply) = self.take_order(now, call, base, body) {
+        if let Some(reply) = self.take_order(now, call, base, checked) {
             effects.push(Effect::Reply { call, reply });
         }
         self.decide_next(now, effects);
@@ -45,7 +46,14 @@
     }
 
     /// Takes in an order; an answer if there is one already.
-    fn take_order(&mut self, now: u64, call: CallId, base: Option<u64>, body: Bytes) -> Option<Reply> {
+    fn take_order(
+        &mut self,
+        now: u64,
+        call: CallId,
+        base: Option<u64>,
+        checked: CheckedBody,
+    ) -> Option<Reply> {
+        let CheckedBody { body, check } = checked;
         let digest = base.map(|base| Digest::of(base, &body));
         // What was taken stays taken: any replica that has applied it may say so.
         if digest.is_some_and(|digest| self.state.is_taken(&digest)) {
@@ -62,9 +70,10 @@
         if self.orders.attach(&digest, call) {
             return None;
         }
-        let version = match FleetConfig::parse(&body) {
-            Ok(config) => config.version,
-            Err(error) => return Some(Reply::Invalid(error.to_string())),
+        let version = match check {
+            Some(Ok(version)) => version,
+            Some(Err(reason)) => return Some(Reply::Invalid(reason)),
+            None => return Some(UNCHECKED),
         };
         let order = Order { base, version, digest, body, calls: vec![call] };
         if self.orders.push(order) { None } else { Some(OVERLOADED) }
--- a/crates/control/src/node/leading.rs
+++ b/crates/control/src/node/leading.rs
@@ -5,7 +5,6 @@
 use dunelink_grants::{Allocator, TenantQuota};
 use dunelink_protocol::{RosterOffset, ServerEntry, Tick};
 use dunelink_replication::{Member, ReplicaId};
-use dunelink_settings::FleetConfig;
 use slog::{info, warn};
 
 use super::{Effect, MILLISECOND, Node};
@@ -25,6 +24,7 @@
 pub(super) struct Leading {
     allocator: Allocator,
     quotas: Vec<TenantQuota>,
+    /// The version whose quotas were asked for last.
     quotas_version: u64,
     /// The control machine at which a node's agent reported last.
     homes: BTreeMap<String, ReplicaId>,
@@ -82,7 +82,7 @@
 
     /// Divides the quotas and sends each node its part.
     pub(super) fn allocate(&mut self, now: u64, effects: &mut Vec<Effect>) {
-        self.read_quotas();
+        self.ask_quotas(effects);
         let version = self.state.version();
         let Some(leading) = &mut self.leading else { return };
         let updates = leading.allocator.allocate(now, &leading.quotas, version);
@@ -120,20 +120,21 @@
         effects.push(Effect::FeedChanged);
     }
 
-    fn read_quotas(&mut self) {
+    /// Has the quotas of a new version read.
+    fn ask_quotas(&mut self, effects: &mut Vec<Effect>) {
         let version = self.state.version();
         let Some(leading) = &mut self.leading else { return };
-        if leading.quotas_version == version {
-            return;
+        if leading.quotas_version != version {
+            leading.quotas_version = version;
+            effects.push(Effect::ReadQuotas { version, body: self.state.body().clone() });
+        }
+    }
+
+    /// The quotas of a version were read.
+    pub fn quotas_read(&mut self, version: u64, quotas: Vec<TenantQuota>) {
+        if let Some(leading) = self.leading.as_mut().filter(|leading| leading.quotas_version == version) {
+            leading.quotas = quotas;
         }
-        leading.quotas_version = version;
-        let Ok(config) = FleetConfig::parse(self.state.body()) else { return };
-        let quota = |tenant: &dunelink_settings::Tenant| TenantQuota {
-            name: tenant.name.clone(),
-            rate_per_s: tenant.rate_per_s,
-            burst: tenant.burst,
-        };
-        leading.quotas = config.tenants.iter().map(quota).collect();
     }
 
     /// The platform's list was read; the reading began at `read_at`.
--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -10,6 +10,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::{IpAddr, SocketAddr};
 
+use bytes::Bytes;
 use dunelink_feed::{FeedState, NEVER_MS};
 use dunelink_grants::QuotaBounds;
 use dunelink_protocol::{GrantUpdate, ProxyReport, RosterOffset, ServerEntry, Tick};
@@ -51,6 +52,13 @@
         /// The answer.
         reply: Reply,
     },
+    /// Read the quotas of a configuration, for [`Node::quotas_read`].
+    ReadQuotas {
+        /// Its version.
+        version: u64,
+        /// The operator's JSON.
+        body: Bytes,
+    },
     /// Agents may lack something.
     FeedChanged,
     /// Grants for an agent that may be connected here.
--- a/crates/control/src/operator.rs
+++ b/crates/control/src/operator.rs
@@ -18,6 +18,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
+use crate::checking::CheckedBody;
 use crate::engine::Engine;
 use crate::orders::Reply;
 use crate::status;
@@ -100,8 +101,11 @@
         Err(refusal) => return *refusal,
     };
     let bytes = body.len();
+    let decides_here = engine.look(|node, now| node.holds_lease(now));
+    let checked =
+        if decides_here { CheckedBody::check_aside(body).await } else { CheckedBody::unchecked(body) };
     let outcome = engine
-        .call(ORDER_PATIENCE, |node, now, call, effects| node.replace(now, call, base, body, effects))
+        .call(ORDER_PATIENCE, |node, now, call, effects| node.replace(now, call, base, checked, effects))
         .await;
     let outcome = outcome.unwrap_or(Reply::Unavailable("no outcome in time: send it again"));
     info!(engine.log(), "order"; "base" => base.unwrap_or_default(), "bytes" => bytes, "outcome" => name(&outcome));
--- a/crates/control/tests/cluster/calls.rs
+++ b/crates/control/tests/cluster/calls.rs
@@ -1,5 +1,6 @@
 //! Calls of operators, and what the machines answer.
 
+use dunelink_control::checking::CheckedBody;
 use dunelink_control::orders::{CallId, Reply};
 
 use super::MILLISECOND;
@@ -66,7 +67,8 @@
                 if self.mistake == Some(Mistake::RetryAnsweredBlindly) && current >= version {
                     return self.reply(at, call, Reply::Taken);
                 }
-                self.act(at, |node, now, effects| node.replace(now, call, Some(base), body, effects));
+                let checked = CheckedBody::check(body);
+                self.act(at, |node, now, effects| node.replace(now, call, Some(base), checked, effects));
             }
         }
     }
--- a/crates/control/tests/group/mod.rs
+++ b/crates/control/tests/group/mod.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use dunelink_control::checking::{CheckedBody, quotas};
 use dunelink_control::identity::{founders, founding_id, fresh_id, internal_address};
 use dunelink_control::message::Envelope;
 use dunelink_control::node::{Effect, Node, NodeSettings};
@@ -127,7 +128,9 @@
     pub(crate) fn order(&mut self, at: SocketAddr, base: u64, body: &str) -> CallId {
         self.calls += 1;
         let (call, body) = (self.calls, Bytes::copy_from_slice(body.as_bytes()));
-        self.act(at, |node, now, effects| node.replace(now, call, Some(base), body, effects));
+        self.act(at, |node, now, effects| {
+            node.replace(now, call, Some(base), CheckedBody::check(body), effects)
+        });
         call
     }
 
@@ -204,6 +207,10 @@
                     let generation = self.machines[&at].generation;
                     self.arrivals.push((due, Arrival::Written(at, generation, sequence)));
                 }
+                Effect::ReadQuotas { version, body } => {
+                    let quotas = quotas(&body);
+                    self.act(at, |node, _, _| node.quotas_read(version, quotas));
+                }
                 Effect::Reply { call, reply } => {
                     self.replies.insert(call, reply);
                 }
--- a/crates/proxy/src/feed.rs
+++ b/crates/proxy/src/feed.rs
@@ -5,14 +5,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use dunelink_feed::{Change, FeedError, FeedReader, FeedState, Listed};
 use dunelink_protocol::hello::PROTOCOL_VERSION;
 use dunelink_protocol::{FeedMessage, Hello, LinkKind, ProxyMessage};
 use dunelink_routing::ServerInfo;
+use dunelink_runtime::aside::{aside, is_long};
 use dunelink_runtime::{LinkError, LinkWriter, dial};
-use dunelink_settings::FleetConfig;
+use dunelink_settings::{ConfigError, FleetConfig};
 use slog::{info, warn};
 use thiserror::Error;
+use tokio::task::spawn_local;
 use tokio::time::{Instant, MissedTickBehavior};
 
 use crate::configuration::Configuration;
@@ -140,16 +143,16 @@
     /// Puts what was fed last in force. Its bytes are not kept.
     fn take_configuration(&mut self) {
         let Some(whole) = &mut self.state.configuration else { return };
-        let bytes = std::mem::take(&mut whole.bytes);
-        match FleetConfig::parse(&bytes) {
-            Ok(fleet) => {
-                info!(self.node.log, "configuration in force"; "version" => fleet.version);
-                self.node.put_in_force(Configuration::new(fleet));
-            }
-            Err(error) => {
-                warn!(self.node.log, "configuration left out"; "version" => whole.version, "reason" => %error);
-            }
+        let (version, bytes) = (whole.version, std::mem::take(&mut whole.bytes));
+        if !is_long(bytes.len()) {
+            return put_in_force(&self.node, version, read(bytes));
         }
+        // Clients are served while it is read. Should a newer one come meanwhile, that one stays in force.
+        let node = self.node.clone();
+        spawn_local(async move {
+            let Some(read) = aside(bytes, read).await else { return };
+            put_in_force(&node, version, read);
+        });
     }
 
     fn servers(&self, now: u64) -> Vec<ServerInfo> {
@@ -157,6 +160,20 @@
     }
 }
 
+fn read(bytes: Bytes) -> Result<Configuration, ConfigError> {
+    FleetConfig::parse(&bytes).map(Configuration::new)
+}
+
+fn put_in_force(node: &Node, version: u64, read: Result<Configuration, ConfigError>) {
+    match read {
+        Ok(configuration) => {
+            info!(node.log, "configuration in force"; "version" => version);
+            node.put_in_force(configuration);
+        }
+        Err(error) => warn!(node.log, "configuration left out"; "version" => version, "reason" => %error),
+    }
+}
+
 /// A server for the router; nothing if its address can't be read.
 fn server(listed: &Listed, now: u64) -> Option<ServerInfo> {
     let entry = listed.entry_at(now);
--- a/crates/testkit/src/long.rs
+++ b/crates/testkit/src/long.rs
@@ -1,12 +1,14 @@
 //! Bodies over what a node holds: passed on as they come, in either direction, by every front.
 
 use std::io::{BufRead, Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
+use socket2::{Domain, Socket, Type};
+
 use crate::conformance::{Node, Subject};
 use crate::peers::*;
 
@@ -217,17 +219,30 @@
     assert_eq!(server.count(), 1, "the last one alone was whole");
 }
 
+/// More bytes than fit into the socket buffers between a node and [`listener_that_buffers_little`], so that a node can't
+/// have written all of them: 4 MB is the most that the kernel takes from a sender by itself.
+const LONGER_THAN_BUFFERS: usize = 6 << 20;
+
+/// A listener whose connections take in no more than some hundred kilobytes that are not read.
+fn listener_that_buffers_little() -> TcpListener {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(64 * 1024).unwrap();
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    socket.listen(128).unwrap();
+    socket.into()
+}
+
 /// A server that can't be reached is passed over; one that breaks off has taken a part that can't be sent again, and
 /// has not run it.
 pub fn a_long_request_goes_elsewhere_until_some_of_it_is_gone<S: Subject>() {
     let server = Server::new(|_, _| ok("paid"));
     let node = Node::<S>::new(&[ready("a", &server), target("b", nobody(), 1, "ready")]);
-    let body = bytes(2 << 20);
+    let body = bytes(LONGER_THAN_BUFFERS);
     let wire = || [long_order("9", &format!("Content-Length: {}", body.len())), body.clone()].concat();
     for _ in 0..8 {
         assert_eq!(node.client().ask(&wire()).status(), 200);
     }
-    let broken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let broken = listener_that_buffers_little();
     let node = Node::<S>::new(&[target("a", broken.local_addr().unwrap(), 1, "ready"), ready("b", &server)]);
     let (count, breaking) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
     let broke = breaking.clone();
--- a/crates/testkit/src/peers.rs
+++ b/crates/testkit/src/peers.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
 
 use crate::long::read_body;
 
@@ -184,7 +185,12 @@
 
 /// An address that refuses connections.
 pub fn nobody() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    // Held for as long as the process runs: another test's server must not be given the port.
+    std::mem::forget(socket);
+    address
 }
 
 /// An entry of the list.
