A long list is told page by page, and read at 0.8 of the platform's rate

Ruled out: the feed to the nodes (in force within 0.1 s of the reading). Change: new and draining servers are told with their page; a page that fails is asked for again, where it cost the whole reading; regular readings use 0.8 of the rate, for 0.5. One type for what nodes saw of servers, where there were two.

--- a/crates/agent/src/reports.rs
+++ b/crates/agent/src/reports.rs
@@ -39,10 +39,7 @@
     let mut joined: BTreeMap<String, ServerObservation> = BTreeMap::new();
     for observation in before.into_iter().chain(after) {
         match joined.get_mut(&observation.server) {
-            Some(sum) => {
-                sum.served = sum.served.saturating_add(observation.served);
-                sum.failed = sum.failed.saturating_add(observation.failed);
-            }
+            Some(sum) => sum.add(&observation),
             None => {
                 joined.insert(observation.server.clone(), observation);
             }
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -1,7 +1,7 @@
 //! Messages between control machines.
 
 use dunelink_protocol::{
-    GrantUpdate, RosterOffset, RosterUpdate, ServerEntry, ServerSuspicion, TenantDemand,
+    GrantUpdate, RosterOffset, RosterUpdate, ServerEntry, ServerObservation, ServerSuspicion, TenantDemand,
 };
 use dunelink_replication::{Member, Message, ReplicaId};
 use minicbor::{Decode, Encode};
@@ -75,23 +75,9 @@
     /// Its newest demand.
     #[n(1)]
     pub demand: Vec<TenantDemand>,
-    /// Outcomes by server, summed up since the last message.
+    /// What it saw of servers, summed up since the last message.
     #[n(2)]
-    pub outcomes: Vec<Outcomes>,
-}
-
-/// Outcomes of one node's requests at one server.
-#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
-pub struct Outcomes {
-    /// Id of the server.
-    #[n(0)]
-    pub server: String,
-    /// Requests answered.
-    #[n(1)]
-    pub served: u32,
-    /// Requests that failed.
-    #[n(2)]
-    pub failed: u32,
+    pub observations: Vec<ServerObservation>,
 }
 
 /// Grants for one node.
--- a/crates/control/src/node/leading.rs
+++ b/crates/control/src/node/leading.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use dunelink_grants::{Allocator, TenantQuota};
-use dunelink_protocol::{RosterOffset, ServerEntry, Tick};
+use dunelink_protocol::{RosterOffset, RosterUpdate, ServerEntry, Tick};
 use dunelink_replication::{Member, ReplicaId};
 use slog::{info, warn};
 
@@ -70,12 +70,12 @@
     /// Reports of agents that reached the leader through `home`.
     pub(super) fn reported(&mut self, now: u64, home: ReplicaId, reports: Vec<NodeReport>) {
         let Some(leading) = &mut self.leading else { return };
-        for NodeReport { node, demand, outcomes } in reports {
+        for NodeReport { node, demand, observations } in reports {
             if leading.homes.len() >= KNOWN_HOMES && !leading.homes.contains_key(&node) {
                 continue;
             }
             leading.allocator.report(now, &node, &demand);
-            leading.pool.add(now, &node, outcomes);
+            leading.pool.add(now, &node, observations);
             leading.homes.insert(node, home);
         }
     }
@@ -150,15 +150,39 @@
         }
         let term = self.replica.term();
         let update = roster::difference(&self.feed.roster, term, servers, now);
-        if let Some(update) = update.clone() {
-            if let Err(error) = self.feed.roster.apply(update, now) {
-                warn!(self.log, "the list of servers can't be used"; "reason" => %error);
-                return;
-            }
-            effects.push(Effect::FeedChanged);
+        if !self.take_update(now, update.as_ref(), effects) {
+            return;
         }
         let age_ms = now.saturating_sub(read_at) / MILLISECOND;
         self.roster_is(age_ms, now);
+        self.tell_roster(age_ms, update, effects);
+    }
+
+    /// A page of the list was read, and others follow. A server that drains is told of at once: the whole of a long list
+    /// takes seconds.
+    pub fn list_page_read(&mut self, now: u64, page: &[ServerEntry], effects: &mut Vec<Effect>) {
+        if !self.holds_lease(now) {
+            return;
+        }
+        let term = self.replica.term();
+        let update = roster::page_difference(&self.feed.roster, term, page, now);
+        if update.is_some() && self.take_update(now, update.as_ref(), effects) {
+            self.tell_roster(self.feed.freshness.roster_age_ms(now), update, effects);
+        }
+    }
+
+    /// Applies a change of the roster, if there is one; false if it can't be used.
+    fn take_update(&mut self, now: u64, update: Option<&RosterUpdate>, effects: &mut Vec<Effect>) -> bool {
+        let Some(update) = update else { return true };
+        if let Err(error) = self.feed.roster.apply(update.clone(), now) {
+            warn!(self.log, "the list of servers can't be used"; "reason" => %error);
+            return false;
+        }
+        effects.push(Effect::FeedChanged);
+        true
+    }
+
+    fn tell_roster(&mut self, age_ms: u64, update: Option<RosterUpdate>, effects: &mut Vec<Effect>) {
         let offset = self.feed.roster.offset().unwrap_or_default();
         self.tell_all(&PeerMessage::Roster(RosterNews { offset, age_ms, update }), effects);
     }
--- a/crates/control/src/reader.rs
+++ b/crates/control/src/reader.rs
@@ -31,11 +31,14 @@
 const MAX_PAGE_BYTES: usize = 8 * 1024 * 1024;
 /// Most pages of one reading.
 const MAX_PAGES: usize = 2_048;
-/// Part of the platform's rate that the regular readings use.
-const RATE_PART: f64 = 0.5;
-
+/// Part of the platform's rate that the regular readings use. The rest is for the first calls of a new leader.
+const RATE_PART: f64 = 0.8;
 /// Part of the platform's rate at which calls may follow each other.
-const PACE_PART: f64 = 0.7;
+const PACE_PART: f64 = 0.9;
+/// How often a page is asked for again before the pages before it are dropped with it.
+const PAGE_RETRIES: u32 = 2;
+/// Pause before a page is asked for again.
+const PAGE_PAUSE: Duration = Duration::from_millis(150);
 /// Calls that may follow each other at once, in seconds of the platform's rate.
 const BURST_S: f64 = 0.25;
 
@@ -86,24 +89,30 @@
         Self { api, connection: None, pages: 1, allowed }
     }
 
-    /// Reads the whole list. `may_go_on` is asked before each call.
+    /// Reads the whole list. `may_go_on` is asked before each call, and `on_page` is given each page that others follow.
     ///
     /// # Errors
     ///
     /// A page could not be read; the pages before it are dropped.
-    pub async fn read(&mut self, may_go_on: impl Fn() -> bool) -> Result<Vec<ServerEntry>, ReadError> {
+    pub async fn read(
+        &mut self,
+        may_go_on: impl Fn() -> bool,
+        on_page: impl Fn(&[ServerEntry]),
+    ) -> Result<Vec<ServerEntry>, ReadError> {
         let mut servers = Vec::new();
         let mut token = None;
         for page_number in 1..=MAX_PAGES {
             if !may_go_on() {
                 return Err(ReadError::NotLeading);
             }
-            let page = self.page(token.as_deref()).await?;
-            servers.extend(page.servers);
+            let page = self.page_or_again(token.as_deref()).await?;
             if page.next.is_none() {
+                servers.extend(page.servers);
                 self.pages = page_number;
                 return Ok(servers);
             }
+            on_page(&page.servers);
+            servers.extend(page.servers);
             if page.next == token {
                 break;
             }
@@ -112,6 +121,18 @@
         Err(ReadError::TooManyPages)
     }
 
+    /// A page. Those that follow the first are asked for again, as many pages would be dropped with one.
+    async fn page_or_again(&mut self, token: Option<&str>) -> Result<Page, ReadError> {
+        let mut retries = if token.is_some() { PAGE_RETRIES } else { 0 };
+        loop {
+            match self.page(token).await {
+                Err(_) if retries > 0 => retries -= 1,
+                read => return read,
+            }
+            sleep(PAGE_PAUSE).await;
+        }
+    }
+
     /// Time between two readings, so that all calls stay below the platform's rate.
     fn period(&self) -> Duration {
         let rate = (self.api.rate_per_s * RATE_PART).max(0.01);
@@ -229,7 +250,10 @@
         }
         let began = engine.now();
         let holds = || engine.look(|node, now| node.holds_lease(now));
-        let pause = match reader.read(holds).await {
+        let on_page = |page: &[ServerEntry]| {
+            engine.act(|node, now, effects| node.list_page_read(now, page, effects));
+        };
+        let pause = match reader.read(holds, on_page).await {
             Ok(servers) => {
                 health.succeeded(&engine);
                 engine.act(|node, now, effects| node.list_read(now, began, servers, effects));
@@ -277,7 +301,7 @@
     let mut reader = ListReader::new(api);
     loop {
         let (request, leader) = engine.list_requested().await;
-        let read = reader.read(|| true).await;
+        let read = reader.read(|| true, |_| ()).await;
         engine.answer_reading(&leader, request, read.ok());
     }
 }
--- a/crates/control/src/reports.rs
+++ b/crates/control/src/reports.rs
@@ -2,9 +2,9 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use dunelink_protocol::{ProxyReport, ServerSuspicion};
+use dunelink_protocol::{ProxyReport, ServerObservation, ServerSuspicion};
 
-use crate::message::{NodeReport, Outcomes};
+use crate::message::NodeReport;
 
 /// Nodes whose reports are collected at once.
 const MAX_NODES: usize = 4_096;
@@ -36,12 +36,11 @@
         let entry = self.nodes.entry(node.to_owned()).or_insert_with(|| NodeReport {
             node: node.to_owned(),
             demand: Vec::new(),
-            outcomes: Vec::new(),
+            observations: Vec::new(),
         });
         entry.demand = report.demand;
         for seen in report.observations {
-            let outcomes = Outcomes { server: seen.server, served: seen.served, failed: seen.failed };
-            sum_up(&mut entry.outcomes, outcomes);
+            sum_up(&mut entry.observations, seen);
         }
     }
 
@@ -51,10 +50,9 @@
     }
 }
 
-fn sum_up(all: &mut Vec<Outcomes>, new: Outcomes) {
-    if let Some(same) = all.iter_mut().find(|outcomes| outcomes.server == new.server) {
-        same.served = same.served.saturating_add(new.served);
-        same.failed = same.failed.saturating_add(new.failed);
+fn sum_up(all: &mut Vec<ServerObservation>, new: ServerObservation) {
+    if let Some(same) = all.iter_mut().find(|observation| observation.server == new.server) {
+        same.add(&new);
     } else if all.len() < MAX_SERVERS {
         all.push(new);
     }
@@ -77,8 +75,8 @@
 
 impl Pool {
     /// Adds what a node saw, received at `now`.
-    pub fn add(&mut self, now: u64, node: &str, outcomes: Vec<Outcomes>) {
-        for Outcomes { server, served, failed } in outcomes {
+    pub fn add(&mut self, now: u64, node: &str, observations: Vec<ServerObservation>) {
+        for ServerObservation { server, served, failed } in observations {
             let nodes = self.servers.entry(server).or_default();
             nodes.entry(node.to_owned()).or_default().push_back(Sample { at: now, served, failed });
         }
--- a/crates/control/src/roster.rs
+++ b/crates/control/src/roster.rs
@@ -34,6 +34,20 @@
     Some(RosterUpdate { base: Some(base), offset: after(base, epoch), changed, removed })
 }
 
+/// What one page of a list that is being read changes: new servers, and those whose state is another. Nothing before the
+/// first whole list of an epoch, which moves the position of all. What is gone shows only in a whole list.
+pub fn page_difference(roster: &Roster, epoch: u64, page: &[ServerEntry], now: u64) -> Option<RosterUpdate> {
+    let base = roster.offset().filter(|base| base.epoch >= epoch)?;
+    let is_news = |entry: &&ServerEntry| {
+        roster.get(&entry.id).is_none_or(|listed| differs(&listed.entry_at(now), entry))
+    };
+    let changed: Vec<ServerEntry> = page.iter().filter(is_news).cloned().collect();
+    if changed.is_empty() {
+        return None;
+    }
+    Some(RosterUpdate { base: Some(base), offset: after(base, epoch), changed, removed: Vec::new() })
+}
+
 fn first_of(epoch: u64) -> RosterOffset {
     RosterOffset { epoch, sequence: 1 }
 }
--- a/crates/control/tests/failing_servers.rs
+++ b/crates/control/tests/failing_servers.rs
@@ -1,12 +1,12 @@
 //! Servers that several nodes find failing are named, again and again while they fail.
 
-use dunelink_control::message::Outcomes;
 use dunelink_control::reports::Pool;
+use dunelink_protocol::ServerObservation;
 
 const SECOND: u64 = 1_000_000;
 
-fn failing() -> Vec<Outcomes> {
-    vec![Outcomes { server: "i-1".into(), served: 1, failed: 3 }]
+fn failing() -> Vec<ServerObservation> {
+    vec![ServerObservation { server: "i-1".into(), served: 1, failed: 3 }]
 }
 
 #[test]
--- a/crates/control/tests/list_changes.rs
+++ b/crates/control/tests/list_changes.rs
@@ -1,7 +1,7 @@
 //! Pages of the platform's list, and changes of the roster between two readings.
 
 use dunelink_control::list::parse_page;
-use dunelink_control::roster::difference;
+use dunelink_control::roster::{difference, page_difference};
 use dunelink_feed::Roster;
 use dunelink_protocol::{RosterOffset, ServerEntry};
 
@@ -95,3 +95,16 @@
     assert_eq!(difference(&roster, 4, vec![cold(8_900)], 2 * SECOND), None);
     assert!(difference(&roster, 4, vec![cold(20_000)], 2 * SECOND).is_some());
 }
+
+#[test]
+fn a_page_tells_of_new_and_draining_servers_and_removes_none() {
+    let roster = roster_of(4, &[server("a"), server("b"), server("c")]);
+    let draining = ServerEntry { ready: false, ..server("b") };
+    let page = [server("a"), draining.clone(), server("d")];
+    let update = page_difference(&roster, 4, &page, 0).expect("news");
+    assert_eq!(update.base, roster.offset());
+    assert_eq!((update.changed, update.removed), (vec![draining, server("d")], Vec::new()));
+    assert_eq!(page_difference(&roster, 4, &[server("a"), server("c")], 0), None);
+    // The first list of an epoch is told whole.
+    assert_eq!(page_difference(&roster, 5, &page, 0), None);
+}
--- a/crates/feed/src/roster.rs
+++ b/crates/feed/src/roster.rs
@@ -72,6 +72,11 @@
         self.servers.values()
     }
 
+    /// The server with this id.
+    pub fn get(&self, id: &str) -> Option<&Listed> {
+        self.servers.get(id)
+    }
+
     /// Number of servers.
     pub fn len(&self) -> usize {
         self.servers.len()
--- a/crates/protocol/src/report.rs
+++ b/crates/protocol/src/report.rs
@@ -81,3 +81,11 @@
     #[n(2)]
     pub failed: u32,
 }
+
+impl ServerObservation {
+    /// Adds what was seen of the same server later.
+    pub fn add(&mut self, later: &Self) {
+        self.served = self.served.saturating_add(later.served);
+        self.failed = self.failed.saturating_add(later.failed);
+    }
+}
