--- a/crates/grants/src/gate.rs
+++ b/crates/grants/src/gate.rs
@@ -26,6 +26,9 @@
 const RETRY_AFTER_LEAST: Micros = 100 * MILLISECOND;
 const RETRY_AFTER_MOST: Micros = 5_000 * MILLISECOND;
 
+/// The most while no grant holds: a new leader issues about so long after it was elected.
+const RETRY_AFTER_UNGRANTED: Micros = 500 * MILLISECOND;
+
 /// A request is over its tenant's quota; it may come back after this many microseconds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RetryAfter(pub Micros);
@@ -197,7 +200,7 @@
         }
         let rate = account.rate(now, self.nodes).max(1.0);
         let wait = (account.needed() - room) / rate * SECOND;
-        Err(RetryAfter((wait as Micros).clamp(RETRY_AFTER_LEAST, RETRY_AFTER_MOST)))
+        Err(RetryAfter((wait as Micros).clamp(RETRY_AFTER_LEAST, account.retry_after_most(now))))
     }
 
     /// Gives back the units of a request that was let pass but never reached a server.
@@ -304,6 +307,11 @@
         self.draw < share
     }
 
+    /// The longest time that a refused client is told to stay away. Without a grant one is about to come.
+    fn retry_after_most(&self, now: Micros) -> Micros {
+        if now >= self.grant.until { RETRY_AFTER_UNGRANTED } else { RETRY_AFTER_MOST }
+    }
+
     /// The room at which a request passes, whatever its own size: else small ones would take what a large one waits
     /// for. What a large one takes beyond that is made up for before the next passes.
     fn needed(&self) -> f64 {
--- a/crates/grants/tests/quotas.rs
+++ b/crates/grants/tests/quotas.rs
@@ -294,3 +294,11 @@
     assert_eq!(gate.admit(1, "free", 1e9), Ok(()));
     assert_eq!(gate.admit(1, "nobody", 1e9), Ok(()));
 }
+
+#[test]
+fn a_client_refused_for_want_of_a_grant_is_told_to_come_back_soon() {
+    let mut gate = QuotaGate::new(BOUNDS, 1);
+    gate.set_tenants(0, &[quota(29_000.0)]);
+    let refused = gate.admit(SECOND, "bureau", REQUEST).expect_err("no grant has come");
+    assert!(refused.0 <= SECOND / 2, "{refused:?}");
+}
