--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -21,6 +21,7 @@
 use crate::exchange::Exchange;
 use crate::leaving::Leaving;
 use crate::node::Node;
+use crate::open_requests::InHand;
 use crate::request;
 use crate::socket::{ClientSocket, Heads};
 use crate::table::Unanswered;
@@ -147,10 +148,10 @@
     open: Open,
     heads: &Heads,
 ) -> Response<AnswerBody> {
-    let in_hand = node.take_in_hand();
+    let in_hand = node.open_requests.open();
     let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
     let mut response = match heads.check(request.headers()) {
-        Ok(()) => answer(&node, request, open.is_repeated()).await,
+        Ok(()) => answer(&node, request, &in_hand, open.is_repeated()).await,
         Err(_) => Reply::new(StatusCode::BAD_REQUEST).closing().response(None),
     };
     if chunked {
@@ -159,11 +160,17 @@
     if node.is_leaving() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
+    in_hand.answering();
     response.map(|body| body.holding(Box::new((in_hand, open))))
 }
 
 /// `is_repeated` says that the connection had another request before.
-async fn answer(node: &Rc<Node>, request: Request<Incoming>, is_repeated: bool) -> Response<AnswerBody> {
+async fn answer(
+    node: &Rc<Node>,
+    request: Request<Incoming>,
+    in_hand: &InHand,
+    is_repeated: bool,
+) -> Response<AnswerBody> {
     let began = Instant::now();
     let configuration = node.configuration();
     let limits = configuration.as_ref().map(|configuration| &configuration.fleet.limits);
@@ -185,6 +192,7 @@
         Err(reply) => return reply.response(Some(&request.id)),
     };
     let exchange = Exchange::new(node.clone(), configuration, request, admitted, began);
+    in_hand.admitted(&exchange.request.id, exchange.alarm.ends_at());
     let refuses = |leaving: Leaving| leaving.refuses(Instant::now(), exchange.alarm.ends_at());
     if is_repeated && node.leaving().is_some_and(refuses) {
         return exchange.refuse();
--- a/crates/proxy/src/leaving.rs
+++ b/crates/proxy/src/leaving.rs
@@ -14,6 +14,8 @@
 /// When a process that was told to end stops what.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Leaving {
+    /// When the process was told to end.
+    pub told: Instant,
     /// Until then new connections are taken. Later on a connection that was kept brings no request that may outlast the
     /// process.
     pub open_until: Instant,
@@ -25,6 +27,7 @@
     /// Told at `told` to end within `grace`.
     pub fn new(told: Instant, grace: Duration) -> Self {
         Self {
+            told,
             open_until: told + STILL_SENT.min(grace.mul_f64(OPEN_PART)),
             ends_at: told + grace.saturating_sub(BEFORE_KILL),
         }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod leaving;
 pub mod listen;
 pub mod node;
+pub mod open_requests;
 pub mod readiness;
 pub mod request;
 pub mod run;
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -15,6 +15,7 @@
 
 use crate::configuration::Configuration;
 use crate::leaving::Leaving;
+use crate::open_requests::OpenRequests;
 use crate::upstream::Pool;
 
 /// A configuration is known to be current while the agent's proof of that is younger than this, in milliseconds.
@@ -47,7 +48,8 @@
     confirmed: Cell<bool>,
     ready_servers: Cell<usize>,
     leaving: Cell<Option<Leaving>>,
-    in_hand: Cell<usize>,
+    /// Requests that were read and whose answer is not written yet.
+    pub open_requests: Rc<OpenRequests>,
     observations: RefCell<HashMap<String, (u32, u32)>>,
 }
 
@@ -82,7 +84,7 @@
             confirmed: Cell::new(false),
             ready_servers: Cell::new(0),
             leaving: Cell::new(None),
-            in_hand: Cell::new(0),
+            open_requests: OpenRequests::new(),
             observations: RefCell::default(),
             boot,
         })
@@ -192,15 +194,9 @@
         self.leaving.get().is_some()
     }
 
-    /// Requests that were read and whose answer is not written yet.
+    /// How many requests were read and have no written answer yet.
     pub fn in_hand(&self) -> usize {
-        self.in_hand.get()
-    }
-
-    /// Counts a request as in hand until the guard is dropped.
-    pub fn take_in_hand(self: &Rc<Self>) -> InHand {
-        self.in_hand.set(self.in_hand.get() + 1);
-        InHand(self.clone())
+        self.open_requests.count()
     }
 
     /// Counts an attempt at a server for the next report.
@@ -223,12 +219,3 @@
         ProxyReport { demand, observations: observations.into_iter().map(observation).collect() }
     }
 }
-
-/// A request in hand.
-pub struct InHand(Rc<Node>);
-
-impl Drop for InHand {
-    fn drop(&mut self) {
-        self.0.in_hand.set(self.0.in_hand.get() - 1);
-    }
-}
--- /dev/null
+++ b/crates/proxy/src/open_requests.rs
@@ -0,0 +1,134 @@
+//! The requests that are open: something of them was read, and their answers are not written yet. Those that the end
+//! of the process cuts are named in its log.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use http::HeaderValue;
+use slog::{Logger, warn};
+use tokio::time::Instant;
+
+/// Most requests that are named in the log at the end.
+const NAMED_MOST: usize = 32;
+
+/// How far a request has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// Its head was read; its body may still be coming.
+    Reading,
+    /// It was read whole and let pass; no answer has begun.
+    Admitted,
+    /// Its answer is being written.
+    Answering,
+}
+
+impl Stage {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Reading => "reading",
+            Self::Admitted => "admitted",
+            Self::Answering => "answering",
+        }
+    }
+}
+
+/// One request.
+#[derive(Debug, Clone)]
+pub struct OpenRequest {
+    /// When its head was read.
+    pub since: Instant,
+    /// How far it has come.
+    pub stage: Stage,
+    /// Names the client's try, once it was read whole.
+    pub id: Option<HeaderValue>,
+    /// When its client's time or its route's is over, once it was let pass.
+    pub ends_at: Option<Instant>,
+}
+
+/// All open requests of the process.
+#[derive(Debug, Default)]
+pub struct OpenRequests {
+    next: Cell<u64>,
+    requests: RefCell<HashMap<u64, OpenRequest>>,
+}
+
+impl OpenRequests {
+    /// None yet.
+    pub fn new() -> Rc<Self> {
+        Rc::default()
+    }
+
+    /// How many there are.
+    pub fn count(&self) -> usize {
+        self.requests.borrow().len()
+    }
+
+    /// Counts a request as open until the guard is dropped.
+    pub fn open(self: &Rc<Self>) -> InHand {
+        let number = self.next.replace(self.next.get() + 1);
+        let request = OpenRequest { since: Instant::now(), stage: Stage::Reading, id: None, ends_at: None };
+        self.requests.borrow_mut().insert(number, request);
+        InHand { requests: self.clone(), number }
+    }
+
+    /// Names in the log what the end of the process cuts: when each request came, seen from `told`, when the process
+    /// was told to end, and what was left of its time.
+    pub fn log_cut(&self, log: &Logger, told: Instant) {
+        let now = Instant::now();
+        let requests = self.requests.borrow();
+        let mut oldest: Vec<&OpenRequest> = requests.values().collect();
+        oldest.sort_unstable_by_key(|request| request.since);
+        for request in oldest.iter().take(NAMED_MOST) {
+            let id = request.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-");
+            warn!(log, "request cut by the end of the process";
+                "id" => id,
+                "stage" => request.stage.name(),
+                "age_ms" => milliseconds(now, request.since),
+                "came_after_signal_ms" => milliseconds(request.since, told),
+                "left_ms" => request.ends_at.map(|ends_at| milliseconds(ends_at, now)));
+        }
+    }
+}
+
+/// Time from `earlier` to `later` in milliseconds, below zero if it is the other way round.
+fn milliseconds(later: Instant, earlier: Instant) -> i64 {
+    let forward = later.saturating_duration_since(earlier).as_millis() as i64;
+    let backward = earlier.saturating_duration_since(later).as_millis() as i64;
+    forward - backward
+}
+
+/// A request in hand.
+#[derive(Debug)]
+pub struct InHand {
+    requests: Rc<OpenRequests>,
+    number: u64,
+}
+
+impl InHand {
+    /// The request of this id was read whole and let pass; its time is over at `ends_at`.
+    pub fn admitted(&self, id: &HeaderValue, ends_at: Instant) {
+        self.change(|request| {
+            request.stage = Stage::Admitted;
+            request.id = Some(id.clone());
+            request.ends_at = Some(ends_at);
+        });
+    }
+
+    /// Its answer begins.
+    pub fn answering(&self) {
+        self.change(|request| request.stage = Stage::Answering);
+    }
+
+    fn change(&self, change: impl FnOnce(&mut OpenRequest)) {
+        if let Some(request) = self.requests.requests.borrow_mut().get_mut(&self.number) {
+            change(request);
+        }
+    }
+}
+
+impl Drop for InHand {
+    fn drop(&mut self) {
+        self.requests.requests.borrow_mut().remove(&self.number);
+    }
+}
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -47,7 +47,7 @@
 /// Waits until nothing is in hand, or the time for that is over. New connections are taken while the platform sends
 /// them, and none afterwards, as it would be cut with the request on it. What the kernel holds by then is taken too.
 pub async fn finish(node: &Rc<Node>, clients: &Clients) {
-    let Leaving { open_until, ends_at } = node.leave();
+    let Leaving { told, open_until, ends_at } = node.leave();
     info!(node.log, "told to end"; "in_hand" => node.in_hand());
     tokio::time::sleep_until(open_until).await;
     clients.refuse_more().await;
@@ -55,6 +55,7 @@
         tokio::time::sleep(LOOK).await;
     }
     info!(node.log, "ends"; "in_hand" => node.in_hand());
+    node.open_requests.log_cut(&node.log, told);
 }
 
 /// Whether no connection of a client is left; those without a request are told to end.
