A proxy that was told to end lets nothing pass that may outlast it

Ruled out: SIGHUP by itself, the agent's restart (no connection ended at another moment than the process's end). Change: from the signal on a request whose time is over after the process's end, and that no server can have run, is refused with 503; its client is told to come back once the platform sends nobody here any more. One check before each attempt, in place of one for later requests on a kept connection.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -52,7 +52,8 @@
                 Ok(link) => link,
                 Err(outcome) => return self.unreached(tracked, outcome),
             };
-            if !self.node.router.borrow().is_usable(server) {
+            // What has changed while the connection came up.
+            if !self.node.router.borrow().is_usable(server) || self.outlasted().is_some() {
                 return self.unreached(tracked, Outcome::Cancelled);
             }
             if !poll_fn(|cx| Poll::Ready(link.is_quiet(cx))).await {
--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -19,7 +19,6 @@
 use crate::admission::admit;
 use crate::answer::{AnswerBody, Reply};
 use crate::exchange::Exchange;
-use crate::leaving::Leaving;
 use crate::node::Node;
 use crate::open_requests::InHand;
 use crate::request;
@@ -36,8 +35,6 @@
 pub struct ClientConnection {
     /// Since when no request is open on it.
     idle_since: Cell<Option<Instant>>,
-    /// Requests that have come on it.
-    requests: Cell<u64>,
     /// Told when it is to end once no request is open on it.
     close: Notify,
     /// Told when it is to end at once.
@@ -51,7 +48,6 @@
     pub fn new() -> Rc<Self> {
         Rc::new(Self {
             idle_since: Cell::new(Some(Instant::now())),
-            requests: Cell::new(0),
             close: Notify::new(),
             cut: Notify::new(),
             heads: Heads::default(),
@@ -96,14 +92,8 @@
 impl Open {
     fn new(connection: &Rc<ClientConnection>) -> Self {
         connection.idle_since.set(None);
-        connection.requests.set(connection.requests.get() + 1);
         Self(connection.clone())
     }
-
-    /// Whether another request came on the connection before.
-    fn is_repeated(&self) -> bool {
-        self.0.requests.get() > 1
-    }
 }
 
 impl Drop for Open {
@@ -151,7 +141,7 @@
     let in_hand = node.open_requests.open();
     let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
     let mut response = match heads.check(request.headers()) {
-        Ok(()) => answer(&node, request, &in_hand, open.is_repeated()).await,
+        Ok(()) => answer(&node, request, &in_hand).await,
         Err(_) => Reply::new(StatusCode::BAD_REQUEST).closing().response(None),
     };
     if chunked {
@@ -164,13 +154,7 @@
     response.map(|body| body.holding(Box::new((in_hand, open))))
 }
 
-/// `is_repeated` says that the connection had another request before.
-async fn answer(
-    node: &Rc<Node>,
-    request: Request<Incoming>,
-    in_hand: &InHand,
-    is_repeated: bool,
-) -> Response<AnswerBody> {
+async fn answer(node: &Rc<Node>, request: Request<Incoming>, in_hand: &InHand) -> Response<AnswerBody> {
     let began = Instant::now();
     let configuration = node.configuration();
     let limits = configuration.as_ref().map(|configuration| &configuration.fleet.limits);
@@ -193,9 +177,5 @@
     };
     let exchange = Exchange::new(node.clone(), configuration, request, admitted, began);
     in_hand.admitted(&exchange.request.id, exchange.alarm.ends_at());
-    let refuses = |leaving: Leaving| leaving.refuses(Instant::now(), exchange.alarm.ends_at());
-    if is_repeated && node.leaving().is_some_and(refuses) {
-        return exchange.refuse();
-    }
     exchange.run().await
 }
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -12,6 +12,7 @@
 use crate::answer::{AnswerBody, LAST_EVENT_ID};
 use crate::attempt::{Attempted, passed_on};
 use crate::configuration::Configuration;
+use crate::leaving::Leaving;
 use crate::node::Node;
 use crate::request::ClientRequest;
 use crate::stream::Passing;
@@ -106,11 +107,6 @@
         failed.map_or_else(|| self.settle(Unanswered::REJECTED), |response| *response)
     }
 
-    /// Refuses the request before it was sent anywhere: another node can take it.
-    pub fn refuse(self) -> Response<AnswerBody> {
-        self.settle(Unanswered::REJECTED)
-    }
-
     /// Takes a broken stream up at another server; nothing if that can't be.
     /// The first try was charged by [`Self::may_repeat`].
     pub(crate) async fn resume(
@@ -184,12 +180,21 @@
         self.alarm.ends_at().saturating_duration_since(Instant::now())
     }
 
+    /// What the process's end is, if the request may last longer and no server may have run it yet.
+    pub(crate) fn outlasted(&self) -> Option<Leaving> {
+        let leaving = self.node.leaving().filter(|_| self.ran == 0)?;
+        leaving.is_outlasted_by(self.alarm.ends_at()).then_some(leaving)
+    }
+
     /// Makes the next attempt, after waiting for room if there is none.
     async fn next(&mut self) -> Result<Attempted, Unanswered> {
         loop {
             if self.left() < TIME_LEAST {
                 return Err(Unanswered::TimedOut);
             }
+            if let Some(leaving) = self.outlasted() {
+                return Err(Unanswered::leaving(leaving.still_sent(Instant::now())));
+            }
             match self.choose() {
                 Decision::Send { server, attempt } => {
                     let tracked = Tracked::new(self.node.clone(), attempt, server);
--- a/crates/proxy/src/leaving.rs
+++ b/crates/proxy/src/leaving.rs
@@ -1,4 +1,8 @@
 //! The times of a process that was told to end.
+//!
+//! From then on it lets no request pass that may outlast it: the time of a request, its client's or its route's, bounds
+//! how long its answer may take, and what would be cut at the end is refused while another node can still take it.
+//! A request that had been sent to a server before is answered for as long as the process may run.
 
 use std::time::Duration;
 
@@ -8,6 +12,8 @@
 const STILL_SENT: Duration = Duration::from_millis(2_200);
 /// The process ends so long before it would be killed.
 const BEFORE_KILL: Duration = Duration::from_millis(400);
+/// An answer that comes as a request's time is over is written within this time.
+const ANSWER_WRITTEN_WITHIN: Duration = Duration::from_millis(100);
 /// Part of the grace in which new connections are taken, at most: what comes by later ones may not end in time.
 const OPEN_PART: f64 = 0.5;
 
@@ -16,8 +22,7 @@
 pub struct Leaving {
     /// When the process was told to end.
     pub told: Instant,
-    /// Until then new connections are taken. Later on a connection that was kept brings no request that may outlast the
-    /// process.
+    /// Until then new connections are taken.
     pub open_until: Instant,
     /// The process ends now at the latest.
     pub ends_at: Instant,
@@ -33,9 +38,13 @@
         }
     }
 
-    /// Whether a request that comes at `now` on a connection that had another before has to go elsewhere, as it may last
-    /// until `request_ends`.
-    pub fn refuses(&self, now: Instant, request_ends: Instant) -> bool {
-        now >= self.open_until && request_ends > self.ends_at
+    /// Whether a request whose time is over at `request_ends` may outlast the process, so that its answer would be cut.
+    pub fn is_outlasted_by(&self, request_ends: Instant) -> bool {
+        request_ends + ANSWER_WRITTEN_WITHIN > self.ends_at
+    }
+
+    /// How long the platform may still send clients, seen from `now`: one that is refused comes back after it.
+    pub fn still_sent(&self, now: Instant) -> Duration {
+        self.open_until.saturating_duration_since(now)
     }
 }
--- a/crates/proxy/src/table.rs
+++ b/crates/proxy/src/table.rs
@@ -22,6 +22,9 @@
 /// When a client may come back at the soonest while there is no configuration.
 const AFTER_UNCONFIGURED: Duration = Duration::from_millis(300);
 
+/// When a client may come back at the soonest to a fleet of which this process leaves: another node can take it at once.
+const AFTER_LEAVING: Duration = Duration::from_millis(50);
+
 /// Times to come back differ by up to this part, so that clients that were refused together do not come together.
 const SPREAD: f64 = 0.15;
 
@@ -52,6 +55,12 @@
         Self::NotRun { retry_after: CONFIGURED_WITHIN.saturating_sub(age).max(AFTER_UNCONFIGURED) }
     }
 
+    /// Not run, as it may outlast the process, which was told to end: the platform may send clients here for
+    /// `still_sent`.
+    pub fn leaving(still_sent: Duration) -> Self {
+        Self::NotRun { retry_after: still_sent.max(AFTER_LEAVING) }
+    }
+
     /// With a time to come back that differs from one client to the next.
     pub fn spread(self) -> Self {
         match self {
