--- a/crates/control/src/program.rs
+++ b/crates/control/src/program.rs
@@ -111,11 +111,13 @@
 }
 
 async fn serve(boot: Boot, log: Logger) -> anyhow::Result<()> {
+    // Both before the store is opened, which may take long: a signal that nobody listens for ends the program.
     let mut ending = signal(SignalKind::terminate()).context("SIGTERM can't be listened for")?;
+    let hangup = signal(SignalKind::hangup()).context("SIGHUP can't be listened for")?;
     tokio::select! {
         engine = begin(&boot, &log) => {
             let engine = engine?;
-            spawn_local(watch_settings(boot, engine.clone()));
+            spawn_local(watch_settings(boot, engine.clone(), hangup));
             ending.recv().await;
             end(&engine).await;
         }
@@ -244,12 +246,11 @@
 }
 
 /// Takes in changes of the settings file, with a signal or without.
-async fn watch_settings(boot: Boot, engine: Engine) {
-    let mut hangup = signal(SignalKind::hangup()).ok();
+async fn watch_settings(boot: Boot, engine: Engine, mut hangup: Signal) {
     let mut seen = modified();
     let mut seeds = boot.seeds;
     loop {
-        let signalled = wait_for_signal(&mut hangup).await;
+        let signalled = timeout(SETTINGS_PERIOD, hangup.recv()).await.is_ok();
         let found = modified();
         if !signalled && found == seen {
             continue;
@@ -267,16 +268,6 @@
     }
 }
 
-async fn wait_for_signal(hangup: &mut Option<Signal>) -> bool {
-    match hangup {
-        Some(hangup) => timeout(SETTINGS_PERIOD, hangup.recv()).await.is_ok(),
-        None => {
-            sleep(SETTINGS_PERIOD).await;
-            false
-        }
-    }
-}
-
 fn modified() -> Option<(SystemTime, u64)> {
     let about = std::fs::metadata(Boot::path()).ok()?;
     Some((about.modified().ok()?, about.len()))
--- a/crates/control/tests/fleet_core_faults.rs
+++ b/crates/control/tests/fleet_core_faults.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use testkit::system::scene::{FIRST_VERSION, HOST, POOL, Scene};
-use testkit::system::{Configuration, Route, Signal};
+use testkit::system::{Configuration, Fleet, Plan, Route, Signal, until};
 
 const OWN: &str = env!("CARGO_BIN_EXE_dunelink-control");
 /// `ackMs` of the settings.
@@ -171,3 +171,22 @@
     assert!(status.success(), "{status}");
     taken(&scene, FIRST_VERSION, 8).await;
 }
+
+/// SIGHUP comes in series, also to a program that waits for its disk.
+#[tokio::test]
+async fn a_sighup_before_the_store_is_open_does_not_end_the_program() {
+    let mut fleet = Fleet::start(OWN, Plan { cores: 1, fronts: 0 }).await;
+    fleet.led().await;
+    fleet.kill_core(0);
+    let data = fleet.data(0);
+    fleet.wipe_core(0);
+    std::fs::write(&data, "no folder").expect("a file in the folder's place");
+    fleet.core(0).start();
+    let waits =
+        || std::future::ready(fleet.core(0).log().contains("the store can't be opened yet").then_some(()));
+    until("the program to wait for its store", waits).await;
+    fleet.core(0).signal(Signal::HUP);
+    std::fs::remove_file(&data).expect("the file in the folder's place");
+    fleet.led().await;
+    assert!(fleet.core(0).runs());
+}
--- a/crates/testkit/src/system/process.rs
+++ b/crates/testkit/src/system/process.rs
@@ -16,6 +16,8 @@
     program: PathBuf,
     settings: PathBuf,
     log: PathBuf,
+    /// Length of the log when it was started last, in bytes.
+    log_before: u64,
     child: Option<Child>,
 }
 
@@ -24,7 +26,7 @@
     pub fn new(program: PathBuf, folder: &Path, name: &str) -> FleetProcess {
         let settings = folder.join(format!("{name}.toml"));
         let log = folder.join(format!("{name}.log"));
-        FleetProcess { program, settings, log, child: None }
+        FleetProcess { program, settings, log, log_before: 0, child: None }
     }
 
     /// Puts a new settings file in place of the one that is there, all at once.
@@ -36,6 +38,7 @@
 
     /// Starts it.
     pub fn start(&mut self) {
+        self.log_before = self.log_length();
         let log = OpenOptions::new().create(true).append(true).open(&self.log).expect("a log");
         let both: File = log.try_clone().expect("a second handle");
         let path = std::env::var_os("PATH").unwrap_or_default();
@@ -70,6 +73,15 @@
         self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
     }
 
+    /// Whether it has written to its log since it was started last: it is past the first instructions of a program.
+    pub fn has_spoken(&self) -> bool {
+        self.log_length() > self.log_before
+    }
+
+    fn log_length(&self) -> u64 {
+        self.log.metadata().map_or(0, |data| data.len())
+    }
+
     /// Waits for its end.
     pub async fn ended(&mut self) -> ExitStatus {
         let mut child = self.child.take().expect("a process that was started");
