--- a/crates/proxy/src/listen.rs
+++ b/crates/proxy/src/listen.rs
@@ -1,6 +1,6 @@
 //! Accepting clients.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::poll_fn;
 use std::io;
@@ -58,6 +58,8 @@
     next: RefCell<u64>,
     connections: RefCell<HashMap<u64, Rc<ClientConnection>>>,
     freed: Notify,
+    /// Connections that were accepted as the listener was closed.
+    taken_last: Cell<usize>,
     /// Told when no more connections are to be accepted.
     refusing: Notify,
     /// Told once the listener is closed.
@@ -74,6 +76,7 @@
             next: RefCell::default(),
             connections: RefCell::default(),
             freed: Notify::new(),
+            taken_last: Cell::new(0),
             refusing: Notify::new(),
             refused: Notify::new(),
         })
@@ -92,15 +95,17 @@
         }
         while let Some(Ok((stream, _))) = at_once(listener.accept()).await {
             self.clone().adopt(stream);
+            self.taken_last.set(self.taken_last.get() + 1);
         }
         drop(listener);
         self.refused.notify_one();
     }
 
-    /// Closes the listener, with all connections accepted that are there.
-    pub async fn refuse_more(&self) {
+    /// Closes the listener, with all connections accepted that are there; gives how many there were.
+    pub async fn refuse_more(&self) -> usize {
         self.refusing.notify_one();
         self.refused.notified().await;
+        self.taken_last.get()
     }
 
     async fn accept_all(self: &Rc<Self>, listener: &TcpListener) {
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -50,11 +50,14 @@
     let Leaving { told, open_until, ends_at } = node.leave();
     info!(node.log, "told to end"; "in_hand" => node.in_hand());
     tokio::time::sleep_until(open_until).await;
-    clients.refuse_more().await;
+    let last = clients.refuse_more().await;
+    info!(node.log, "no more connections"; "open" => clients.count(), "taken_last" => last,
+        "after_ms" => told.elapsed().as_millis() as u64);
     while Instant::now() < ends_at && !is_done(node, clients) {
         tokio::time::sleep(LOOK).await;
     }
-    info!(node.log, "ends"; "in_hand" => node.in_hand());
+    info!(node.log, "ends"; "in_hand" => node.in_hand(), "connections" => clients.count(),
+        "after_ms" => told.elapsed().as_millis() as u64);
     node.open_requests.log_cut(&node.log, told);
 }
 
--- a/crates/testkit/src/system/fleet.rs
+++ b/crates/testkit/src/system/fleet.rs
@@ -359,6 +359,15 @@
         until(&format!("the core machines {cores:?} to vote"), look).await;
     }
 
+    /// Shows the ends of all processes' logs.
+    pub fn show_logs(&self) {
+        for machine in self.cores.iter().chain(&self.fronts) {
+            for (role, process) in &machine.processes {
+                eprintln!("--- {} {role}:\n{}", machine.settings.name, process.log_tail());
+            }
+        }
+    }
+
     /// Waits for a leader.
     pub async fn led(&self) -> usize {
         until("a leader of the core", || self.leader()).await
@@ -400,11 +409,7 @@
 impl Drop for Fleet {
     fn drop(&mut self) {
         if std::thread::panicking() {
-            for machine in self.cores.iter().chain(&self.fronts) {
-                for (role, process) in &machine.processes {
-                    eprintln!("--- {} {role}:\n{}", machine.settings.name, process.log_tail());
-                }
-            }
+            self.show_logs();
         }
         self.cores.clear();
         self.fronts.clear();
