--- a/crates/control/tests/soak/mod.rs
+++ b/crates/control/tests/soak/mod.rs
@@ -63,6 +63,7 @@
     let mut wrong = seen.crashes.clone();
     wrong.extend(verdict::of_ends(&seen.ends));
     wrong.extend(verdict::of_requests(&scene, &requests, &seen.ends));
+    wrong.extend(verdict::of_logs(&mut scene));
     let (ends, counts, late) = (seen.ends.len(), verdict::counts(&scene, &requests), seen.slowest_look);
     eprintln!("seed {seed}: {ends} ends, {counts}, the test up to {late:?} late, {} wrong", wrong.len());
     if !wrong.is_empty() {
--- a/crates/control/tests/soak/verdict.rs
+++ b/crates/control/tests/soak/verdict.rs
@@ -21,6 +21,23 @@
     wrong.map(|end| format!("front {} ended badly after {:?}", end.front, end.ended - end.told)).collect()
 }
 
+/// Requests of which a proxy itself says that they came after SIGTERM and were cut by its end.
+pub(crate) fn of_logs(scene: &mut Scene) -> Vec<String> {
+    let mut wrong = Vec::new();
+    for front in 0..scene.fleet.fronts() {
+        let log = scene.fleet.proxy(front).log();
+        let cut =
+            log.lines().filter(|line| line.contains("request cut by the end") && came_after_signal(line));
+        wrong.extend(cut.map(|line| format!("front {front}: {line}")));
+    }
+    wrong
+}
+
+fn came_after_signal(line: &str) -> bool {
+    let after = line.split("came_after_signal_ms=").nth(1).and_then(|rest| rest.split(' ').next());
+    after.and_then(|after| after.parse::<i64>().ok()).is_none_or(|after| after > 0)
+}
+
 /// Requests that were lost, refused though they ran, run twice, or answered with something else.
 pub(crate) fn of_requests(scene: &Scene, requests: &[Asked], ends: &[End]) -> Vec<String> {
     requests.iter().filter_map(|asked| Some((asked, wrong(scene, asked, ends)?))).map(told).collect()
