--- a/crates/replication/tests/seeded_changes.rs
+++ b/crates/replication/tests/seeded_changes.rs
@@ -111,7 +111,12 @@
     fn take_folder(&self, from: &Path, to: &str) {
         for file in fs::read_dir(from).expect("the folder is read") {
             let file = file.expect("an entry of the folder");
-            self.take(&file.path(), &format!("{to}/{}", file.file_name().display()));
+            let to = format!("{to}/{}", file.file_name().display());
+            if file.path().is_dir() {
+                self.take_folder(&file.path(), &to);
+            } else {
+                self.take(&file.path(), &to);
+            }
         }
     }
 
