Loads of the fleet told to all nodes; short prompts by load; what is read anew counts by all that it holds up

Cause: with 82 nodes before 140 servers a node has a request at a server every 20 s; what it believed of the load was a guess, and short prompts went to the hash of a part that no other request has. The time until a place is free is the mean over an error of one place. Reading a shared part anew costs its time for each request that runs there.

--- a/crates/agent/src/reports.rs
+++ b/crates/agent/src/reports.rs
@@ -18,7 +18,10 @@
     pub fn add(&mut self, mut report: ProxyReport) {
         if let Some(before) = self.report.take() {
             report.observations = join(before.observations, report.observations);
+            let later = std::mem::replace(&mut report.loads, before.loads);
+            report.loads.add(later);
         }
+        report.loads.servers.truncate(ENTRIES);
         report.demand.has_history &= report.demand.tenants.len() <= ENTRIES;
         report.demand.tenants.truncate(ENTRIES);
         report.observations.truncate(ENTRIES);
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -199,7 +199,7 @@
                 }
             }
             Change::Configuration => info!(self.log, "configuration"; "version" => inner.feed.version()),
-            Change::Roster | Change::Grants | Change::Suspicions => {}
+            Change::Roster | Change::Grants | Change::Suspicions | Change::Loads => {}
         }
         self.feed_changed.notify_one();
     }
@@ -214,9 +214,10 @@
         }
     }
 
-    /// Grants and suspicions follow from reports: only the connection that takes reports gives them.
+    /// What follows from reports comes only from the connection that takes them.
     fn accepts(&self, link: LinkId, message: &FeedMessage) -> bool {
-        let bound = matches!(message, FeedMessage::Grants(_) | FeedMessage::Suspicions(_));
+        let bound =
+            matches!(message, FeedMessage::Grants(_) | FeedMessage::Suspicions(_) | FeedMessage::Loads(_));
         !bound || self.sources.active() == Some(link)
     }
 }
--- a/crates/agent/tests/arguments_and_reports.rs
+++ b/crates/agent/tests/arguments_and_reports.rs
@@ -47,6 +47,7 @@
     ProxyReport {
         demand: NodeDemand { tenants: demand.collect(), ..NodeDemand::default() },
         observations: observations.collect(),
+        ..ProxyReport::default()
     }
 }
 
--- a/crates/agent/tests/feed_to_proxy.rs
+++ b/crates/agent/tests/feed_to_proxy.rs
@@ -18,7 +18,7 @@
         counted: 0.0,
         ..TenantDemand::default()
     }];
-    ProxyReport { demand: NodeDemand { tenants: demand, ..NodeDemand::default() }, observations: Vec::new() }
+    ProxyReport { demand: NodeDemand { tenants: demand, ..NodeDemand::default() }, ..ProxyReport::default() }
 }
 
 #[tokio::test]
--- a/crates/control/examples/scale/hollow.rs
+++ b/crates/control/examples/scale/hollow.rs
@@ -25,7 +25,7 @@
 /// Threads that the nodes share.
 const THREADS: usize = 3;
 /// Kinds of [`FeedMessage`].
-const KINDS: usize = 6;
+const KINDS: usize = 7;
 /// Units a second that a node's proxy lets pass for each active tenant.
 const RATE: f64 = 350.0;
 
@@ -262,6 +262,7 @@
         let report = ProxyReport {
             demand: NodeDemand { tenants: demand.collect(), ..NodeDemand::default() },
             observations: observations.collect(),
+            ..ProxyReport::default()
         };
         encode(&AgentMessage::Report(report), out);
         self.totals.messages_out.fetch_add(1, Ordering::Relaxed);
@@ -276,5 +277,6 @@
         FeedMessage::Grants(_) => 3,
         FeedMessage::Members(_) => 4,
         FeedMessage::Suspicions(_) => 5,
+        FeedMessage::Loads(_) => 6,
     }
 }
--- a/crates/control/examples/scale/main.rs
+++ b/crates/control/examples/scale/main.rs
@@ -203,6 +203,7 @@
                 "configuration": rate(counted.bytes_in[0]), "roster": rate(counted.bytes_in[1]),
                 "tick": rate(counted.bytes_in[2]), "grants": rate(counted.bytes_in[3]),
                 "members": rate(counted.bytes_in[4]), "suspicions": rate(counted.bytes_in[5]),
+                "loads": rate(counted.bytes_in[6]),
             }),
             "lostLinks": counted.lost, "control": control, "more": more,
         });
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod feed_session;
 pub mod identity;
 pub mod list;
+pub mod loads;
 pub mod message;
 pub mod node;
 pub mod operator;
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -1,7 +1,8 @@
 //! Messages between control machines.
 
 use dunelink_protocol::{
-    GrantUpdate, NodeDemand, RosterOffset, RosterUpdate, ServerEntry, ServerObservation, ServerSuspicion,
+    FleetLoads, GrantUpdate, NodeDemand, NodeLoads, RosterOffset, RosterUpdate, ServerEntry,
+    ServerObservation, ServerSuspicion,
 };
 use dunelink_replication::{Member, Message, ReplicaId};
 use minicbor::{Decode, Encode};
@@ -53,6 +54,9 @@
     /// Answer to [`PeerMessage::ReadList`].
     #[n(9)]
     ListRead(#[n(0)] ListRead),
+    /// Requests of the fleet at servers, from the leader.
+    #[n(10)]
+    Loads(#[n(0)] FleetLoads),
 }
 
 /// The members that a control machine knows.
@@ -78,6 +82,9 @@
     /// What it saw of servers, summed up since the last message.
     #[n(2)]
     pub observations: Vec<ServerObservation>,
+    /// Its requests at servers.
+    #[n(3)]
+    pub loads: NodeLoads,
 }
 
 /// Grants for one node.
@@ -126,6 +133,7 @@
         match self {
             Self::Replication(Message::Append { .. } | Message::Chunk { .. }) => true,
             Self::Replication(_) | Self::JoinRequest(_) | Self::Members(_) | Self::ReadList(_) => false,
+            Self::Loads(_) => false,
             Self::Roster(_) | Self::RosterWanted(_) | Self::ListRead(_) => true,
             Self::Reports(reports) => reports.len() > URGENT_ITEMS,
             Self::Grants(grants) => grants.len() > URGENT_ITEMS,
--- a/crates/control/src/node/leading.rs
+++ b/crates/control/src/node/leading.rs
@@ -8,6 +8,7 @@
 use slog::{info, warn};
 
 use super::{Effect, MILLISECOND, Node};
+use crate::loads::LoadSums;
 use crate::message::{ListRead, NodeGrants, NodeReport, PeerMessage, RosterNews};
 use crate::reports::Pool;
 use crate::roster;
@@ -30,6 +31,7 @@
     /// The control machine at which a node's agent reported last.
     homes: BTreeMap<String, ReplicaId>,
     pool: Pool,
+    loads: LoadSums,
     suspicions_due: u64,
     delegation: Option<Delegation>,
     delegations: u64,
@@ -54,6 +56,7 @@
                 quotas_version: 0,
                 homes: BTreeMap::new(),
                 pool: Pool::default(),
+                loads: LoadSums::new(now),
                 suspicions_due: now,
                 delegation: None,
                 delegations: 0,
@@ -71,12 +74,13 @@
     /// Reports of agents that reached the leader through `home`.
     pub(super) fn reported(&mut self, now: u64, home: ReplicaId, reports: Vec<NodeReport>) {
         let Some(leading) = &mut self.leading else { return };
-        for NodeReport { node, demand, observations } in reports {
+        for NodeReport { node, demand, observations, loads } in reports {
             if leading.homes.len() >= KNOWN_HOMES && !leading.homes.contains_key(&node) {
                 continue;
             }
             leading.allocator.report(now, &node, &demand);
             leading.pool.add(now, &node, observations);
+            leading.loads.report(now, &node, loads);
             leading.homes.insert(node, home);
         }
     }
@@ -123,6 +127,15 @@
         effects.push(Effect::FeedChanged);
     }
 
+    /// Tells all machines how many requests are at the servers, when that is due.
+    pub(super) fn tell_loads(&mut self, now: u64, effects: &mut Vec<Effect>) {
+        let Some(leading) = &mut self.leading else { return };
+        let Some(loads) = leading.loads.due(now, &self.feed.roster) else { return };
+        self.tell_all(&PeerMessage::Loads(loads.clone()), effects);
+        self.feed.loads.set(loads, now);
+        effects.push(Effect::FeedChanged);
+    }
+
     /// Has the quotas of a new version read.
     fn ask_quotas(&mut self, effects: &mut Vec<Effect>) {
         let version = self.state.version();
--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -245,6 +245,12 @@
                     effects.push(Effect::FeedChanged);
                 }
             }
+            PeerMessage::Loads(loads) => {
+                if self.is_leader(from) {
+                    self.feed.loads.set(loads, now);
+                    effects.push(Effect::FeedChanged);
+                }
+            }
             PeerMessage::ReadList(request) => {
                 if let Some(leader) = self.replica.leader().filter(|leader| leader.id == from) {
                     effects.push(Effect::ReadList { request, to: leader.clone() });
@@ -263,6 +269,7 @@
             self.reported(now, me, reports);
             self.allocate(now, effects);
             self.suspect(now, effects);
+            self.tell_loads(now, effects);
         } else if !reports.is_empty()
             && let Some(leader) = self.replica.leader().cloned()
         {
--- a/crates/control/src/reports.rs
+++ b/crates/control/src/reports.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use dunelink_protocol::{NodeDemand, ProxyReport, ServerObservation, ServerSuspicion};
+use dunelink_protocol::{NodeDemand, NodeLoads, ProxyReport, ServerObservation, ServerSuspicion};
 
 use crate::message::NodeReport;
 
@@ -37,8 +37,10 @@
             node: node.to_owned(),
             demand: NodeDemand::default(),
             observations: Vec::new(),
+            loads: NodeLoads::default(),
         });
         entry.demand = report.demand;
+        entry.loads.add(report.loads);
         for seen in report.observations {
             sum_up(&mut entry.observations, seen);
         }
--- a/crates/control/tests/node_group.rs
+++ b/crates/control/tests/node_group.rs
@@ -181,7 +181,7 @@
     group.ask(leader, 0, &body(3, "k"));
     let report = || ProxyReport {
         demand: NodeDemand { tenants: vec![demand()], ..NodeDemand::default() },
-        observations: Vec::new(),
+        ..ProxyReport::default()
     };
     for _ in 0..40 {
         group.act(follower, |node, _, _| node.agent_reported("front-1", report()));
--- a/crates/feed/src/reader.rs
+++ b/crates/feed/src/reader.rs
@@ -28,6 +28,8 @@
     Members,
     /// The servers suspected.
     Suspicions,
+    /// The requests of the fleet at servers.
+    Loads,
     /// Nothing, as the source's changes do not follow what is held: the reader has to subscribe anew.
     Resubscribe,
 }
@@ -79,6 +81,10 @@
                 state.suspicions.set(suspicions, now);
                 Ok(Change::Suspicions)
             }
+            FeedMessage::Loads(loads) => {
+                state.loads.set(loads, now);
+                Ok(Change::Loads)
+            }
         }
     }
 
--- a/crates/feed/src/source.rs
+++ b/crates/feed/src/source.rs
@@ -6,6 +6,8 @@
 
 /// Microseconds in a millisecond.
 const MICROS: u64 = 1_000;
+/// Loads that were received longer ago say nothing any more, in microseconds.
+const LOADS_FOR: u64 = 500_000;
 
 /// Tells one reader what it lacks, one message at a time.
 ///
@@ -18,6 +20,7 @@
     roster: Option<RosterOffset>,
     grants: u64,
     suspicions: u64,
+    loads: u64,
     tick: Option<SentTick>,
 }
 
@@ -46,6 +49,7 @@
             roster,
             grants: 0,
             suspicions: 0,
+            loads: 0,
             tick: None,
         }
     }
@@ -62,6 +66,7 @@
             .or_else(|| self.next_roster(state, now))
             .or_else(|| self.next_grants(state, now))
             .or_else(|| self.next_suspicions(state))
+            .or_else(|| self.next_loads(state, now))
             .or_else(|| self.next_tick(state, tick_period, now))
     }
 
@@ -110,6 +115,15 @@
         Some(FeedMessage::Suspicions(suspicions.clone()))
     }
 
+    fn next_loads(&mut self, state: &FeedState, now: u64) -> Option<FeedMessage> {
+        if self.loads == state.loads.number() {
+            return None;
+        }
+        self.loads = state.loads.number();
+        let (loads, received_at) = state.loads.get()?;
+        (now < received_at + LOADS_FOR).then(|| FeedMessage::Loads(loads.clone()))
+    }
+
     fn next_tick(&mut self, state: &FeedState, period: u64, now: u64) -> Option<FeedMessage> {
         let tick = state.tick(now);
         let told = self.tick.as_ref().is_some_and(|sent| {
--- a/crates/feed/src/state.rs
+++ b/crates/feed/src/state.rs
@@ -1,6 +1,8 @@
 //! The newest of everything that is fed.
 
-use dunelink_protocol::{ControlMember, GrantUpdate, RosterOffset, ServerSuspicion, Subscribe, Tick};
+use dunelink_protocol::{
+    ControlMember, FleetLoads, GrantUpdate, RosterOffset, ServerSuspicion, Subscribe, Tick,
+};
 
 use crate::{Configuration, Freshness, Roster};
 
@@ -17,6 +19,8 @@
     pub grants: Numbered<GrantUpdate>,
     /// Servers suspected, as received.
     pub suspicions: Numbered<Vec<ServerSuspicion>>,
+    /// Requests of the fleet at servers, as received.
+    pub loads: Numbered<FleetLoads>,
     /// Control machines, as last told.
     pub members: Vec<ControlMember>,
 }
--- a/crates/feed/tests/readers_and_sources.rs
+++ b/crates/feed/tests/readers_and_sources.rs
@@ -57,6 +57,7 @@
         FeedMessage::Grants(_) => "grants",
         FeedMessage::Members(_) => "members",
         FeedMessage::Suspicions(_) => "suspicions",
+        FeedMessage::Loads(_) => "loads",
     };
     messages.iter().map(kind).collect()
 }
--- a/crates/protocol/src/feed.rs
+++ b/crates/protocol/src/feed.rs
@@ -2,6 +2,8 @@
 
 use minicbor::{Decode, Encode};
 
+use crate::FleetLoads;
+
 /// A message towards an agent or a proxy.
 #[derive(Debug, Clone, PartialEq, Encode, Decode)]
 pub enum FeedMessage {
@@ -23,6 +25,9 @@
     /// Servers that several nodes found failing.
     #[n(5)]
     Suspicions(#[n(0)] Vec<ServerSuspicion>),
+    /// Requests of the fleet at servers.
+    #[n(6)]
+    Loads(#[n(0)] FleetLoads),
 }
 
 /// A part of a configuration. Parts of one version come in order; the last one ends at `total_bytes`.
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod feed;
 pub mod frame;
 pub mod hello;
+pub mod load;
 pub mod report;
 
 pub use feed::{
@@ -22,6 +23,7 @@
 };
 pub use frame::{FrameError, MAX_FRAME_BYTES, decode, encode};
 pub use hello::{Hello, LinkKind};
+pub use load::{FleetLoads, NodeLoads, ServerLoad, server_key};
 pub use report::{
     AgentMessage, NodeDemand, ProxyMessage, ProxyReport, ServerObservation, Subscribe, TenantDemand,
 };
--- a/crates/protocol/src/report.rs
+++ b/crates/protocol/src/report.rs
@@ -2,7 +2,7 @@
 
 use minicbor::{Decode, Encode};
 
-use crate::RosterOffset;
+use crate::{NodeLoads, RosterOffset};
 
 /// A message from an agent to a control machine.
 #[derive(Debug, Clone, PartialEq, Encode, Decode)]
@@ -43,6 +43,9 @@
     /// Outcomes by server; servers without any are left out.
     #[n(1)]
     pub observations: Vec<ServerObservation>,
+    /// Its requests at servers.
+    #[n(2)]
+    pub loads: NodeLoads,
 }
 
 /// What one proxy asks for, and how it stands towards the leader that divides the quotas.
--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -2,8 +2,8 @@
 
 use bytes::BytesMut;
 use dunelink_protocol::{
-    AgentMessage, ConfigurationChunk, FeedMessage, FrameError, NodeDemand, ProxyReport, RosterOffset,
-    Subscribe, TenantDemand, decode, encode,
+    AgentMessage, ConfigurationChunk, FeedMessage, FrameError, NodeDemand, NodeLoads, ProxyReport,
+    RosterOffset, ServerLoad, Subscribe, TenantDemand, decode, encode, server_key,
 };
 
 fn chunk() -> FeedMessage {
@@ -41,6 +41,10 @@
     let report = AgentMessage::Report(ProxyReport {
         demand: NodeDemand { tenants: demand, ..NodeDemand::default() },
         observations: Vec::new(),
+        loads: NodeLoads {
+            is_whole: true,
+            servers: vec![ServerLoad { server: server_key("i-1"), requests: 3 }],
+        },
     });
     let roster = RosterOffset { epoch: 3, sequence: 4 };
     let subscribe = AgentMessage::Subscribe(Subscribe { configuration_version: 5, roster });
--- a/crates/proxy/src/feed.rs
+++ b/crates/proxy/src/feed.rs
@@ -116,6 +116,7 @@
     /// A new connection begins with a whole configuration and a whole roster; what is held already is left out.
     fn connected(&mut self) {
         self.reader = FeedReader::new();
+        self.node.repeat_loads();
     }
 
     fn take(&mut self, message: FeedMessage) -> Result<(), Ended> {
@@ -135,11 +136,26 @@
                     self.node.suspect(suspicions);
                 }
             }
+            Change::Loads => self.take_loads(now),
             Change::Resubscribe => return Err(Ended::Gap),
         }
         Ok(())
     }
 
+    /// Tells the router how many requests of the fleet are at the servers, unless another roster is meant.
+    fn take_loads(&self, now: u64) {
+        let Some((loads, _)) = self.state.loads.get() else { return };
+        let roster = &self.state.roster;
+        if roster.offset() != Some(loads.roster) {
+            return;
+        }
+        let told = roster.servers().skip(loads.first as usize).zip(&loads.requests);
+        let mut router = self.node.router.borrow_mut();
+        for (listed, requests) in told {
+            router.observe_fleet_load(now, &listed.entry.id, u32::from(*requests));
+        }
+    }
+
     /// Puts what was fed last in force. Its bytes are not kept.
     fn take_configuration(&mut self) {
         let Some(whole) = &mut self.state.configuration else { return };
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use dunelink_grants::{QuotaBounds, QuotaGate, RetryBounds, RetryBudget};
-use dunelink_protocol::{GrantUpdate, ProxyReport, ServerObservation, ServerSuspicion, Tick};
+use dunelink_protocol::{
+    GrantUpdate, NodeLoads, ProxyReport, ServerLoad, ServerObservation, ServerSuspicion, Tick, server_key,
+};
 use dunelink_routing::{Router, RouterSettings, ServerInfo};
 use dunelink_runtime::Clock;
 use dunelink_settings::Boot;
@@ -26,6 +28,8 @@
 const DEFAULT_FDS: u64 = 1_024;
 /// Part of the descriptors that clients' connections may take.
 const CLIENT_PART: f64 = 0.6;
+/// One report of so many tells the load of every server. The reports of that time, 2 s, are what a leader waits for.
+const WHOLE_LOADS_EACH: u32 = 13;
 
 /// State of the process.
 pub struct Node {
@@ -51,6 +55,8 @@
     /// Requests that were read and whose answer is not written yet.
     pub open_requests: Rc<OpenRequests>,
     observations: RefCell<HashMap<String, (u32, u32)>>,
+    /// Reports until the next one that tells the load of every server.
+    reports_to_whole_loads: Cell<u32>,
 }
 
 impl Node {
@@ -86,6 +92,7 @@
             leaving: Cell::new(None),
             open_requests: OpenRequests::new(),
             observations: RefCell::default(),
+            reports_to_whole_loads: Cell::new(0),
             boot,
         })
     }
@@ -216,6 +223,24 @@
         let observations = self.observations.borrow_mut().drain().collect::<Vec<_>>();
         let observation =
             |(server, (served, failed)): (String, (u32, u32))| ServerObservation { server, served, failed };
-        ProxyReport { demand, observations: observations.into_iter().map(observation).collect() }
+        let observations = observations.into_iter().map(observation).collect();
+        ProxyReport { demand, observations, loads: self.loads() }
+    }
+
+    /// The next report tells the load of every server: what was told before may be lost.
+    pub fn repeat_loads(&self) {
+        self.reports_to_whole_loads.set(0);
+    }
+
+    /// Requests of this node at servers: all of them now and then, else what has changed.
+    fn loads(&self) -> NodeLoads {
+        let is_whole = self.reports_to_whole_loads.get() == 0;
+        let left = if is_whole { WHOLE_LOADS_EACH } else { self.reports_to_whole_loads.get() };
+        self.reports_to_whole_loads.set(left - 1);
+        let mut servers = Vec::new();
+        self.router.borrow_mut().report_loads(is_whole, |id, requests| {
+            servers.push(ServerLoad { server: server_key(id), requests });
+        });
+        NodeLoads { is_whole, servers }
     }
 }
--- a/crates/routing/src/choose.rs
+++ b/crates/routing/src/choose.rs
@@ -22,10 +22,10 @@
 /// What a home counts more than the one before it: sessions and prefixes stay unless that costs more time than
 /// chance moves what is believed of a server.
 const NEXT_HOME_US: Micros = 60_000;
+/// How far one request of a session moves the part of sessions that are seen to go on.
+const SESSIONS_STEP: f64 = 0.02;
 /// What a server of another zone counts more.
 const OTHER_ZONE_US: Micros = 2_000;
-/// What is read anew counts this part more than its time: it holds up what others send.
-const READ_ANEW: f64 = 2.0;
 /// Milliseconds of a server's work that one token to be made takes beside others.
 const OUT_TOKEN_MS: f64 = 0.1;
 /// Prompt tokens a millisecond that a key's load is told by.
@@ -115,7 +115,11 @@
             false => self.keys.load(query.now, locality.key),
         };
         let nodes = f64::from(self.nodes);
-        KeyLoad { per_s: load.per_s * nodes, load: load.load * nodes }
+        if locality.is_session && query.request.first_try {
+            let seen = f64::from(u8::from(load.is_known));
+            self.sessions_known += (seen - self.sessions_known) * SESSIONS_STEP;
+        }
+        KeyLoad { per_s: load.per_s * nodes, load: load.load * nodes, ..load }
     }
 
     /// Gathers the servers to compare: two homes of the prefix, else or if those are loaded two random members.
@@ -126,8 +130,10 @@
         load: KeyLoad,
         candidates: &mut Vec<Candidate>,
     ) {
-        if let Some(locality) = locality {
-            self.homes(query, &locality, load, candidates);
+        match locality {
+            Some(locality) if locality.is_session => self.session(query, &locality, candidates),
+            Some(locality) => self.homes(query, &locality, load, candidates),
+            None => {}
         }
         let target = query.request.target_latency;
         let slower_than = |part: f64, found: &[Candidate]| {
@@ -135,16 +141,30 @@
             found.iter().all(|candidate| candidate.cost > bound)
         };
         if slower_than(LOADED, candidates) {
-            self.draw(query, false, candidates);
+            self.draw(query, false, Bias::default(), candidates);
         }
         if slower_than(1.0, candidates) {
-            self.draw(query, true, candidates);
+            self.draw(query, true, Bias::default(), candidates);
         }
         if candidates.is_empty() {
             self.scan(query, candidates);
         }
     }
 
+    /// The home of a session and two random members. Those count more by what a session that goes on saves at its home,
+    /// as far as sessions are seen to go on.
+    fn session(&mut self, query: &Query<'_>, locality: &Locality, candidates: &mut Vec<Candidate>) {
+        let mut found = std::mem::take(&mut self.found);
+        locality::homes(self.members(query, false), locality.key, 1, &mut found);
+        for (_, place) in &found {
+            candidates.extend(self.candidate(query, *place, Bias { kept: locality.common, more: 0 }));
+        }
+        self.found = found;
+        let own = locality.shared.saturating_sub(locality.common);
+        let saved_ms = self.services[query.service].speed.prefill_ms(f64::from(own)) * self.sessions_known;
+        self.draw(query, false, Bias { kept: 0, more: (saved_ms * 1_000.0) as Micros }, candidates);
+    }
+
     /// The first two homes that can take it.
     fn homes(
         &mut self,
@@ -177,14 +197,14 @@
     }
 
     /// Two random members of the pool, or of all ready servers: the comparison of the design.
-    fn draw(&mut self, query: &Query<'_>, all: bool, candidates: &mut Vec<Candidate>) {
+    fn draw(&mut self, query: &Query<'_>, all: bool, bias: Bias, candidates: &mut Vec<Candidate>) {
         let members = self.members(query, all).len();
         let first = self.random.usize(..members.max(1));
         let second = (first + 1 + self.random.usize(..members.max(2) - 1)) % members.max(1);
         for at in [first, second] {
             let Some(&(_, place)) = self.members(query, all).get(at) else { continue };
             if candidates.iter().all(|candidate| candidate.place != place) {
-                candidates.extend(self.candidate(query, place, Bias::default()));
+                candidates.extend(self.candidate(query, place, bias));
             }
         }
     }
@@ -249,7 +269,8 @@
         let is_cold = query.now < server.cold_until;
         let first_us = estimate.first_us.saturating_mul(if is_cold { COLD } else { 1 });
         let anew = f64::from(estimate.prefill.saturating_sub(query.own));
-        let anew_us = speed.prefill_ms(anew) * 1_000.0 * READ_ANEW;
+        // Reading holds up all that run there.
+        let anew_us = speed.prefill_ms(anew) * 1_000.0 * (1.0 + estimate.taken);
         let mut cost = first_us.saturating_add(bias.more).saturating_add(anew_us as Micros);
         cost += silence(query.now, server).saturating_mul(SILENCE_COST);
         cost +=
--- a/crates/routing/src/locality.rs
+++ b/crates/routing/src/locality.rs
@@ -26,6 +26,8 @@
     pub(crate) common: u32,
     /// Tokens that a home is taken to keep: what others sent there is not known, but where they send it is.
     pub(crate) at_home: u32,
+    /// Whether the key is the last part: a session's, or that of a single request.
+    pub(crate) is_session: bool,
 }
 
 /// All parts but the last belong to several requests, the last one to the request or its session.
@@ -36,13 +38,17 @@
     match before.last() {
         Some(subject) if shared >= WORTH_A_HOME => {
             let common = shared.saturating_sub(subject.tokens);
-            Some(Locality { key: subject.id, order, shared, common, at_home: shared })
+            Some(Locality { key: subject.id, order, shared, common, at_home: shared, is_session: false })
         }
         // A session's own part may be new: only what was sent from here is known to be kept.
-        _ => {
-            let shared = shared.saturating_add(last.tokens);
-            Some(Locality { key: last.id, order, shared, common, at_home: common })
-        }
+        _ => Some(Locality {
+            key: last.id,
+            order,
+            shared: shared.saturating_add(last.tokens),
+            common,
+            at_home: common,
+            is_session: true,
+        }),
     }
 }
 
@@ -94,6 +100,8 @@
     pub(crate) per_s: f64,
     /// Servers' worth of work at this process.
     pub(crate) load: f64,
+    /// Whether this process had a request of the key before.
+    pub(crate) is_known: bool,
 }
 
 impl KeyRates {
@@ -109,14 +117,14 @@
         rate.at = now;
         // The first requests of a key say little of its rate: one of them is not counted.
         let per_s = before * 1_000_000.0 / RATE_SPAN;
-        KeyLoad { per_s, load: per_s * rate.work_ms / 1_000.0 }
+        KeyLoad { per_s, load: per_s * rate.work_ms / 1_000.0, is_known: before > 0.0 }
     }
 
     /// What is known of a key, without counting a request.
     pub(crate) fn load(&self, now: Micros, key: u64) -> KeyLoad {
         let Some(rate) = self.rates.get(&key) else { return KeyLoad::default() };
         let per_s = rate.count_at(now) * 1_000_000.0 / RATE_SPAN;
-        KeyLoad { per_s, load: per_s * rate.work_ms / 1_000.0 }
+        KeyLoad { per_s, load: per_s * rate.work_ms / 1_000.0, is_known: true }
     }
 
     /// Forgets the least asked for half.
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -33,6 +33,8 @@
     pub(crate) servers: Servers,
     pub(crate) attempts: Attempts,
     pub(crate) keys: KeyRates,
+    /// Part of the requests with a session's key whose key was known, 0 to 1; 0.5 before anything is.
+    pub(crate) sessions_known: f64,
     /// Kept between decisions so that none of them allocates.
     pub(crate) found: Vec<(u64, u32)>,
     pub(crate) candidates: Vec<crate::choose::Candidate>,
@@ -50,6 +52,7 @@
             servers: Servers::default(),
             attempts: Attempts::default(),
             keys: KeyRates::default(),
+            sessions_known: 0.5,
             found: Vec::new(),
             candidates: Vec::new(),
         }
@@ -221,6 +224,26 @@
         }
     }
 
+    /// Takes in how many requests of the whole fleet were at a server a moment ago, those of this process included.
+    /// A server that is not listed is left out.
+    pub fn observe_fleet_load(&mut self, now: Micros, server: &str, requests: u32) {
+        if let Some(server) = self.servers.by_id_mut(server) {
+            server.model.observe_fleet_load(now, requests);
+        }
+    }
+
+    /// Tells the requests of this process at servers: at all that have some, else at those where their number has
+    /// changed since the last call.
+    pub fn report_loads(&mut self, whole: bool, mut tell: impl FnMut(&str, u32)) {
+        for (_, server) in self.servers.iter_mut() {
+            let requests = server.model.in_flight();
+            let has_changed = server.model.note_reported();
+            if if whole { requests > 0 } else { has_changed } {
+                tell(&server.info.id, requests);
+            }
+        }
+    }
+
     /// Takes in that other processes find a server failing: the failing part of its answers, 0 to 1. For three seconds
     /// it counts as if this process had seen that; it is compared by it, and never ejected for it. A server that is
     /// not listed is left out.
--- a/crates/serving-model/src/server.rs
+++ b/crates/serving-model/src/server.rs
@@ -12,6 +12,10 @@
 const SLOWER_EACH: f64 = 0.01;
 /// What a plain server's taken slots count, as part of a request's work.
 const PLAIN_SPREAD: f64 = 0.1;
+/// For so long a number of requests that was told counts as it is.
+const OTHERS_FOR: Micros = 1_000_000;
+/// How many places the number of requests at a server is off, usually.
+const PLACES_OFF: f64 = 1.0;
 /// How far one request moves the usual figures.
 const STEP: f64 = 0.05;
 /// How far one answer moves a server's relative latency, and how far one answer may be from the usual.
@@ -107,6 +111,10 @@
     /// How long its answers take against those of its service, by priority, and when that was seen.
     latency: [(f32, Micros); LAST_PRIORITY + 1],
     reading: Option<LoadReading>,
+    /// Requests of other senders there, as last told from outside, and when.
+    others: Option<(Micros, u32)>,
+    /// What was reported of `in_flight`, the last time and the time before.
+    reported: [u32; 2],
 }
 
 impl ServerModel {
@@ -125,6 +133,8 @@
             usual_others: 0.0,
             latency: [(1.0, 0); LAST_PRIORITY + 1],
             reading: None,
+            others: None,
+            reported: [0; 2],
         }
     }
 
@@ -176,9 +186,27 @@
         if nodes <= 1 {
             return 0.0;
         }
+        if let Some((at, others)) = self.others
+            && now < at + OTHERS_FOR
+        {
+            return f64::from(others);
+        }
         self.reading.map_or(0.0, |reading| reading.others(now, self.usual_others)).max(0.0)
     }
 
+    /// Takes in how many requests of all senders were there a moment ago, as the fleet sums them up.
+    pub fn observe_fleet_load(&mut self, now: Micros, requests: u32) {
+        // The sum holds what was reported of ours before it was made.
+        self.others = Some((now, requests.saturating_sub(self.reported[1])));
+    }
+
+    /// Notes that `in_flight` is reported now; true if it has changed since the last time.
+    pub fn note_reported(&mut self) -> bool {
+        let before = self.reported[0];
+        self.reported = [self.in_flight, before];
+        before != self.in_flight
+    }
+
     /// What to expect of a request that is sent now. `assumed` tokens at the front of its prompt are taken to be
     /// kept because other processes send the same prefix there.
     pub fn estimate(
@@ -199,7 +227,7 @@
         let prefill = request.tokens_in - kept;
         let ahead = self.ahead(now, speed, request.priority, others);
         let batch = 1.0 + SLOWER_EACH * taken;
-        let beyond = (taken + 1.0 - self.shape.places()).max(0.0);
+        let beyond = waiting_beyond(taken + 1.0 - self.shape.places());
         let slot_ms = beyond * speed.work_ms / self.shape.places();
         let alone_ms = speed.first_ms(f64::from(prefill));
         let first_ms = (alone_ms + speed.prefill_ms(ahead)) * batch * latency + slot_ms;
@@ -331,5 +359,12 @@
         let reading = LoadReading { at: now, running, waiting, own };
         self.usual_others += (reading.told() - self.usual_others) * STEP * 2.0;
         self.reading = Some(reading);
+        self.others = Some((now, reading.told() as u32));
     }
 }
+
+/// How many places have to become free first where so many requests are expected beyond the places, or fewer, and that
+/// number is off by [`PLACES_OFF`].
+fn waiting_beyond(expected: f64) -> f64 {
+    PLACES_OFF * (expected / PLACES_OFF).exp().ln_1p()
+}
