--- a/crates/routing/src/choose.rs
+++ b/crates/routing/src/choose.rs
@@ -7,7 +7,7 @@
 use crate::pools::Member;
 use crate::router::silence;
 use crate::servers::Server;
-use crate::{Decision, RefusalReason, Router, RoutingRequest};
+use crate::{Decision, RefusalReason, Router, RoutingRequest, ServerHandle};
 
 /// When a client may come back while no server is ready.
 const NO_SERVER_AGAIN: Micros = 300_000;
@@ -22,8 +22,6 @@
 /// What a home counts more than the one before it: sessions and prefixes stay unless that costs more time than
 /// chance moves what is believed of a server.
 const NEXT_HOME_US: Micros = 60_000;
-/// How far one request of a session moves the part of sessions that are seen to go on.
-const SESSIONS_STEP: f64 = 0.02;
 /// What a server of another zone counts more.
 const OTHER_ZONE_US: Micros = 2_000;
 /// Milliseconds of a server's work that one token to be made takes beside others.
@@ -98,7 +96,12 @@
         let best = candidates.iter().copied().min_by_key(|candidate| candidate.cost);
         self.candidates = candidates;
         match best {
-            Some(best) if !self.is_too_late(&query, &best) => self.send(&query, &best),
+            Some(best) if !self.is_too_late(&query, &best) => {
+                if let Some(session) = locality.filter(|locality| locality.is_session) {
+                    self.keys.sent(session.key, self.servers.handle(best.place));
+                }
+                self.send(&query, &best)
+            }
             Some(best) => {
                 let beyond = best.first_us.saturating_sub(request.target_latency / 2);
                 refuse(request, beyond.clamp(AGAIN.0, AGAIN.1), RefusalReason::Overloaded)
@@ -115,10 +118,6 @@
             false => self.keys.load(query.now, locality.key),
         };
         let nodes = f64::from(self.nodes);
-        if locality.is_session && query.request.first_try {
-            let seen = f64::from(u8::from(load.is_known));
-            self.sessions_known += (seen - self.sessions_known) * SESSIONS_STEP;
-        }
         KeyLoad { per_s: load.per_s * nodes, load: load.load * nodes, ..load }
     }
 
@@ -131,7 +130,7 @@
         candidates: &mut Vec<Candidate>,
     ) {
         match locality {
-            Some(locality) if locality.is_session => self.session(query, &locality, candidates),
+            Some(locality) if locality.is_session => self.session(query, load.last, candidates),
             Some(locality) => self.homes(query, &locality, load, candidates),
             None => {}
         }
@@ -141,28 +140,22 @@
             found.iter().all(|candidate| candidate.cost > bound)
         };
         if slower_than(LOADED, candidates) {
-            self.draw(query, false, Bias::default(), candidates);
+            self.draw(query, false, candidates);
         }
         if slower_than(1.0, candidates) {
-            self.draw(query, true, Bias::default(), candidates);
+            self.draw(query, true, candidates);
         }
         if candidates.is_empty() {
             self.scan(query, candidates);
         }
     }
 
-    /// The home of a session and two random members. Those count more by what a session that goes on saves at its home,
-    /// as far as sessions are seen to go on.
-    fn session(&mut self, query: &Query<'_>, locality: &Locality, candidates: &mut Vec<Candidate>) {
-        let mut found = std::mem::take(&mut self.found);
-        locality::homes(self.members(query, false), locality.key, 1, &mut found);
-        for (_, place) in &found {
-            candidates.extend(self.candidate(query, *place, Bias { kept: locality.common, more: 0 }));
+    /// The server that the session was sent to before, and two random members.
+    fn session(&mut self, query: &Query<'_>, last: Option<ServerHandle>, candidates: &mut Vec<Candidate>) {
+        if let Some(place) = last.and_then(|last| self.servers.place(last)) {
+            candidates.extend(self.candidate(query, place, Bias::default()));
         }
-        self.found = found;
-        let own = locality.shared.saturating_sub(locality.common);
-        let saved_ms = self.services[query.service].speed.prefill_ms(f64::from(own)) * self.sessions_known;
-        self.draw(query, false, Bias { kept: 0, more: (saved_ms * 1_000.0) as Micros }, candidates);
+        self.draw(query, false, candidates);
     }
 
     /// The first two homes that can take it.
@@ -197,14 +190,14 @@
     }
 
     /// Two random members of the pool, or of all ready servers: the comparison of the design.
-    fn draw(&mut self, query: &Query<'_>, all: bool, bias: Bias, candidates: &mut Vec<Candidate>) {
+    fn draw(&mut self, query: &Query<'_>, all: bool, candidates: &mut Vec<Candidate>) {
         let members = self.members(query, all).len();
         let first = self.random.usize(..members.max(1));
         let second = (first + 1 + self.random.usize(..members.max(2) - 1)) % members.max(1);
         for at in [first, second] {
             let Some(&(_, place)) = self.members(query, all).get(at) else { continue };
             if candidates.iter().all(|candidate| candidate.place != place) {
-                candidates.extend(self.candidate(query, place, bias));
+                candidates.extend(self.candidate(query, place, Bias::default()));
             }
         }
     }
--- a/crates/routing/src/locality.rs
+++ b/crates/routing/src/locality.rs
@@ -4,6 +4,8 @@
 
 use dunelink_serving_model::{Micros, PromptPart};
 
+use crate::ServerHandle;
+
 /// A shared prefix of fewer tokens is not worth a home of its own: the session's part decides then.
 const WORTH_A_HOME: u32 = 500;
 /// Keys whose rates are remembered at most.
@@ -79,6 +81,7 @@
     count: f64,
     work_ms: f64,
     at: Micros,
+    last: Option<ServerHandle>,
 }
 
 impl Rate {
@@ -100,8 +103,8 @@
     pub(crate) per_s: f64,
     /// Servers' worth of work at this process.
     pub(crate) load: f64,
-    /// Whether this process had a request of the key before.
-    pub(crate) is_known: bool,
+    /// Where this process sent the last request of a session's key.
+    pub(crate) last: Option<ServerHandle>,
 }
 
 impl KeyRates {
@@ -110,21 +113,28 @@
         if self.rates.len() >= MOST_KEYS && !self.rates.contains_key(&key) {
             self.forget(now);
         }
-        let rate = self.rates.entry(key).or_insert(Rate { count: 0.0, work_ms, at: now });
+        let rate = self.rates.entry(key).or_insert(Rate { count: 0.0, work_ms, at: now, last: None });
         let before = rate.count_at(now);
         rate.count = before + 1.0;
         rate.work_ms += (work_ms - rate.work_ms) / rate.count.max(1.0);
         rate.at = now;
         // The first requests of a key say little of its rate: one of them is not counted.
         let per_s = before * 1_000_000.0 / RATE_SPAN;
-        KeyLoad { per_s, load: per_s * rate.work_ms / 1_000.0, is_known: before > 0.0 }
+        KeyLoad { per_s, load: per_s * rate.work_ms / 1_000.0, last: rate.last }
     }
 
     /// What is known of a key, without counting a request.
     pub(crate) fn load(&self, now: Micros, key: u64) -> KeyLoad {
         let Some(rate) = self.rates.get(&key) else { return KeyLoad::default() };
         let per_s = rate.count_at(now) * 1_000_000.0 / RATE_SPAN;
-        KeyLoad { per_s, load: per_s * rate.work_ms / 1_000.0, is_known: true }
+        KeyLoad { per_s, load: per_s * rate.work_ms / 1_000.0, last: rate.last }
+    }
+
+    /// Notes where a request of a key is sent.
+    pub(crate) fn sent(&mut self, key: u64, server: ServerHandle) {
+        if let Some(rate) = self.rates.get_mut(&key) {
+            rate.last = Some(server);
+        }
     }
 
     /// Forgets the least asked for half.
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -33,8 +33,6 @@
     pub(crate) servers: Servers,
     pub(crate) attempts: Attempts,
     pub(crate) keys: KeyRates,
-    /// Part of the requests with a session's key whose key was known, 0 to 1; 0.5 before anything is.
-    pub(crate) sessions_known: f64,
     /// Kept between decisions so that none of them allocates.
     pub(crate) found: Vec<(u64, u32)>,
     pub(crate) candidates: Vec<crate::choose::Candidate>,
@@ -52,7 +50,6 @@
             servers: Servers::default(),
             attempts: Attempts::default(),
             keys: KeyRates::default(),
-            sessions_known: 0.5,
             found: Vec::new(),
             candidates: Vec::new(),
         }
--- a/crates/routing/src/servers.rs
+++ b/crates/routing/src/servers.rs
@@ -75,6 +75,11 @@
         self.places.get_mut(place as usize)?.server.as_mut()
     }
 
+    /// The place of a server that is still listed.
+    pub(crate) fn place(&self, handle: ServerHandle) -> Option<u32> {
+        self.get(handle).map(|_| handle.0 % PLACES)
+    }
+
     pub(crate) fn handle(&self, place: u32) -> ServerHandle {
         ServerHandle((self.places[place as usize].generation << PLACE_BITS) | place)
     }
