--- a/crates/agent/tests/arguments_and_reports.rs
+++ b/crates/agent/tests/arguments_and_reports.rs
@@ -8,7 +8,8 @@
 use dunelink_agent::{Arguments, Command};
 use dunelink_feed::{Change, FeedState};
 use dunelink_protocol::{
-    FeedMessage, NodeDemand, ProxyReport, RosterOffset, RosterUpdate, ServerObservation, TenantDemand, Tick,
+    FeedMessage, NodeDemand, NodeLoads, ProxyReport, RosterOffset, RosterUpdate, ServerLoad,
+    ServerObservation, TenantDemand, Tick,
 };
 use dunelink_runtime::log::Format;
 
@@ -117,3 +118,16 @@
     assert_eq!(age(4 * SECOND + 1), 2_750, "it waited too");
     assert_eq!(age(4 * SECOND + 250_000), 0, "it came in time");
 }
+
+#[test]
+fn loads_of_waiting_reports_are_joined() {
+    let loads = |is_whole, requests: &[(u32, u32)]| {
+        let load =
+            |(server, requests): &(u32, u32)| ServerLoad { server: *server, requests: *requests, unread: 0 };
+        NodeLoads { is_whole, servers: requests.iter().map(load).collect() }
+    };
+    let mut pending = PendingReport::default();
+    pending.add(ProxyReport { loads: loads(true, &[(1, 2), (2, 2)]), ..ProxyReport::default() });
+    pending.add(ProxyReport { loads: loads(false, &[(2, 0)]), ..ProxyReport::default() });
+    assert_eq!(pending.take().map(|report| report.loads), Some(loads(true, &[(1, 2), (2, 0)])));
+}
--- a/crates/control/src/loads.rs
+++ b/crates/control/src/loads.rs
@@ -3,13 +3,13 @@
 use std::collections::{BTreeMap, HashMap};
 
 use dunelink_feed::Roster;
-use dunelink_protocol::{FleetLoads, NodeLoads, server_key};
+use dunelink_protocol::{FleetLoads, NodeLoads, ServerLoad, server_key};
 
 /// Time between two messages to all nodes, in microseconds. Shorter than a request runs at a model server.
 const TELL_PERIOD: u64 = 200_000;
 /// Servers told of in one message. With [`TELL_PERIOD`] it bounds what a node is sent to 1.5 KB/s; of a longer roster
 /// each message tells of the next part.
-const MOST_TOLD: usize = 300;
+const MOST_TOLD: usize = 150;
 /// A node that has not reported for so long counts for nothing any more, in microseconds.
 const FORGET_AFTER: u64 = 3_000_000;
 /// A leader tells nothing before all nodes must have told it of all their servers, in microseconds.
@@ -19,15 +19,34 @@
 #[derive(Debug)]
 pub struct LoadSums {
     nodes: HashMap<String, NodeCounts>,
-    sums: HashMap<u32, u32>,
+    sums: HashMap<u32, Sum>,
     complete_at: u64,
     told_at: u64,
     next_first: usize,
 }
 
+/// What is at one server.
+#[derive(Debug, Clone, Copy, Default)]
+struct Sum {
+    requests: u32,
+    unread: u32,
+}
+
+impl Sum {
+    fn add(&mut self, load: &ServerLoad) {
+        self.requests = self.requests.saturating_add(load.requests);
+        self.unread = self.unread.saturating_add(load.unread);
+    }
+
+    fn subtract(&mut self, load: &ServerLoad) {
+        self.requests = self.requests.saturating_sub(load.requests);
+        self.unread = self.unread.saturating_sub(load.unread);
+    }
+}
+
 #[derive(Debug, Default)]
 struct NodeCounts {
-    requests: BTreeMap<u32, u32>,
+    servers: BTreeMap<u32, ServerLoad>,
     reported_at: u64,
 }
 
@@ -51,15 +70,19 @@
         let Some(counts) = self.nodes.get_mut(node) else { return };
         counts.reported_at = now;
         if loads.is_whole {
-            subtract(&mut self.sums, std::mem::take(&mut counts.requests));
+            subtract(&mut self.sums, std::mem::take(&mut counts.servers));
         }
         for load in loads.servers {
-            let before = match load.requests {
-                0 => counts.requests.remove(&load.server),
-                requests => counts.requests.insert(load.server, requests),
+            let is_empty = load.requests == 0 && load.unread == 0;
+            let before = match is_empty {
+                true => counts.servers.remove(&load.server),
+                false => counts.servers.insert(load.server, load),
             };
             let sum = self.sums.entry(load.server).or_default();
-            *sum = sum.saturating_add(load.requests).saturating_sub(before.unwrap_or(0));
+            sum.add(&load);
+            if let Some(before) = before {
+                sum.subtract(&before);
+            }
         }
     }
 
@@ -73,11 +96,12 @@
         let offset = roster.offset()?;
         let first = if self.next_first < roster.len() { self.next_first } else { 0 };
         let told = roster.servers().skip(first).take(MOST_TOLD);
-        let sum = |id: &str| self.sums.get(&server_key(id)).copied().unwrap_or(0);
-        let requests: Vec<u8> =
-            told.map(|listed| sum(&listed.entry.id).try_into().unwrap_or(u8::MAX)).collect();
+        let sums =
+            told.map(|listed| self.sums.get(&server_key(&listed.entry.id)).copied().unwrap_or_default());
+        let (requests, unread): (Vec<u8>, Vec<u8>) =
+            sums.map(|sum| (in_a_byte(sum.requests), in_a_byte(sum.unread))).unzip();
         self.next_first = first + requests.len();
-        Some(FleetLoads { roster: offset, first: first as u32, requests })
+        Some(FleetLoads { roster: offset, first: first as u32, requests, unread })
     }
 
     fn forget(&mut self, now: u64) {
@@ -85,18 +109,22 @@
         self.nodes.retain(|_, counts| {
             let is_heard = now < counts.reported_at + FORGET_AFTER;
             if !is_heard {
-                subtract(sums, std::mem::take(&mut counts.requests));
+                subtract(sums, std::mem::take(&mut counts.servers));
             }
             is_heard
         });
-        self.sums.retain(|_, sum| *sum > 0);
+        self.sums.retain(|_, sum| sum.requests > 0 || sum.unread > 0);
     }
 }
 
-fn subtract(sums: &mut HashMap<u32, u32>, requests: BTreeMap<u32, u32>) {
-    for (server, requests) in requests {
-        if let Some(sum) = sums.get_mut(&server) {
-            *sum = sum.saturating_sub(requests);
+fn subtract(sums: &mut HashMap<u32, Sum>, servers: BTreeMap<u32, ServerLoad>) {
+    for load in servers.into_values() {
+        if let Some(sum) = sums.get_mut(&load.server) {
+            sum.subtract(&load);
         }
     }
 }
+
+fn in_a_byte(figure: u32) -> u8 {
+    figure.try_into().unwrap_or(u8::MAX)
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -23,7 +23,7 @@
 };
 pub use frame::{FrameError, MAX_FRAME_BYTES, decode, encode};
 pub use hello::{Hello, LinkKind};
-pub use load::{FleetLoads, NodeLoads, ServerLoad, server_key};
+pub use load::{FleetLoads, NodeLoads, ServerLoad, UNREAD_UNIT, server_key};
 pub use report::{
     AgentMessage, NodeDemand, ProxyMessage, ProxyReport, ServerObservation, Subscribe, TenantDemand,
 };
--- a/crates/protocol/src/load.rs
+++ b/crates/protocol/src/load.rs
@@ -27,8 +27,14 @@
     /// Requests sent there and not ended.
     #[n(1)]
     pub requests: u32,
+    /// Prompt tokens to be read for those of them that have not begun, in units of [`UNREAD_UNIT`].
+    #[n(2)]
+    pub unread: u32,
 }
 
+/// Unit in which prompt tokens to be read are told.
+pub const UNREAD_UNIT: u32 = 512;
+
 /// Requests of all nodes at a run of servers.
 #[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
 pub struct FleetLoads {
@@ -41,6 +47,9 @@
     /// Requests at each server from there on; 255 stands for that many or more.
     #[cbor(n(2), with = "minicbor::bytes")]
     pub requests: Vec<u8>,
+    /// Prompt tokens to be read at each of them, in units of [`UNREAD_UNIT`]; 255 stands for that many or more.
+    #[cbor(n(3), with = "minicbor::bytes")]
+    pub unread: Vec<u8>,
 }
 
 /// What names a server in [`ServerLoad`]: a hash of its id. Two servers with the same key share their sum.
@@ -56,8 +65,7 @@
             return;
         }
         let both = self.servers.iter().chain(&later.servers);
-        let newest: BTreeMap<u32, u32> = both.map(|load| (load.server, load.requests)).collect();
-        let load = |(server, requests)| ServerLoad { server, requests };
-        self.servers = newest.into_iter().map(load).collect();
+        let newest: BTreeMap<u32, ServerLoad> = both.map(|load| (load.server, *load)).collect();
+        self.servers = newest.into_values().collect();
     }
 }
--- a/crates/protocol/tests/frames.rs
+++ b/crates/protocol/tests/frames.rs
@@ -43,7 +43,7 @@
         observations: Vec::new(),
         loads: NodeLoads {
             is_whole: true,
-            servers: vec![ServerLoad { server: server_key("i-1"), requests: 3 }],
+            servers: vec![ServerLoad { server: server_key("i-1"), requests: 3, unread: 18 }],
         },
     });
     let roster = RosterOffset { epoch: 3, sequence: 4 };
--- a/crates/proxy/src/feed.rs
+++ b/crates/proxy/src/feed.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use dunelink_feed::{Change, FeedError, FeedReader, FeedState, Listed};
 use dunelink_protocol::hello::PROTOCOL_VERSION;
-use dunelink_protocol::{FeedMessage, Hello, LinkKind, ProxyMessage};
+use dunelink_protocol::{FeedMessage, Hello, LinkKind, ProxyMessage, UNREAD_UNIT};
 use dunelink_routing::ServerInfo;
 use dunelink_runtime::aside::{aside, is_long};
 use dunelink_runtime::{LinkError, LinkWriter, dial};
@@ -149,10 +149,12 @@
         if roster.offset() != Some(loads.roster) {
             return;
         }
-        let told = roster.servers().skip(loads.first as usize).zip(&loads.requests);
+        let figures = loads.requests.iter().zip(&loads.unread);
+        let told = roster.servers().skip(loads.first as usize).zip(figures);
         let mut router = self.node.router.borrow_mut();
-        for (listed, requests) in told {
-            router.observe_fleet_load(now, &listed.entry.id, u32::from(*requests));
+        for (listed, (requests, unread)) in told {
+            let unread = u32::from(*unread) * UNREAD_UNIT;
+            router.observe_fleet_load(now, &listed.entry.id, u32::from(*requests), unread);
         }
     }
 
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -7,7 +7,8 @@
 
 use dunelink_grants::{QuotaBounds, QuotaGate, RetryBounds, RetryBudget};
 use dunelink_protocol::{
-    GrantUpdate, NodeLoads, ProxyReport, ServerLoad, ServerObservation, ServerSuspicion, Tick, server_key,
+    GrantUpdate, NodeLoads, ProxyReport, ServerLoad, ServerObservation, ServerSuspicion, Tick, UNREAD_UNIT,
+    server_key,
 };
 use dunelink_routing::{Router, RouterSettings, ServerInfo};
 use dunelink_runtime::Clock;
@@ -238,8 +239,8 @@
         let left = if is_whole { WHOLE_LOADS_EACH } else { self.reports_to_whole_loads.get() };
         self.reports_to_whole_loads.set(left - 1);
         let mut servers = Vec::new();
-        self.router.borrow_mut().report_loads(is_whole, |id, requests| {
-            servers.push(ServerLoad { server: server_key(id), requests });
+        self.router.borrow_mut().report_loads(is_whole, UNREAD_UNIT, |id, requests, unread| {
+            servers.push(ServerLoad { server: server_key(id), requests, unread });
         });
         NodeLoads { is_whole, servers }
     }
--- a/crates/routing/src/choose.rs
+++ b/crates/routing/src/choose.rs
@@ -40,7 +40,7 @@
 const MEMORY_FULL_US: Micros = 400_000;
 /// A model server's queue may take this many objectives; beyond it requests are refused, so that those let in are
 /// in time.
-const QUEUE_MOST: f64 = 0.5;
+const QUEUE_MOST: f64 = 1.0;
 /// Part of a model server's places that must be taken before anything is refused there: one long prompt that is
 /// being read is no overload.
 const BUSY: f64 = 0.125;
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -223,20 +223,19 @@
 
     /// Takes in how many requests of the whole fleet were at a server a moment ago, those of this process included.
     /// A server that is not listed is left out.
-    pub fn observe_fleet_load(&mut self, now: Micros, server: &str, requests: u32) {
+    pub fn observe_fleet_load(&mut self, now: Micros, server: &str, requests: u32, unread: u32) {
         if let Some(server) = self.servers.by_id_mut(server) {
-            server.model.observe_fleet_load(now, requests);
+            server.model.observe_fleet_load(now, requests, unread);
         }
     }
 
     /// Tells the requests of this process at servers: at all that have some, else at those where their number has
     /// changed since the last call.
-    pub fn report_loads(&mut self, whole: bool, mut tell: impl FnMut(&str, u32)) {
+    pub fn report_loads(&mut self, whole: bool, unit: u32, mut tell: impl FnMut(&str, u32, u32)) {
         for (_, server) in self.servers.iter_mut() {
-            let requests = server.model.in_flight();
-            let has_changed = server.model.note_reported();
-            if if whole { requests > 0 } else { has_changed } {
-                tell(&server.info.id, requests);
+            let (load, has_changed) = server.model.report_load(unit);
+            if if whole { load.requests > 0 } else { has_changed } {
+                tell(&server.info.id, load.requests, load.unread);
             }
         }
     }
--- a/crates/serving-model/src/lib.rs
+++ b/crates/serving-model/src/lib.rs
@@ -12,7 +12,7 @@
 
 pub use kept::{KeptParts, PromptPart};
 pub use reading::LoadReading;
-pub use server::{Estimate, ServerModel, Shape, Work, Workload};
+pub use server::{Estimate, OwnLoad, ServerModel, Shape, Work, Workload};
 pub use speed::Speed;
 
 /// A time or a span in microseconds.
--- a/crates/serving-model/src/server.rs
+++ b/crates/serving-model/src/server.rs
@@ -77,6 +77,15 @@
     }
 }
 
+/// What of one process is at a server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct OwnLoad {
+    /// Requests sent there and not ended.
+    pub requests: u32,
+    /// Tokens to be read for those that have not begun, in the unit asked for.
+    pub unread: u32,
+}
+
 /// What is expected of a request at one server.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Estimate {
@@ -113,8 +122,12 @@
     reading: Option<LoadReading>,
     /// Requests of other senders there, as last told from outside, and when.
     others: Option<(Micros, u32)>,
-    /// What was reported of `in_flight`, the last time and the time before.
-    reported: [u32; 2],
+    /// Tokens of other senders to be read there, as last told, and when.
+    others_unread: Option<(Micros, u32)>,
+    /// What was reported of our own, the last time and the time before.
+    reported: [OwnLoad; 2],
+    /// Tokens that one of `reported` stands for.
+    unread_unit: u32,
 }
 
 impl ServerModel {
@@ -134,7 +147,9 @@
             latency: [(1.0, 0); LAST_PRIORITY + 1],
             reading: None,
             others: None,
-            reported: [0; 2],
+            others_unread: None,
+            reported: [OwnLoad::default(); 2],
+            unread_unit: 1,
         }
     }
 
@@ -194,17 +209,23 @@
         self.reading.map_or(0.0, |reading| reading.others(now, self.usual_others)).max(0.0)
     }
 
-    /// Takes in how many requests of all senders were there a moment ago, as the fleet sums them up.
-    pub fn observe_fleet_load(&mut self, now: Micros, requests: u32) {
-        // The sum holds what was reported of ours before it was made.
-        self.others = Some((now, requests.saturating_sub(self.reported[1])));
+    /// Takes in how many requests of all senders were there a moment ago, and how many tokens were to be read for them,
+    /// as the fleet sums them up.
+    pub fn observe_fleet_load(&mut self, now: Micros, requests: u32, unread: u32) {
+        // The sums hold what was reported of ours before they were made.
+        let own = self.reported[1];
+        self.others = Some((now, requests.saturating_sub(own.requests)));
+        self.others_unread = Some((now, unread.saturating_sub(own.unread * self.unread_unit)));
     }
 
-    /// Notes that `in_flight` is reported now; true if it has changed since the last time.
-    pub fn note_reported(&mut self) -> bool {
+    /// Notes that our own load is reported now, with tokens in that unit; true if it has changed since the last time.
+    pub fn report_load(&mut self, unit: u32) -> (OwnLoad, bool) {
+        let unread = self.unstarted.iter().sum::<f64>() / f64::from(unit.max(1));
+        let load = OwnLoad { requests: self.in_flight, unread: unread.round() as u32 };
         let before = self.reported[0];
-        self.reported = [self.in_flight, before];
-        before != self.in_flight
+        self.reported = [load, before];
+        self.unread_unit = unit;
+        (load, load != before)
     }
 
     /// What to expect of a request that is sent now. `assumed` tokens at the front of its prompt are taken to be
@@ -259,7 +280,14 @@
         let drained = speed.prefill * now.saturating_sub(self.drained_at) as f64 / 1_000.0;
         let own = (self.unread[..=until].iter().sum::<f64>() - drained).max(0.0);
         let waiting = self.reading.map_or(0.0, |reading| reading.waiting(now)).min(others);
-        own + waiting * self.usual_prefill
+        own + self.others_unread(now, speed).unwrap_or(waiting * self.usual_prefill)
+    }
+
+    /// Tokens of other senders that are still to be read there, as far as that was told lately.
+    fn others_unread(&self, now: Micros, speed: &Speed) -> Option<f64> {
+        let (at, unread) = self.others_unread.filter(|(at, _)| now < at + OTHERS_FOR)?;
+        let read = speed.prefill * now.saturating_sub(at) as f64 / 1_000.0;
+        Some((f64::from(unread) - read).max(0.0))
     }
 
     /// Reads what the server must have read since it was last looked at, the most urgent first.
