--- a/crates/routing/src/choose.rs
+++ b/crates/routing/src/choose.rs
@@ -24,6 +24,10 @@
 const NEXT_HOME_US: Micros = 60_000;
 /// What a server of another zone counts more.
 const OTHER_ZONE_US: Micros = 2_000;
+/// What is read anew counts so many times its time for each request that it holds up: beside these it takes memory that
+/// other prefixes have. Of 0.5, 1, 2, 3 and 4 the largest three lie within 0.04 of each other on three sites
+/// (`docs/routing-measures.md`).
+const READ_ANEW: f64 = 3.0;
 /// Milliseconds of a server's work that one token to be made takes beside others.
 const OUT_TOKEN_MS: f64 = 0.1;
 /// Prompt tokens a millisecond that a key's load is told by.
@@ -38,9 +42,6 @@
 const COLD: Micros = 2;
 /// A server whose memory is full counts more by this.
 const MEMORY_FULL_US: Micros = 400_000;
-/// A model server's queue may take this many objectives; beyond it requests are refused, so that those let in are
-/// in time.
-const QUEUE_MOST: f64 = 1.0;
 /// Part of a model server's places that must be taken before anything is refused there: one long prompt that is
 /// being read is no overload.
 const BUSY: f64 = 0.125;
@@ -263,7 +264,7 @@
         let first_us = estimate.first_us.saturating_mul(if is_cold { COLD } else { 1 });
         let anew = f64::from(estimate.prefill.saturating_sub(query.own));
         // Reading holds up all that run there.
-        let anew_us = speed.prefill_ms(anew) * 1_000.0 * (1.0 + estimate.taken);
+        let anew_us = speed.prefill_ms(anew) * 1_000.0 * READ_ANEW * (1.0 + estimate.taken);
         let mut cost = first_us.saturating_add(bias.more).saturating_add(anew_us as Micros);
         cost += silence(query.now, server).saturating_mul(SILENCE_COST);
         cost +=
@@ -283,9 +284,10 @@
         let Some(server) = self.servers.at(best.place) else { return true };
         let estimate = &best.estimate;
         if server.model.shape().has_engine() {
-            let bound = (query.request.target_latency as f64 * QUEUE_MOST) as Micros;
+            // One that waits for longer than its objective is late, and makes others late.
+            let bound = query.request.target_latency.min(query.request.remaining);
             let is_busy = estimate.taken >= f64::from(server.model.shape().slots) * BUSY;
-            return is_busy && estimate.queue_us > bound.min(query.request.remaining);
+            return is_busy && estimate.queue_us > bound;
         }
         best.first_us > query.request.remaining && estimate.taken >= f64::from(server.model.shape().slots)
     }
