--- a/crates/routing/src/choose.rs
+++ b/crates/routing/src/choose.rs
@@ -25,7 +25,7 @@
 /// What a server of another zone counts more.
 const OTHER_ZONE_US: Micros = 2_000;
 /// What is read anew counts so many times its time for each request that it holds up: beside these it takes memory that
-/// other prefixes have. Of 0.5, 1, 2, 3 and 4 the largest three lie within 0.04 of each other on three sites
+/// other prefixes have. Of 0.5, 1, 2, 3 and 4 the largest three lie within 0.05 of each other on one site
 /// (`docs/routing-measures.md`).
 const READ_ANEW: f64 = 3.0;
 /// Milliseconds of a server's work that one token to be made takes beside others.
