Absurd loads and token counts do not overflow an estimate; a field that nothing read is gone

Cause, found by reading the change again: the mean wait for a place took an exponential of what a server tells of its load, and a count of 4e9 prompt tokens overflowed the unit in which unread tokens are told; a cost could then wrap and make that server the cheapest. Change: the same wait in a form that can't overflow, estimates and the cost of reading anew end at an hour, the product saturates. Locality::at_home was the shared part wherever it was read. Sane figures are decided as before.

--- a/crates/routing/src/choose.rs
+++ b/crates/routing/src/choose.rs
@@ -28,6 +28,8 @@
 /// other prefixes have. Of 0.5, 1, 2, 3 and 4 the largest three lie within 0.05 of each other on one site
 /// (`docs/routing-measures.md`).
 const READ_ANEW: f64 = 3.0;
+/// Reading anew counts no more than this, whatever servers and clients tell.
+const DEAREST_US: Micros = 3_600_000_000;
 /// Milliseconds of a server's work that one token to be made takes beside others.
 const OUT_TOKEN_MS: f64 = 0.1;
 /// Prompt tokens a millisecond that a key's load is told by.
@@ -179,7 +181,8 @@
         }
         for (at, (_, place)) in found.iter().enumerate() {
             let bias = Bias {
-                kept: if at < count { locality.at_home } else { 0 },
+                // What others sent there is not known, but where they send it is.
+                kept: if at < count { locality.shared } else { 0 },
                 more: NEXT_HOME_US * at as Micros,
             };
             candidates.extend(self.candidate(query, *place, bias));
@@ -265,7 +268,8 @@
         let anew = f64::from(estimate.prefill.saturating_sub(query.own));
         // Reading holds up all that run there.
         let anew_us = speed.prefill_ms(anew) * 1_000.0 * READ_ANEW * (1.0 + estimate.taken);
-        let mut cost = first_us.saturating_add(bias.more).saturating_add(anew_us as Micros);
+        let anew_us = (anew_us as Micros).min(DEAREST_US);
+        let mut cost = first_us.saturating_add(bias.more).saturating_add(anew_us);
         cost += silence(query.now, server).saturating_mul(SILENCE_COST);
         cost +=
             (query.request.target_latency as f64 * server.health.failing(query.now) * FAILING_COST) as Micros;
--- a/crates/routing/src/locality.rs
+++ b/crates/routing/src/locality.rs
@@ -26,8 +26,6 @@
     pub(crate) shared: u32,
     /// Tokens before the key's part: requests of other keys read them too, so that every server keeps them soon.
     pub(crate) common: u32,
-    /// Tokens that a home is taken to keep: what others sent there is not known, but where they send it is.
-    pub(crate) at_home: u32,
     /// Whether the key is the last part: a session's, or that of a single request.
     pub(crate) is_session: bool,
 }
@@ -40,7 +38,7 @@
     match before.last() {
         Some(subject) if shared >= WORTH_A_HOME => {
             let common = shared.saturating_sub(subject.tokens);
-            Some(Locality { key: subject.id, order, shared, common, at_home: shared, is_session: false })
+            Some(Locality { key: subject.id, order, shared, common, is_session: false })
         }
         // A session's own part may be new: only what was sent from here is known to be kept.
         _ => Some(Locality {
@@ -48,7 +46,6 @@
             order,
             shared: shared.saturating_add(last.tokens),
             common,
-            at_home: common,
             is_session: true,
         }),
     }
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -234,7 +234,8 @@
     pub fn report_loads(&mut self, whole: bool, unit: u32, mut tell: impl FnMut(&str, u32, u32)) {
         for (_, server) in self.servers.iter_mut() {
             let (load, has_changed) = server.model.report_load(unit);
-            if if whole { load.requests > 0 } else { has_changed } {
+            let is_told = if whole { load.requests > 0 } else { has_changed };
+            if is_told {
                 tell(&server.info.id, load.requests, load.unread);
             }
         }
--- a/crates/serving-model/src/server.rs
+++ b/crates/serving-model/src/server.rs
@@ -12,6 +12,8 @@
 const SLOWER_EACH: f64 = 0.01;
 /// What a plain server's taken slots count, as part of a request's work.
 const PLAIN_SPREAD: f64 = 0.1;
+/// No estimate is longer, whatever servers and clients tell; milliseconds.
+const LONGEST_MS: f64 = 3_600_000.0;
 /// For so long a number of requests that was told counts as it is.
 const OTHERS_FOR: Micros = 1_000_000;
 /// How many places the number of requests at a server is off, usually.
@@ -215,7 +217,7 @@
         // The sums hold what was reported of ours before they were made.
         let own = self.reported[1];
         self.others = Some((now, requests.saturating_sub(own.requests)));
-        self.others_unread = Some((now, unread.saturating_sub(own.unread * self.unread_unit)));
+        self.others_unread = Some((now, unread.saturating_sub(own.unread.saturating_mul(self.unread_unit))));
     }
 
     /// Notes that our own load is reported now, with tokens in that unit; true if it has changed since the last time.
@@ -251,7 +253,7 @@
         let beyond = waiting_beyond(taken + 1.0 - self.shape.places());
         let slot_ms = beyond * speed.work_ms / self.shape.places();
         let alone_ms = speed.first_ms(f64::from(prefill));
-        let first_ms = (alone_ms + speed.prefill_ms(ahead)) * batch * latency + slot_ms;
+        let first_ms = ((alone_ms + speed.prefill_ms(ahead)) * batch * latency + slot_ms).min(LONGEST_MS);
         let held = self.tokens as f64 + others * self.usual_tokens;
         let own = f64::from(prefill.saturating_add(request.tokens_out));
         let memory_full = held + own > self.shape.kv_tokens as f64 * MEMORY_USED;
@@ -394,5 +396,6 @@
 /// How many places have to become free first where so many requests are expected beyond the places, or fewer, and that
 /// number is off by [`PLACES_OFF`].
 fn waiting_beyond(expected: f64) -> f64 {
-    PLACES_OFF * (expected / PLACES_OFF).exp().ln_1p()
+    // Written so that no exponential overflows.
+    expected.max(0.0) + PLACES_OFF * (-expected.abs() / PLACES_OFF).exp().ln_1p()
 }
--- a/crates/serving-model/tests/server.rs
+++ b/crates/serving-model/tests/server.rs
@@ -186,3 +186,19 @@
         assert!(idle.first_us < 300_000 * MS, "{idle:?}");
     });
 }
+
+#[test]
+fn absurd_figures_of_servers_and_clients_do_not_overflow() {
+    let mut model = ServerModel::new(SHAPE);
+    let parts = [PromptPart { id: 1, tokens: u32::MAX }];
+    let huge = Workload { parts: &parts, tokens_in: u32::MAX, tokens_out: 1, priority: 1 };
+    let speed = Speed::default();
+    let estimate = model.estimate(0, 2, &speed, &huge, 0);
+    model.sent(0, 2, &speed, &huge, &estimate);
+    model.report_load(512);
+    model.report_load(512);
+    model.observe_fleet_load(0, 255, 255 * 512);
+    model.observe_load(0, u32::MAX, u32::MAX);
+    let busy = model.estimate(0, 2, &speed, &work(&[PromptPart { id: 2, tokens: 10 }]), 0);
+    assert!(busy.first_us > 1_000 * MS && busy.first_us < Micros::MAX / 1_000, "{}", busy.first_us);
+}
