--- a/crates/control/src/node/mod.rs
+++ b/crates/control/src/node/mod.rs
@@ -220,7 +220,7 @@
 
     /// Whether a process that is about to end has nothing left to wait for.
     pub fn may_end(&self) -> bool {
-        !self.replica.is_leader() && self.orders.is_empty()
+        !self.replica.is_leader() && !self.replica.awaits_replacement() && self.orders.is_empty()
     }
 
     /// The settings file names other seeds.
--- a/crates/replication/src/follower.rs
+++ b/crates/replication/src/follower.rs
@@ -71,7 +71,8 @@
     fn answer_heartbeat(&mut self, to: Member, round: u64) {
         let term = self.hard_state.term;
         let disk_healthy = self.disk_is_healthy();
-        self.send_in_term(to, Message::HeartbeatReply { term, round, disk_healthy });
+        let retiring = self.retiring;
+        self.send_in_term(to, Message::HeartbeatReply { term, round, disk_healthy, retiring });
     }
 
     fn on_append(&mut self, leader: Member, prev_index: u64, prev_term: u64, entries: Vec<Entry>) {
--- a/crates/replication/src/handover.rs
+++ b/crates/replication/src/handover.rs
@@ -21,6 +21,14 @@
         }
     }
 
+    /// Whether this process had better not end yet: it votes, and a learner may take its place, or a change of voters is
+    /// not committed yet.
+    pub fn awaits_replacement(&self) -> bool {
+        let membership = self.membership();
+        let may_be_replaced = membership.is_voter(self.me.id) && !membership.learners.is_empty();
+        may_be_replaced || self.memberships.newest_index() > self.commit
+    }
+
     /// Hands over if this replica should not lead and another can.
     pub(crate) fn consider_handover(&mut self) {
         let Some(leading) = &self.leading else { return };
--- a/crates/replication/src/leader.rs
+++ b/crates/replication/src/leader.rs
@@ -261,9 +261,14 @@
         };
         progress.heard = Some(self.now);
         match message {
-            Message::HeartbeatReply { round, disk_healthy, .. } => {
+            Message::HeartbeatReply { round, disk_healthy, retiring, .. } => {
                 progress.disk_healthy = disk_healthy;
+                let begins_to_retire = retiring && !progress.retiring;
+                progress.retiring = retiring;
                 self.on_round_answered(from, round);
+                if begins_to_retire {
+                    self.reconfigure();
+                }
             }
             Message::Appended { matched, .. } if matched <= self.log.last().index => {
                 progress.appended(self.now, matched);
--- a/crates/replication/src/message.rs
+++ b/crates/replication/src/message.rs
@@ -138,6 +138,9 @@
         /// Whether the follower's disk takes writes in time.
         #[n(2)]
         disk_healthy: bool,
+        /// Whether the follower's process is about to end.
+        #[n(3)]
+        retiring: bool,
     },
     /// Entries after `prev_index`.
     #[n(6)]
--- a/crates/replication/src/progress.rs
+++ b/crates/replication/src/progress.rs
@@ -59,6 +59,8 @@
     /// When the newest heartbeat that it answered was sent.
     pub(crate) acknowledged: Option<Micros>,
     pub(crate) disk_healthy: bool,
+    /// The peer's process is about to end.
+    pub(crate) retiring: bool,
     /// When this leader began to follow the peer.
     pub(crate) since: Micros,
     /// The peer asked for a snapshot.
@@ -78,6 +80,7 @@
             heard: None,
             acknowledged: None,
             disk_healthy: true,
+            retiring: false,
             since: now,
             needs_snapshot: false,
             told_commit: 0,
--- a/crates/replication/src/reconfigure.rs
+++ b/crates/replication/src/reconfigure.rs
@@ -38,12 +38,15 @@
         self.sync_peers();
     }
 
-    /// Second half of a joint change.
+    /// Second half of a joint change. A voter that is still there, as one that retires, goes on as a learner.
     fn completed(&self) -> Option<Membership> {
         let membership = self.membership();
         let voters = membership.incoming.clone()?;
         let is_voter = |member: &Member| voters.iter().any(|voter| voter.id == member.id);
-        let learners = membership.learners.iter().filter(|learner| !is_voter(learner)).cloned().collect();
+        let still_there =
+            membership.voters.iter().filter(|voter| !self.is_silent(voter.id, self.settings.election_min));
+        let learners = membership.learners.iter().chain(still_there);
+        let learners = learners.filter(|learner| !is_voter(learner)).cloned().collect();
         Some(Membership { voters, incoming: None, learners })
     }
 
@@ -68,7 +71,11 @@
 
     /// First half of a joint change of voters.
     fn with_changed_voters(&self) -> Option<Membership> {
-        let voters = self.wiped_voter().or_else(|| self.more_voters()).or_else(|| self.lost_voter())?;
+        let voters = self
+            .wiped_voter()
+            .or_else(|| self.more_voters())
+            .or_else(|| self.lost_voter())
+            .or_else(|| self.retiring_voter())?;
         let membership = self.membership();
         Some(Membership { incoming: Some(voters), ..membership.clone() })
     }
@@ -103,8 +110,30 @@
     fn lost_voter(&self) -> Option<Vec<Member>> {
         let voters = &self.membership().voters;
         let lost = voters.iter().find(|voter| self.is_silent(voter.id, self.settings.replace_after))?;
-        let others: Vec<Member> = voters.iter().filter(|voter| voter.id != lost.id).cloned().collect();
-        Some(swapped(voters, lost.id, self.best_learner(&others)?))
+        self.without(lost)
+    }
+
+    /// A voter whose process is about to end gives way to a learner before it is missed. While another voter is missed,
+    /// the learner is for that one: this one may come back with all that it holds.
+    fn retiring_voter(&self) -> Option<Vec<Member>> {
+        let voters = &self.membership().voters;
+        let is_there = |voter: &Member| {
+            let answers =
+                |progress: &Progress| progress.answered_within(self.now, self.settings.election_min);
+            voter.id == self.me.id || self.progress(voter.id).is_some_and(answers)
+        };
+        if !voters.iter().all(is_there) {
+            return None;
+        }
+        let retires = |voter: &&Member| self.progress(voter.id).is_some_and(|progress| progress.retiring);
+        self.without(voters.iter().find(retires)?)
+    }
+
+    /// The voters with the best learner in the place of one.
+    fn without(&self, gone: &Member) -> Option<Vec<Member>> {
+        let voters = &self.membership().voters;
+        let others: Vec<Member> = voters.iter().filter(|voter| voter.id != gone.id).cloned().collect();
+        Some(swapped(voters, gone.id, self.best_learner(&others)?))
     }
 
     /// A ready learner that is not among `voters`, best from a zone without a voter.
@@ -143,6 +172,7 @@
         let caught_up = committed.is_some_and(|commit| progress.matched >= commit);
         streams
             && caught_up
+            && !progress.retiring
             && progress.disk_healthy
             && progress.answered_within(self.now, self.settings.election_min)
     }
--- a/crates/replication/tests/model/walk.rs
+++ b/crates/replication/tests/model/walk.rs
@@ -191,10 +191,17 @@
 
 /// All machines are back and nothing is lost any more: a leader is found, commits, and all come to hold the same.
 pub(crate) fn end_calmly(world: &mut World) {
+    end_calmly_without(world, None);
+}
+
+/// The same where one machine is gone for good.
+pub(crate) fn end_calmly_without(world: &mut World, gone: Option<usize>) {
     // Those that were told to end have ended.
     for place in 0..world.nodes.len() {
         world.apply(Action::Crash(place));
-        world.apply(Action::Start(place));
+        if gone != Some(place) {
+            world.apply(Action::Start(place));
+        }
     }
     let wanted = world.next_command;
     let before = world.checks.acknowledgements();
