--- a/review/standins/src/crash.rs
+++ b/review/standins/src/crash.rs
@@ -132,8 +132,8 @@
     }
 }
 
-pub async fn run(programs: &Path, folder: &Path, trouble: bool) -> Option<bool> {
-    let record = Arc::new(Record::new(folder));
+pub async fn run(programs: &Path, record: &Path, trouble: bool) -> Option<bool> {
+    let record = Arc::new(Record::new(record));
     let mut fleet = Fleet::of(Programs::in_folder(programs), Plan { cores: 3, fronts: 2 }).await;
     fleet.bound("retryRatio", "0.2");
     let own = std::env::current_exe().ok()?;
--- a/review/standins/src/early.rs
+++ b/review/standins/src/early.rs
@@ -138,8 +138,8 @@
     lost
 }
 
-pub async fn run(programs: &Path, folder: &Path, trouble: bool) -> Option<bool> {
-    let record = Arc::new(Record::new(folder));
+pub async fn run(programs: &Path, record: &Path, trouble: bool) -> Option<bool> {
+    let record = Arc::new(Record::new(record));
     let mut fleet = Fleet::of(Programs::in_folder(programs), Plan { cores: 3, fronts: 2 }).await;
     fleet.bound("retryRatio", "0.2");
     let shared =
--- a/review/standins/src/record.rs
+++ b/review/standins/src/record.rs
@@ -13,8 +13,9 @@
 }
 
 impl Record {
-    pub fn new(folder: &Path) -> Record {
-        let file = File::create(folder.join("record.txt")).expect("record.txt");
+    /// A new record in the file of this path.
+    pub fn new(path: &Path) -> Record {
+        let file = File::create(path).expect("the record's file");
         Record { start: Instant::now(), file: Mutex::new(file) }
     }
 
