A request whose head a server has may have run, however little of its body was written

Cause: `UpstreamConnection::send` took a request whose last byte was not yet on the socket for one that did not run (`SendResult::NotSent`). A server may begin, and answer, before it has read a long body, so only a request whose head was not written whole can't have begun. The socket takes in some 2.5 to 4 MB at once, so that shorter bodies never showed it.

Change: `NotSent` now needs bytes of the head to be unwritten. What may be repeated still is: an idempotent request goes on at the next server.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -38,7 +38,7 @@
     ServerError(Box<Response<ResponseBody>>),
     /// The server declared that it did not execute the request.
     Rejected,
-    /// Nothing was sent to the server.
+    /// The server cannot have received the head of the request.
     NotSent,
     /// The server may have executed the request, but there is no usable response.
     MaybeExecuted(RequestFailure),
@@ -61,10 +61,10 @@
                 continue;
             }
             let is_new = connection.is_new();
-            let (request, min_wire_bytes) = self.upstream_request(connection.server_id());
+            let (request, min_head_bytes) = self.upstream_request(connection.server_id());
             self.timer.set_silence_timeout(self.silence_timeout(), connection.activity());
             attempt.record_sent();
-            match connection.send(request, min_wire_bytes, &mut self.timer).await {
+            match connection.send(request, min_head_bytes, &mut self.timer).await {
                 SendResult::Response(upstream) => return self.handle_response(upstream, attempt).await,
                 // The server closed the idle connection; the next one is tried.
                 SendResult::NotSent if !is_new => {}
@@ -117,7 +117,8 @@
         UpstreamConnection::open(address, server, id, permit, timeout).await.ok_or(Outcome::ConnectFailed)
     }
 
-    /// Builds the request for a server. Also returns the minimum number of bytes that it takes on the wire.
+    /// Builds the request for a server. Also returns the minimum number of bytes that its head takes on the
+    /// wire.
     fn upstream_request(&self, server_id: &str) -> (Request<Full<Bytes>>, u64) {
         let mut request = Request::new(Full::new(self.request.body.clone()));
         *request.method_mut() = self.request.method.clone();
@@ -136,8 +137,8 @@
             headers.insert(PRIORITY, priority);
         }
         *request.headers_mut() = headers;
-        let min_wire_bytes = head_wire_bytes(&request) + self.request.body.len() as u64;
-        (request, min_wire_bytes)
+        let min_head_bytes = head_wire_bytes(&request);
+        (request, min_head_bytes)
     }
 
     /// Evaluates the head of a response and reads its body if it is not relayed.
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -59,7 +59,8 @@
 pub enum SendResult {
     /// The head of a response has arrived.
     Response(Box<UpstreamResponse>),
-    /// The request was not written completely, so the server has not executed it.
+    /// The head of the request was not written completely, so the server has not executed it. A server may
+    /// execute a request before it has received the end of its body.
     NotSent,
     /// The connection broke, or the received bytes are not a valid response. The server may have executed the
     /// request.
@@ -161,12 +162,12 @@
         self.permit.activity()
     }
 
-    /// Sends a request and waits for the head of its response until the timer fires. `min_wire_bytes` is the
-    /// minimum number of bytes that the request takes on the wire.
+    /// Sends a request and waits for the head of its response until the timer fires. `min_head_bytes` is the
+    /// minimum number of bytes that the head of the request takes on the wire.
     pub async fn send(
         mut self: Box<Self>,
         request: Request<Full<Bytes>>,
-        min_wire_bytes: u64,
+        min_head_bytes: u64,
         timer: &mut RequestTimer,
     ) -> SendResult {
         let written_before = self.written_bytes.get();
@@ -187,10 +188,10 @@
             timer.poll(cx, permit.activity()).map(Err)
         })
         .await;
-        let fully_written = self.written_bytes.get() - written_before >= min_wire_bytes;
+        let head_written = self.written_bytes.get() - written_before >= min_head_bytes;
         match result {
             Ok(Some(response)) => SendResult::Response(Box::new(self.into_upstream_response(response))),
-            _ if !fully_written => SendResult::NotSent,
+            _ if !head_written => SendResult::NotSent,
             Ok(None) => SendResult::Broken,
             Err(kind) => SendResult::TimedOut(kind),
         }
--- a/crates/proxy/src/upstream/counting_socket.rs
+++ b/crates/proxy/src/upstream/counting_socket.rs
@@ -9,7 +9,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Counts written bytes: a request that was not written completely has not been executed.
+/// Counts written bytes: a request whose head was not written completely has not been executed.
 pub(super) struct CountingSocket {
     stream: TcpStream,
     written: Rc<Cell<u64>>,
--- a/crates/proxy/tests/common/client.rs
+++ b/crates/proxy/tests/common/client.rs
@@ -37,8 +37,13 @@
 
 /// Returns the head of a request with a body of four bytes.
 pub(crate) fn request_head(path: &str, id: &str, deadline_ms: u32, fields: &str) -> String {
+    request_head_for(path, id, deadline_ms, fields, 4)
+}
+
+/// Returns the head of a request with a body of `body_bytes`.
+fn request_head_for(path: &str, id: &str, deadline_ms: u32, fields: &str, body_bytes: usize) -> String {
     format!(
-        "POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Dunelink-Request-Id: {id}\r\nX-Dunelink-Deadline-Ms: {deadline_ms}\r\n{fields}Content-Length: 4\r\n\r\n"
+        "POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Dunelink-Request-Id: {id}\r\nX-Dunelink-Deadline-Ms: {deadline_ms}\r\n{fields}Content-Length: {body_bytes}\r\n\r\n"
     )
 }
 
@@ -68,6 +73,12 @@
         self.send(&request(path, id, fields)).await;
     }
 
+    /// Sends a request with this body and the default timeout.
+    pub(crate) async fn send_request_with_body(&mut self, path: &str, id: &str, body: &str) {
+        self.send(&request_head_for(path, id, DEADLINE_MS, "", body.len())).await;
+        self.send(body).await;
+    }
+
     /// Sends a request; false if the connection is closed.
     pub(crate) async fn try_send_request(&mut self, path: &str, id: &str) -> bool {
         self.stream.write_all(request(path, id, "").as_bytes()).await.is_ok()
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -81,11 +81,31 @@
     ]
 }
 
+/// Limits of the test configuration that tests change.
+pub(crate) struct Limits {
+    pub(crate) max_body_bytes: usize,
+    pub(crate) header_timeout_ms: u64,
+}
+
+/// The limits that most tests use.
+const DEFAULT_LIMITS: Limits = Limits { max_body_bytes: 100_000, header_timeout_ms: 300 };
+
 /// Returns a configuration with these routes and tenants as JSON.
 pub(crate) fn configuration(version: u64, routes: &[Route], tenants: &str) -> String {
+    configuration_with_limits(version, routes, tenants, &DEFAULT_LIMITS)
+}
+
+/// Returns a configuration with these routes, tenants and limits as JSON.
+pub(crate) fn configuration_with_limits(
+    version: u64,
+    routes: &[Route],
+    tenants: &str,
+    limits: &Limits,
+) -> String {
     let routes: Vec<String> = routes.iter().map(Route::json).collect();
+    let Limits { max_body_bytes, header_timeout_ms } = limits;
     format!(
-        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"s","maxConns":64}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":100000,"headerTimeoutMs":300,"idleTimeoutMs":15000}},"tenants":[{tenants}]}}"#,
+        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"s","maxConns":64}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":{max_body_bytes},"headerTimeoutMs":{header_timeout_ms},"idleTimeoutMs":15000}},"tenants":[{tenants}]}}"#,
         routes.join(",")
     )
 }
@@ -121,8 +141,13 @@
 
     /// Starts a proxy with the default routes and these servers, and waits until it is ready.
     pub(crate) async fn with_servers(servers: &[&server::Server]) -> Self {
+        Self::with_configuration(&configuration(1, &routes(), ""), servers).await
+    }
+
+    /// Starts a proxy with this configuration and these servers, and waits until it is ready.
+    pub(crate) async fn with_configuration(configuration: &str, servers: &[&server::Server]) -> Self {
         let harness = Self::unconfigured().await;
-        harness.agent.send_configuration(&configuration(1, &routes(), ""));
+        harness.agent.send_configuration(configuration);
         harness.agent.send_grants(1);
         harness.agent.set_servers(servers);
         harness.agent.send_heartbeat(0, 1);
--- a/crates/proxy/tests/common/server.rs
+++ b/crates/proxy/tests/common/server.rs
@@ -16,6 +16,8 @@
     Write(String),
     /// Waits until the test notifies it or the proxy closes the connection.
     Wait(Rc<Notify>),
+    /// Waits until the test notifies it, and reads nothing meanwhile.
+    StopReading(Rc<Notify>),
     /// Closes the connection.
     Close,
     /// Resets the connection.
@@ -142,6 +144,7 @@
                         _ = stream.read(&mut byte) => return,
                     }
                 }
+                Step::StopReading(release) => release.notified().await,
                 Step::Close => return,
                 Step::Reset => {
                     stream.set_zero_linger().unwrap();
