An event stream without a length is complete only if it ends between two events

Cause: the close of such a connection was read as the end of the body on every route but the resumable ones. Only those had an `EventFramer`, and the check hung on it, not on the response.

Change: the response itself knows (`UpstreamResponse::require_complete_events`, `EventBoundary`): a close within an event is an error of the body like any other, so each reader of a body meets it. Nothing is held back for it, and bodies with a length or in chunks are not looked at. Events by their content type; without one, by the route.

Related paths that had the same cause: an event stream without a length on a route that does not stream was given a length and forwarded as whole (now 502, or the next server if the route is idempotent); and the other way round, on resumable routes a whole stream was cut if its last event was over 256 KiB, ended with a comment or with CR line ends, or was no event stream at all. A crash between two events still looks like an end: nothing in the bytes tells it.

--- a/crates/edge/src/response.rs
+++ b/crates/edge/src/response.rs
@@ -117,6 +117,25 @@
     !headers.contains_key(header::CONTENT_LENGTH) && !headers.contains_key(header::TRANSFER_ENCODING)
 }
 
+/// Whether the content type of a response is that of an event stream; `None` if it states none.
+///
+/// ```
+/// use dunelink_edge::response::states_event_stream;
+/// use http::HeaderMap;
+///
+/// let mut headers = HeaderMap::new();
+/// assert_eq!(states_event_stream(&headers), None);
+/// headers.insert("content-type", "Text/Event-Stream; charset=utf-8".parse().unwrap());
+/// assert_eq!(states_event_stream(&headers), Some(true));
+/// headers.insert("content-type", "application/json".parse().unwrap());
+/// assert_eq!(states_event_stream(&headers), Some(false));
+/// ```
+pub fn states_event_stream(headers: &HeaderMap) -> Option<bool> {
+    let content_type = headers.get(header::CONTENT_TYPE)?.to_str().ok()?;
+    let media_type = content_type.split(';').next().unwrap_or_default();
+    Some(media_type.trim().eq_ignore_ascii_case("text/event-stream"))
+}
+
 /// Whether a response with this status never has a body, regardless of its fields (RFC 9112, 6.3).
 ///
 /// ```
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -162,6 +162,9 @@
         if promises_no_execution(status) && !self.admission.policy.idempotent {
             return self.finish_lost(attempt, RequestFailure::Broken);
         }
+        if self.is_event_stream(&upstream.head) {
+            upstream.require_complete_events();
+        }
         let length = upstream.body.size_hint().exact();
         // A response that ends with its connection may still be reset, so it is forwarded only once its end
         // has arrived.
@@ -203,6 +206,13 @@
         matches_request && framed && sealed
     }
 
+    /// Whether a response is an event stream. A successful response on a streaming route is one, unless its
+    /// content type says otherwise.
+    fn is_event_stream(&self, head: &http::response::Parts) -> bool {
+        edge_response::states_event_stream(&head.headers)
+            .unwrap_or(self.admission.policy.streaming && head.status.is_success())
+    }
+
     fn observe_load(&self, upstream: &UpstreamResponse, server: ServerHandle) {
         let Some(load) = upstream.head.headers.get(&SERVER_LOAD).and_then(|load| load.to_str().ok()) else {
             return;
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -124,16 +124,6 @@
                             return Poll::Ready(Some(Ok(complete)));
                         }
                     }
-                    // The end of the connection within an event is not the end of the stream.
-                    Poll::Ready(None)
-                        if stream.response.is_close_delimited
-                            && self.events.as_ref().is_some_and(EventFramer::has_partial_event) =>
-                    {
-                        match self.resume_after_break() {
-                            Ok(()) => {}
-                            Err(error) => return self.fail(error, cx),
-                        }
-                    }
                     Poll::Ready(None) => {
                         self.finish_served(cx);
                         if let Some(rest) = self.events.as_mut().and_then(EventFramer::take_remainder) {
@@ -266,11 +256,6 @@
         Some(complete)
     }
 
-    /// Whether the stream is within an event.
-    pub fn has_partial_event(&self) -> bool {
-        self.forwarded_partial || !self.partial.is_empty()
-    }
-
     /// Returns the remaining bytes at the regular end of a stream.
     pub fn take_remainder(&mut self) -> Option<Bytes> {
         if self.partial.is_empty() { None } else { Some(self.partial.split().freeze()) }
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -9,7 +9,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -22,10 +22,12 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, Connection, SendRequest};
 use hyper_util::rt::TokioIo;
+use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 use super::counting_socket::CountingSocket;
+use super::event_boundary::EventBoundary;
 use super::pool::ConnectionPermit;
 use super::timer::{RequestTimer, TimeoutKind};
 
@@ -80,6 +82,19 @@
     pub is_close_delimited: bool,
     /// The connection that the response arrives on.
     pub connection: Box<UpstreamConnection>,
+    /// Tracks the events of a body that must not end within one; `None` if it may end anywhere.
+    event_boundary: Option<EventBoundary>,
+}
+
+/// Why a response body is incomplete.
+#[derive(Debug, Error)]
+pub enum ResponseBodyError {
+    /// The connection broke, or the received bytes are not a valid body.
+    #[error("the connection broke: {0}")]
+    Connection(#[from] hyper::Error),
+    /// The connection was closed within an event of an event stream.
+    #[error("the connection was closed within an event")]
+    ClosedWithinEvent,
 }
 
 impl UpstreamConnection {
@@ -207,22 +222,38 @@
         }
         let is_close_delimited = edge_response::is_unframed(&head.headers);
         self.closes_after_response |= is_close_delimited;
-        UpstreamResponse { head, body, is_close_delimited, connection: self }
+        UpstreamResponse { head, body, is_close_delimited, connection: self, event_boundary: None }
     }
 }
 
 impl UpstreamResponse {
+    /// Reads the body as an event stream: if it ends with its connection, its end within an event is an error.
+    pub fn require_complete_events(&mut self) {
+        self.event_boundary = self.is_close_delimited.then(EventBoundary::default);
+    }
+
     /// Returns the next frame of the body.
-    pub fn poll_frame(&mut self, cx: &mut Context<'_>) -> Poll<Option<hyper::Result<Frame<Bytes>>>> {
+    pub fn poll_frame(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, ResponseBodyError>>> {
         let mut frame = Pin::new(&mut self.body).poll_frame(cx);
         if frame.is_pending() {
             self.connection.poll_io(cx);
             frame = Pin::new(&mut self.body).poll_frame(cx);
         }
-        if frame.is_ready() {
-            self.connection.permit.record_activity();
+        let frame = ready!(frame);
+        self.connection.permit.record_activity();
+        if let Some(boundary) = &mut self.event_boundary {
+            match &frame {
+                None if boundary.is_within_event() => {
+                    return Poll::Ready(Some(Err(ResponseBodyError::ClosedWithinEvent)));
+                }
+                Some(Ok(frame)) => boundary.push(frame.data_ref().map_or(&[], |data| data)),
+                None | Some(Err(_)) => {}
+            }
         }
-        frame
+        Poll::Ready(frame.map(|frame| frame.map_err(ResponseBodyError::from)))
     }
 
     /// Reads the complete body. `None` if it breaks off, is longer than `max_bytes`, or the timer fires
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -2,9 +2,11 @@
 
 mod connection;
 mod counting_socket;
+mod event_boundary;
 mod pool;
 mod timer;
 
-pub use connection::{SendResult, UpstreamConnection, UpstreamResponse};
+pub use connection::{ResponseBodyError, SendResult, UpstreamConnection, UpstreamResponse};
+pub use event_boundary::EventBoundary;
 pub use pool::{ConnectionPermit, ConnectionPool};
 pub use timer::{RequestTimer, TimeoutKind};
--- a/crates/proxy/tests/streams.rs
+++ b/crates/proxy/tests/streams.rs
@@ -99,6 +99,89 @@
     });
 }
 
+/// The head of a response without a length: it ends with its connection.
+fn close_delimited_head(fields: &str) -> Step {
+    Step::Write(format!(
+        "HTTP/1.1 200 OK\r\nX-Dunelink-Request-Id: {{id}}\r\nX-Dunelink-Response-Seal: s\r\n{fields}Connection: close\r\n\r\n"
+    ))
+}
+
+const EVENT_STREAM: &str = "Content-Type: text/event-stream\r\n";
+
+/// Sends one request to a server that answers with this body, without a length, and closes the connection.
+async fn call_close_delimited(path: &str, fields: &'static str, body: &str) -> common::client::Response {
+    let body = body.to_owned();
+    let server_1 = Server::start("i-1", move |_, _| {
+        vec![close_delimited_head(fields), Step::Write(body.clone()), Step::Close]
+    })
+    .await;
+    let harness = ProxyHarness::with_servers(&[&server_1]).await;
+    let mut client = harness.client().await;
+    client.send_request(path, "a1").await;
+    client.read_response().await
+}
+
+/// Guards against ORDER: a stream without a length that a crashing server cut within an event reached the
+/// client as a complete response.
+#[test]
+fn close_delimited_stream_cut_within_event_is_aborted() {
+    run(async {
+        for partial in ["id: 1", "id: 1\nda", "id: 1\ndata: piece 1\n", "id: 1\r\ndata: piece 1\r\n"] {
+            for fields in [EVENT_STREAM, ""] {
+                let response =
+                    call_close_delimited("/flow/x", fields, &format!("{}{partial}", event(0))).await;
+                assert!(!response.complete && response.status == 200, "{partial:?}");
+                assert!(response.body.starts_with(&event(0)), "{partial:?}");
+            }
+        }
+    });
+}
+
+/// Guards against MIXED: on a route that does not stream, an event stream that was cut within an event got a
+/// length and looked complete.
+#[test]
+fn cut_event_stream_on_other_route_is_not_forwarded() {
+    run(async {
+        let body = format!("{}id: 1\nda", event(0));
+        let response = call_close_delimited("/once/x", EVENT_STREAM, &body).await;
+        assert_eq!(response.status, 502);
+    });
+}
+
+#[test]
+fn complete_close_delimited_stream_is_forwarded() {
+    run(async {
+        let long_event = format!("data: {}\n\n", "x".repeat(300 * 1_024));
+        let bodies =
+            [events_text(0, 3), "data: a\r\n\r\n: bye\r\n".to_owned(), "data: a\r\r".to_owned(), long_event];
+        for body in bodies {
+            for path in ["/flow/x", "/again/x"] {
+                let response = call_close_delimited(path, EVENT_STREAM, &body).await;
+                assert!(response.complete && response.body == body, "{path}");
+            }
+        }
+        // Another content type has no events.
+        for path in ["/flow/x", "/again/x", "/once/x"] {
+            let response = call_close_delimited(path, "Content-Type: application/json\r\n", "{}").await;
+            assert!(response.complete && response.body == "{}", "{path}");
+        }
+    });
+}
+
+#[test]
+fn close_delimited_stream_cut_within_event_resumes_at_other_server() {
+    run(async {
+        let first = |_: &ReceivedRequest| {
+            let partial = format!("{}id: 2\nda", events_text(0, 2));
+            vec![close_delimited_head(EVENT_STREAM), Step::Write(partial), Step::Close]
+        };
+        let (server_1, server_2, harness) = start_two_servers(first, resume_stream).await;
+        let response = harness.client().await.call("/again/x", "a1").await;
+        assert!(response.complete && response.body == events_text(0, 10));
+        assert_eq!((server_1.count(), server_2.count()), (1, 1));
+    });
+}
+
 #[test]
 fn resumable_stream_resumes_at_other_server() {
     run(async {
