A request that is given up is discarded: its connection is reset, not closed

Callers saw: nothing; servers saw work on behalf of nobody.

Cause: an attempt is given up by dropping its connection, which closed the socket regularly; the kernel goes on delivering what it has taken, also after a cut and also after the process has gone.

Change: `UpstreamSocket` resets unless the response to the last request was read completely. The option is set when the connection opens and taken back for a regular close, so that it holds for a process that is killed as well, at the price of two system calls a connection. Idle connections, and those whose answer came whole, close as before.

Related paths, all of them through the one drop: deadline, client gone, silence before the head, a silent stream that was resumed elsewhere, an answer that isn't the request's, the end of the process.

Tests: crates/proxy/tests/abandoned_requests.rs.

--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -250,6 +250,7 @@
 
     /// Returns a connection to the pool once its response is complete.
     pub(crate) fn return_to_pool(&self, mut connection: Box<UpstreamConnection>, cx: &mut Context<'_>) {
+        connection.finish_response();
         let usable = self.node.router.borrow().is_usable(connection.server());
         if usable && connection.is_reusable(cx) {
             self.node
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -3,7 +3,6 @@
 //! hyper splits a connection into a sender and a future that does the I/O. Here the task that waits for the
 //! response polls that future, which saves a separate task and a wake-up between two tasks per piece of data.
 
-use std::cell::Cell;
 use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -26,9 +25,9 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-use super::counting_socket::CountingSocket;
 use super::event_boundary::EventBoundary;
 use super::pool::ConnectionPermit;
+use super::socket::{SocketState, UpstreamSocket};
 use super::timer::{RequestTimer, TimeoutKind};
 
 /// Idle time after which a connection is not reused, if the server states no keep-alive timeout.
@@ -44,8 +43,8 @@
 /// A connection to one incarnation of a server.
 pub struct UpstreamConnection {
     sender: SendRequest<Full<Bytes>>,
-    connection: Connection<TokioIo<CountingSocket>, Full<Bytes>>,
-    written_bytes: Rc<Cell<u64>>,
+    connection: Connection<TokioIo<UpstreamSocket>, Full<Bytes>>,
+    socket: Rc<SocketState>,
     is_closed: bool,
     is_new: bool,
     closes_after_response: bool,
@@ -108,14 +107,14 @@
     ) -> Option<Box<Self>> {
         let stream = tokio::time::timeout(timeout, TcpStream::connect(address)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
-        let (socket, written_bytes) = CountingSocket::new(stream);
+        let (socket, socket_state) = UpstreamSocket::new(stream).ok()?;
         let mut builder = Builder::new();
         builder.max_buf_size(MAX_READ_BUFFER_BYTES);
         let (sender, connection) = builder.handshake(TokioIo::new(socket)).await.ok()?;
         Some(Box::new(Self {
             sender,
             connection,
-            written_bytes,
+            socket: socket_state,
             is_closed: false,
             is_new: true,
             closes_after_response: false,
@@ -172,6 +171,12 @@
         false
     }
 
+    /// Records that the response to the last request was read completely. A connection that is dropped before
+    /// is reset.
+    pub fn finish_response(&mut self) {
+        self.socket.set_awaits_response(false);
+    }
+
     /// Returns a counter that increases whenever data arrives from the server on any connection.
     pub fn activity(&self) -> u64 {
         self.permit.activity()
@@ -185,7 +190,8 @@
         min_head_bytes: u64,
         timer: &mut RequestTimer,
     ) -> SendResult {
-        let written_before = self.written_bytes.get();
+        let written_before = self.socket.written_bytes();
+        self.socket.set_awaits_response(true);
         self.is_new = false;
         let mut response = std::pin::pin!(self.sender.try_send_request(request));
         let mut connection = Pin::new(&mut self.connection);
@@ -203,7 +209,7 @@
             timer.poll(cx, permit.activity()).map(Err)
         })
         .await;
-        let head_written = self.written_bytes.get() - written_before >= min_head_bytes;
+        let head_written = self.socket.written_bytes() - written_before >= min_head_bytes;
         match result {
             Ok(Some(response)) => SendResult::Response(Box::new(self.into_upstream_response(response))),
             _ if !head_written => SendResult::NotSent,
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -1,9 +1,9 @@
 //! Connections to servers.
 
 mod connection;
-mod counting_socket;
 mod event_boundary;
 mod pool;
+mod socket;
 mod timer;
 
 pub use connection::{ResponseBodyError, SendResult, UpstreamConnection, UpstreamResponse};
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -110,12 +110,10 @@
     )
 }
 
-impl ProxyHarness {
-    /// Starts a proxy without configuration, servers or grants.
-    pub(crate) async fn unconfigured() -> Self {
-        let agent = Agent::listen().await;
-        let settings = format!(
-            r#"
+/// Returns the settings of a proxy with this agent.
+pub(crate) fn settings(agent: &Agent) -> String {
+    format!(
+        r#"
 nodeName = "front-1"
 ip = "127.0.0.1"
 zone = "z"
@@ -129,9 +127,16 @@
 retryWindowS = 10
 retrySlack = 5000
 "#,
-            agent.port - 2,
-            agent.port + 3
-        );
+        agent.port - 2,
+        agent.port + 3
+    )
+}
+
+impl ProxyHarness {
+    /// Starts a proxy without configuration, servers or grants.
+    pub(crate) async fn unconfigured() -> Self {
+        let agent = Agent::listen().await;
+        let settings = settings(&agent);
         let boot = BootSettings::parse(&settings, Path::new("settings")).unwrap();
         let log = slog::Logger::root(slog::Discard, slog::o!());
         let proxy = Proxy::bind(Node::new(boot, log)).unwrap();
@@ -173,9 +178,7 @@
 
     /// Returns the status of a readiness check.
     pub(crate) async fn readiness_status(&self) -> u16 {
-        let mut client = Client::connect(self.readiness).await;
-        client.send("GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n").await;
-        client.read_response().await.status
+        readiness_status(self.readiness).await
     }
 
     /// Shuts the proxy down as SIGTERM does.
@@ -184,3 +187,10 @@
         shutdown::drain(&self.node, &self.clients).await;
     }
 }
+
+/// Returns the status of a readiness check at this address.
+pub(crate) async fn readiness_status(address: std::net::SocketAddr) -> u16 {
+    let mut client = Client::connect(address).await;
+    client.send("GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n").await;
+    client.read_response().await.status
+}
