An answer to an HTTP/1.0 client that breaks off is reset

Change: while a response without a length is sent to an HTTP/1.0 client, its socket is set to be reset on close; the end of the body takes that back. It holds for a broken server, the deadline, the end of the process and a kill alike.

Test: `broken_stream_to_http_1_0_client_is_reset` (crates/proxy/tests/streams.rs); before: a regular end where a reset is expected.

--- a/crates/proxy/src/client_socket.rs
+++ b/crates/proxy/src/client_socket.rs
@@ -1,15 +1,17 @@
 //! A client socket that also scans the request heads, because hyper drops parts of a head before it passes a
-//! request on.
+//! request on, and that is reset if it closes before the end of a response without other framing.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use dunelink_edge::Fault;
 use dunelink_edge::wire::Scanner;
 use http::header::{self, HeaderMap};
+use rustix::net::sockopt::set_socket_linger;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
@@ -63,16 +65,48 @@
     }
 }
 
+/// Whether a client connection is reset when it is closed, instead of being closed regularly. The regular
+/// close is the end of a response that has neither a length nor chunks, so until such a response is complete
+/// any other close is a reset.
+#[derive(Debug, Clone, Default)]
+pub struct ResetOnClose(Rc<Cell<bool>>);
+
+impl ResetOnClose {
+    /// Sets whether the connection is reset when it is closed.
+    pub fn set(&self, resets: bool) {
+        self.0.set(resets);
+    }
+}
+
 /// The socket that hyper reads and writes.
 pub struct ClientSocket {
     stream: TcpStream,
     heads: RequestHeads,
+    reset_on_close: ResetOnClose,
+    /// Whether the socket option that resets the connection is set.
+    is_reset_set: bool,
 }
 
 impl ClientSocket {
-    /// Creates a socket that records the scanned heads in `heads`.
-    pub fn new(stream: TcpStream, heads: RequestHeads) -> Self {
-        Self { stream, heads }
+    /// Creates a socket that records the scanned heads in `heads` and is closed as `reset_on_close` says.
+    pub fn new(stream: TcpStream, heads: RequestHeads, reset_on_close: ResetOnClose) -> Self {
+        Self { stream, heads, reset_on_close, is_reset_set: false }
+    }
+
+    /// Passes a change of [`ResetOnClose`] on to the operating system, so that it also holds if the process
+    /// is killed.
+    fn apply_reset_on_close(&mut self) {
+        let resets = self.reset_on_close.0.get();
+        if resets != self.is_reset_set {
+            self.is_reset_set = set_socket_linger(&self.stream, resets.then_some(Duration::ZERO))
+                .map_or(self.is_reset_set, |()| resets);
+        }
+    }
+}
+
+impl Drop for ClientSocket {
+    fn drop(&mut self) {
+        self.apply_reset_on_close();
     }
 }
 
@@ -91,6 +125,7 @@
 
 impl AsyncWrite for ClientSocket {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.apply_reset_on_close();
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
@@ -99,6 +134,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.apply_reset_on_close();
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use http::header::{self, HeaderValue};
-use http::{Request, Response, StatusCode};
+use http::{Request, Response, StatusCode, Version};
+use http_body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -17,7 +18,7 @@
 use tokio::time::Instant;
 
 use crate::admission::admit;
-use crate::client_socket::{ClientSocket, RequestHeads};
+use crate::client_socket::{ClientSocket, RequestHeads, ResetOnClose};
 use crate::exchange::Exchange;
 use crate::node::Node;
 use crate::open_requests::OpenRequestGuard;
@@ -41,6 +42,8 @@
     abort_requested: Notify,
     /// Request heads as they were read from the socket.
     heads: RequestHeads,
+    /// Set while a response is sent that ends with the connection.
+    reset_on_close: ResetOnClose,
 }
 
 impl ClientConnection {
@@ -51,6 +54,7 @@
             close_requested: Notify::new(),
             abort_requested: Notify::new(),
             heads: RequestHeads::default(),
+            reset_on_close: ResetOnClose::default(),
         })
     }
 
@@ -118,11 +122,10 @@
 async fn serve_until_closed(node: Rc<Node>, connection: &Rc<ClientConnection>, stream: TcpStream) {
     let limits = node.configuration().map(|configuration| configuration.fleet.limits.clone());
     let max_head_bytes = limits.map_or(DEFAULT_MAX_HEADER_BYTES, |limits| limits.max_header_bytes) as usize;
-    let socket = ClientSocket::new(stream, connection.heads.clone());
+    let socket = ClientSocket::new(stream, connection.heads.clone(), connection.reset_on_close.clone());
     let service = service_fn(|request| {
-        let (node, active, heads) =
-            (node.clone(), ActiveRequestGuard::new(connection), connection.heads.clone());
-        async move { Ok::<_, Infallible>(respond(node, request, active, &heads).await) }
+        let (node, active) = (node.clone(), ActiveRequestGuard::new(connection));
+        async move { Ok::<_, Infallible>(respond(node, request, active).await) }
     });
     let mut builder = http1::Builder::new();
     builder
@@ -144,9 +147,10 @@
     node: Rc<Node>,
     request: Request<Incoming>,
     active: ActiveRequestGuard,
-    heads: &RequestHeads,
 ) -> Response<ResponseBody> {
     let open_request = node.open_requests.track();
+    let heads = active.0.heads.clone();
+    let version = request.version();
     let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
     let mut response = match heads.check_framing(request.headers()) {
         Ok(()) => handle_request(&node, request, &open_request).await,
@@ -159,6 +163,11 @@
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     open_request.set_answering();
+    // HTTP/1.0 has no chunks, so a response of unknown length ends with its connection.
+    if version < Version::HTTP_11 && response.body().size_hint().exact().is_none() {
+        let reset_on_close = active.0.reset_on_close.clone();
+        response = response.map(|body| body.resetting_until_complete(reset_on_close));
+    }
     response.map(|body| body.with_guard(Box::new((open_request, active))))
 }
 
--- a/crates/proxy/src/response.rs
+++ b/crates/proxy/src/response.rs
@@ -2,7 +2,7 @@
 
 use std::any::Any;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,6 +11,7 @@
 use http_body::{Body, Frame, SizeHint};
 use thiserror::Error;
 
+use crate::client_socket::ResetOnClose;
 use crate::relay::RelayedBody;
 
 /// Client-chosen id of one attempt of a request.
@@ -51,6 +52,8 @@
 /// The body of a response to a client. The request counts as open until the body is dropped.
 pub struct ResponseBody {
     kind: BodyKind,
+    /// Cleared once the body is complete; `None` if its end is visible without the end of the connection.
+    reset_on_close: Option<ResetOnClose>,
     _guard: Option<Box<dyn Any>>,
 }
 
@@ -62,12 +65,23 @@
 impl ResponseBody {
     /// Creates a body from complete content.
     pub fn full(bytes: Bytes) -> Self {
-        Self { kind: BodyKind::Full(Some(bytes).filter(|bytes| !bytes.is_empty())), _guard: None }
+        Self::new(BodyKind::Full(Some(bytes).filter(|bytes| !bytes.is_empty())))
     }
 
     /// Creates a body that is relayed from a server as it arrives.
     pub fn relayed(relayed: RelayedBody) -> Self {
-        Self { kind: BodyKind::Relayed(Box::new(relayed)), _guard: None }
+        Self::new(BodyKind::Relayed(Box::new(relayed)))
+    }
+
+    fn new(kind: BodyKind) -> Self {
+        Self { kind, reset_on_close: None, _guard: None }
+    }
+
+    /// Has the client's connection reset if it closes before the body is complete, because the end of the
+    /// body is the end of the connection.
+    pub fn resetting_until_complete(self, reset_on_close: ResetOnClose) -> Self {
+        reset_on_close.set(true);
+        Self { reset_on_close: Some(reset_on_close), ..self }
     }
 
     /// Attaches a guard that is dropped with the body and until then counts the request as open.
@@ -84,12 +98,16 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        match &mut self.kind {
-            BodyKind::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            BodyKind::Relayed(relayed) => {
-                relayed.poll_data(cx).map(|data| data.map(|data| data.map(Frame::data)))
-            }
+        let frame = match &mut self.kind {
+            BodyKind::Full(bytes) => bytes.take().map(|bytes| Ok(Frame::data(bytes))),
+            BodyKind::Relayed(relayed) => ready!(relayed.poll_data(cx)).map(|data| data.map(Frame::data)),
+        };
+        if frame.is_none()
+            && let Some(reset_on_close) = &self.reset_on_close
+        {
+            reset_on_close.set(false);
         }
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/proxy/tests/common/client.rs
+++ b/crates/proxy/tests/common/client.rs
@@ -161,6 +161,19 @@
         response
     }
 
+    /// Reads up to the end of the connection. Returns the received text, and an error if the connection was
+    /// reset.
+    pub(crate) async fn read_to_end(&mut self) -> (String, std::io::Result<()>) {
+        let end = loop {
+            match self.stream.read_buf(&mut self.buffer).await {
+                Ok(0) => break Ok(()),
+                Ok(_) => {}
+                Err(error) => break Err(error),
+            }
+        };
+        (String::from_utf8(std::mem::take(&mut self.buffer)).unwrap(), end)
+    }
+
     /// Whether the connection is closed.
     pub(crate) async fn is_closed(&mut self) -> bool {
         !self.read_more().await
--- a/crates/proxy/tests/streams.rs
+++ b/crates/proxy/tests/streams.rs
@@ -137,6 +137,29 @@
     });
 }
 
+/// Guards against MIXED: a response to an HTTP/1.0 client, which ends with its connection, was closed regularly
+/// when its server broke off, and so looked complete.
+#[test]
+fn broken_stream_to_http_1_0_client_is_reset() {
+    run(async {
+        let server_1 = Server::start("i-1", |_, request| {
+            let last_step = if request.head.contains("/flow/whole") { last_chunk() } else { Step::Close };
+            vec![stream_head("s"), chunk(&event(0)), last_step]
+        })
+        .await;
+        let harness = ProxyHarness::with_servers(&[&server_1]).await;
+        for (path, is_reset) in [("/flow/whole", false), ("/flow/broken", true), ("/again/broken", true)] {
+            let mut client = harness.client().await;
+            client
+                .send(&format!("GET {path} HTTP/1.0\r\nHost: h.example\r\nX-Dunelink-Request-Id: a1\r\n\r\n"))
+                .await;
+            let (response, end) = client.read_to_end().await;
+            assert!(response.contains(&event(0)), "{path}: {response:?}");
+            assert_eq!(end.is_err(), is_reset, "{path}");
+        }
+    });
+}
+
 /// Guards against MIXED: on a route that does not stream, an event stream that was cut within an event got a
 /// length and looked complete.
 #[test]
