--- /dev/null
+++ b/crates/proxy/src/event_framer.rs
@@ -0,0 +1,99 @@
+//! Splits event streams that may be resumed at event boundaries.
+
+use bytes::{Bytes, BytesMut};
+use http::HeaderValue;
+
+/// Maximum size of a buffered partial event in bytes. A stream with a longer event is forwarded without being
+/// resumable.
+const MAX_PARTIAL_EVENT_BYTES: usize = 256 * 1024;
+
+/// Splits a stream at event boundaries, so that only complete events are forwarded.
+#[derive(Debug, Default)]
+pub struct EventFramer {
+    /// Received bytes of an incomplete event.
+    partial: BytesMut,
+    /// Id of the last forwarded event; `None` if no event had one.
+    last_id: Option<HeaderValue>,
+    /// Whether part of an event was forwarded because the event was too long to buffer.
+    forwarded_partial: bool,
+}
+
+/// Part of an event was already forwarded, so the stream cannot be resumed.
+#[derive(Debug, PartialEq, Eq)]
+pub struct PartialEventForwarded;
+
+impl EventFramer {
+    /// Creates a framer for a stream that starts after the event with this id.
+    pub fn starting_after(last_id: Option<HeaderValue>) -> Self {
+        Self { last_id, ..Self::default() }
+    }
+
+    /// Adds received data and returns the events that are complete.
+    pub fn push(&mut self, data: Bytes) -> Option<Bytes> {
+        if self.forwarded_partial {
+            return Some(data);
+        }
+        if self.partial.is_empty() && ends_event(&data) {
+            self.record_last_id(&data);
+            return Some(data);
+        }
+        self.partial.extend_from_slice(&data);
+        let Some(event_end) = last_event_end(&self.partial) else {
+            self.forwarded_partial = self.partial.len() > MAX_PARTIAL_EVENT_BYTES;
+            return if self.forwarded_partial { Some(self.partial.split().freeze()) } else { None };
+        };
+        let complete = self.partial.split_to(event_end).freeze();
+        self.record_last_id(&complete);
+        Some(complete)
+    }
+
+    /// Returns the remaining bytes at the regular end of a stream.
+    pub fn take_remainder(&mut self) -> Option<Bytes> {
+        if self.partial.is_empty() { None } else { Some(self.partial.split().freeze()) }
+    }
+
+    /// Discards the incomplete event and returns the event id to resume after.
+    ///
+    /// # Errors
+    ///
+    /// Part of an event was already forwarded.
+    pub fn discard_partial(&mut self) -> Result<Option<HeaderValue>, PartialEventForwarded> {
+        if self.forwarded_partial {
+            return Err(PartialEventForwarded);
+        }
+        self.partial.clear();
+        Ok(self.last_id.clone())
+    }
+
+    /// Returns the event id to resume after; the outer option is `None` if part of an event was already
+    /// forwarded.
+    pub fn resume_position(&self) -> Option<Option<HeaderValue>> {
+        (!self.forwarded_partial).then(|| self.last_id.clone())
+    }
+
+    /// Records the last id that occurs in complete events.
+    fn record_last_id(&mut self, events: &[u8]) {
+        let mut lines = events.rsplit(|octet| *octet == b'\n');
+        let id = lines.find_map(|line| line.strip_prefix(b"id:"));
+        let Some(id) = id else { return };
+        if let Ok(id) = HeaderValue::from_bytes(id.trim_ascii()) {
+            self.last_id = Some(id);
+        }
+    }
+}
+
+fn ends_event(bytes: &[u8]) -> bool {
+    bytes.ends_with(b"\n\n") || bytes.ends_with(b"\r\n\r\n")
+}
+
+/// Returns the offset just behind the last complete event.
+fn last_event_end(bytes: &[u8]) -> Option<usize> {
+    let mut end = bytes.len();
+    while end >= 2 {
+        if ends_event(&bytes[..end]) {
+            return Some(end);
+        }
+        end -= 1;
+    }
+    None
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod client_socket;
 pub mod configuration;
 pub mod connection;
+pub mod event_framer;
 pub mod exchange;
 pub mod feed;
 pub mod listener;
