--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -76,80 +76,97 @@
     /// Returns the next data for the client.
     pub fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
         loop {
-            match &mut self.source {
+            match &self.source {
                 Source::Ended => return Poll::Ready(None),
-                Source::Failed(_) => {
-                    let Source::Failed(error) = std::mem::replace(&mut self.source, Source::Ended) else {
-                        continue;
-                    };
-                    return Poll::Ready(Some(Err(error)));
-                }
-                Source::Resuming { resume, silent_attempt } => {
-                    let (mut exchange, resumed_response) = ready!(resume.as_mut().poll(cx));
-                    let silent_attempt = silent_attempt.take();
-                    self.first_event_recorded &= resumed_response.is_none();
-                    let Some((response, attempt)) = self.select_response(resumed_response, silent_attempt)
-                    else {
-                        return self.fail(BodyError::Broken, cx);
-                    };
-                    exchange.timer.set_silence_timeout(
-                        Some(exchange.event_gap_timeout()),
-                        response.connection.activity(),
-                    );
-                    self.source = Source::Streaming(Box::new(ActiveStream { exchange, response, attempt }));
-                }
-                Source::Streaming(stream) => match stream.response.poll_frame(cx) {
-                    Poll::Ready(Some(Ok(frame))) => {
-                        let Ok(data) = frame.into_data() else { continue };
-                        if data.is_empty() {
-                            continue;
-                        }
-                        if std::mem::replace(&mut self.first_event_recorded, true) {
-                            stream.attempt.record_progress(1);
-                        } else {
-                            stream.attempt.record_first_event();
-                        }
-                        self.forwarded_bytes += data.len() as u64;
-                        // hyper does not poll again after the stated length, so the response is finished
-                        // here.
-                        if self.length == Some(self.forwarded_bytes) {
-                            self.finish_served(cx);
-                        }
-                        let Some(events) = &mut self.events else { return Poll::Ready(Some(Ok(data))) };
-                        if let Some(complete) = events.push(data) {
-                            return Poll::Ready(Some(Ok(complete)));
-                        }
-                    }
-                    Poll::Ready(None) => {
-                        self.finish_served(cx);
-                        if let Some(rest) = self.events.as_mut().and_then(EventFramer::take_remainder) {
-                            return Poll::Ready(Some(Ok(rest)));
-                        }
+                Source::Failed(_) => return Poll::Ready(self.take_error().map(Err)),
+                Source::Resuming { .. } => ready!(self.poll_resuming(cx)),
+                Source::Streaming(_) => {
+                    if let Some(data) = ready!(self.poll_streaming(cx)) {
+                        return Poll::Ready(Some(Ok(data)));
                     }
-                    Poll::Ready(Some(Err(_))) => match self.resume_after_break() {
-                        Ok(()) => {}
-                        Err(error) => return self.fail(error, cx),
-                    },
-                    Poll::Pending => {
-                        match ready!(stream.exchange.timer.poll(cx, stream.response.connection.activity())) {
-                            TimeoutKind::Deadline => return self.time_out(cx),
-                            TimeoutKind::Silence => self.resume_after_silence(),
-                        }
+                }
+            }
+        }
+    }
+
+    fn take_error(&mut self) -> Option<BodyError> {
+        match std::mem::replace(&mut self.source, Source::Ended) {
+            Source::Failed(error) => Some(error),
+            _ => None,
+        }
+    }
+
+    /// Waits until the stream can go on.
+    fn poll_resuming(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let Source::Resuming { resume, silent_attempt } = &mut self.source else { return Poll::Ready(()) };
+        let (mut exchange, resumed_response) = ready!(resume.as_mut().poll(cx));
+        let silent_attempt = silent_attempt.take();
+        self.first_event_recorded &= resumed_response.is_none();
+        let Some((response, attempt)) = self.select_response(resumed_response, silent_attempt) else {
+            return self.fail(BodyError::Broken, cx);
+        };
+        let silence_timeout = Some(exchange.event_gap_timeout());
+        exchange.timer.set_silence_timeout(silence_timeout, response.connection.activity());
+        self.source = Source::Streaming(Box::new(ActiveStream { exchange, response, attempt }));
+        Poll::Ready(())
+    }
+
+    /// Reads from the server. Returns the data to forward now, if there is any.
+    fn poll_streaming(&mut self, cx: &mut Context<'_>) -> Poll<Option<Bytes>> {
+        let Source::Streaming(stream) = &mut self.source else { return Poll::Ready(None) };
+        match stream.response.poll_frame(cx) {
+            Poll::Ready(Some(Ok(frame))) => {
+                let data = frame.into_data().ok().filter(|data| !data.is_empty());
+                Poll::Ready(data.and_then(|data| self.receive(data, cx)))
+            }
+            Poll::Ready(None) => {
+                self.finish_served(cx);
+                Poll::Ready(self.events.as_mut().and_then(EventFramer::take_remainder))
+            }
+            Poll::Ready(Some(Err(_))) => match self.resume_after_break() {
+                Ok(()) => Poll::Ready(None),
+                Err(error) => self.fail(error, cx),
+            },
+            Poll::Pending => {
+                match ready!(stream.exchange.timer.poll(cx, stream.response.connection.activity())) {
+                    TimeoutKind::Deadline => self.time_out(cx),
+                    TimeoutKind::Silence => {
+                        self.resume_after_silence();
+                        Poll::Ready(None)
                     }
-                },
+                }
             }
         }
     }
 
+    /// Records received data and returns what of it can be forwarded.
+    fn receive(&mut self, data: Bytes, cx: &mut Context<'_>) -> Option<Bytes> {
+        if let Source::Streaming(stream) = &self.source {
+            match std::mem::replace(&mut self.first_event_recorded, true) {
+                true => stream.attempt.record_progress(1),
+                false => stream.attempt.record_first_event(),
+            }
+        }
+        self.forwarded_bytes += data.len() as u64;
+        // hyper does not poll again after the stated length, so the response is finished here.
+        if self.length == Some(self.forwarded_bytes) {
+            self.finish_served(cx);
+        }
+        match &mut self.events {
+            Some(events) => events.push(data),
+            None => Some(data),
+        }
+    }
+
     /// Ends the body early. hyper first flushes its buffered data when the body is pending; the error that
     /// follows aborts the connection.
-    fn fail(&mut self, error: BodyError, cx: &Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
+    fn fail<T>(&mut self, error: BodyError, cx: &Context<'_>) -> Poll<T> {
         self.source = Source::Failed(error);
         cx.waker().wake_by_ref();
         Poll::Pending
     }
 
-    fn time_out(&mut self, cx: &Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
+    fn time_out<T>(&mut self, cx: &Context<'_>) -> Poll<T> {
         // A timeout of the request says nothing about the server: the attempt is dropped and counts as
         // cancelled.
         self.source = Source::Ended;
