Proxy tests: the test that starts a process has a program of its own

`request_of_client_that_left_is_not_delivered` failed in 1 of 12 runs of its program beside ten busy processes. Cause: another test of the program starts a process, which has all open sockets of the tests until it executes its program. A socket that the proxy drops in that moment is closed, and so reset, only after it, and the server reads on meanwhile. The proxy itself starts no processes.

The test of the killed process moves to killed_process.rs, what both use to tests/common/stalled.rs. Checks and bounds are the same.

--- a/crates/proxy/tests/abandoned_requests.rs
+++ b/crates/proxy/tests/abandoned_requests.rs
@@ -5,92 +5,19 @@
 
 mod common;
 
-use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
-use std::process::{Child, ChildStderr, Command, Stdio};
 use std::rc::Rc;
 
-use common::agent::Agent;
-use common::client::Client;
-use common::server::{Server, Step, event, last_chunk, respond, stream_head};
-use common::{
-    Limits, ProxyHarness, Route, configuration_with_limits, readiness_status, routes, run, settings,
-    wait_until,
-};
+use common::server::{Server, Step, event, last_chunk, stream_head};
+use common::stalled::{BODY_BYTES, configuration, received_completely, start_server};
+use common::{ProxyHarness, run, wait_until};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 
-/// Longer than the receive buffer of a connection, and shorter than its send buffer.
-const BODY_BYTES: usize = 1 << 20;
-const LIMITS: Limits = Limits { max_body_bytes: BODY_BYTES, header_timeout_ms: 10_000 };
-
-/// Starts a server that handles its first request with `first` before it reads the body.
-async fn start_server(id: &str, first: Vec<Step>) -> Server {
-    let server = Server::start(id, move |number, _| match number {
-        0 => first.clone(),
-        _ => respond(200, "", "fine"),
-    })
-    .await;
-    server.responds_before_body.set(true);
-    server
-}
-
-fn configuration() -> String {
-    let short = Route { timeout_ms: 1_000, ..Route::new("/short/", "unsafe") };
-    let routes: Vec<Route> = routes().into_iter().chain([short]).collect();
-    configuration_with_limits(1, &routes, "", &LIMITS)
-}
-
 async fn start_proxy(servers: &[&Server]) -> ProxyHarness {
     ProxyHarness::with_configuration(&configuration(), servers).await
 }
 
-/// A proxy in a process of its own, and the addresses that it listens on.
-struct ProxyProcess {
-    child: Child,
-    /// Kept open because the process logs to it.
-    _log: BufReader<ChildStderr>,
-    front: SocketAddr,
-    readiness: SocketAddr,
-}
-
-impl ProxyProcess {
-    fn spawn(agent: &Agent) -> Self {
-        let path = std::env::temp_dir().join(format!("dunelink-proxy-{}-killed.toml", std::process::id()));
-        std::fs::write(&path, settings(agent)).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_dunelink-proxy"));
-        let mut child = command.env("DUNELINK_BOOT", &path).stderr(Stdio::piped()).spawn().unwrap();
-        let mut log = BufReader::new(child.stderr.take().unwrap());
-        let mut line = String::new();
-        log.read_line(&mut line).unwrap();
-        std::fs::remove_file(&path).unwrap();
-        let address = |field: &str| {
-            let value = line.split(field).nth(1).unwrap().split_whitespace().next().unwrap();
-            value.trim_matches('"').parse().unwrap()
-        };
-        Self { front: address("front="), readiness: address("readiness="), child, _log: log }
-    }
-
-    fn kill(&mut self) {
-        self.child.kill().unwrap();
-        self.child.wait().unwrap();
-    }
-}
-
-impl Drop for ProxyProcess {
-    fn drop(&mut self) {
-        self.kill();
-    }
-}
-
-/// Lets the server read on to the end of its connection. Whether it got the complete first request.
-async fn received_completely(server: &Server, release: &Notify) -> bool {
-    release.notify_one();
-    wait_until(|| server.closed_connections.get() == 1).await;
-    !server.received.borrow()[0].body.is_empty()
-}
-
 /// Guards against DRAIN: a request that was given up at its deadline still reached the server.
 #[test]
 fn request_past_its_deadline_is_not_delivered() {
@@ -151,27 +78,6 @@
     });
 }
 
-/// Guards against DRAIN: a request of a proxy that was killed still reached the server.
-#[test]
-fn request_of_killed_proxy_is_not_delivered() {
-    run(async {
-        let release = Rc::new(Notify::new());
-        let server = start_server("i-1", vec![Step::StopReading(release.clone())]).await;
-        let agent = Agent::listen().await;
-        let mut proxy = ProxyProcess::spawn(&agent);
-        agent.send_configuration(&configuration());
-        agent.send_grants(1);
-        agent.set_servers(&[&server]);
-        agent.send_heartbeat(0, 1);
-        while readiness_status(proxy.readiness).await != 200 {}
-        let mut client = Client::connect(proxy.front).await;
-        client.send_request_with_body("/once/x", "a1", &"b".repeat(BODY_BYTES)).await;
-        wait_until(|| server.count() == 1).await;
-        proxy.kill();
-        assert!(!received_completely(&server, &release).await);
-    });
-}
-
 /// A connection whose responses are complete is closed regularly, without a reset.
 #[test]
 fn idle_connection_is_closed_without_reset() {
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod agent;
 pub(crate) mod client;
 pub(crate) mod server;
+pub(crate) mod stalled;
 
 use std::future::Future;
 use std::path::Path;
