--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -20,8 +20,8 @@
 use crate::shutdown_schedule::ShutdownSchedule;
 use crate::upstream::{RequestTimer, UpstreamResponse};
 
-/// Maximum number of attempts that end before anything was sent, for example because the server cannot be
-/// reached.
+/// Maximum number of attempts that end before the request's head was sent completely, for example because the
+/// server cannot be reached.
 const MAX_UNSENT_ATTEMPTS: u32 = 3;
 /// Share of the target latency that a request may wait for server capacity in total.
 const MAX_WAIT_FRACTION: f64 = 0.25;
@@ -50,7 +50,7 @@
     pub(crate) possible_executions: u32,
     /// Number of servers that the request was sent to.
     pub(crate) servers_sent_to: u32,
-    /// Number of attempts that ended before anything was sent.
+    /// Number of attempts that ended before the request's head was sent completely.
     pub(crate) unsent_attempts: u32,
     /// Time that the request has waited for server capacity.
     total_wait: Duration,
