--- a/review/standins-2/src/bodies.rs
+++ b/review/standins-2/src/bodies.rs
@@ -7,7 +7,8 @@
 use std::time::{Duration, Instant};
 
 use crate::fleet::{
-    FRONT_MEMORY_MB, Fleet, HOST, KEY, Record, Servers, configuration, exchange, resident_mb, start_servers,
+    FRONT_MEMORY_MB, Fleet, HOST, KEY, Record, Servers, TENANT, configuration, exchange, resident_mb,
+    start_servers, tenant,
 };
 
 const FRONTS: u8 = 2;
@@ -32,7 +33,7 @@
     let record = Record::create()?;
     let fleet = Fleet::start(3, FRONTS)?;
     let servers = start_servers(&fleet.network, 4, WORK)?;
-    if fleet.put_configuration(0, &configuration(3), Duration::from_secs(15)) != Some(200) {
+    if fleet.put_configuration(0, &configuration(3, &[tenant(TENANT, KEY, 0, 0)]), Duration::from_secs(15)) != Some(200) {
         return Err(io::Error::other("the first configuration was not acknowledged"));
     }
     if !fleet.wait_ready(FRONTS, Duration::from_secs(15)) {
--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -332,6 +332,8 @@
 #[derive(Default)]
 pub struct Servers {
     pub ran: Mutex<HashMap<String, u32>>,
+    /// When each run began, and the two numbers of its `X-Dunelink-Token-Counts` added together.
+    pub tokens: Mutex<Vec<(Instant, u64)>>,
     number: AtomicU64,
 }
 
@@ -389,6 +391,10 @@
             format!("HTTP/1.1 421 Misdirected Request\r\nX-Dunelink-Request-Id: {request}\r\nContent-Length: 0\r\n\r\n")
         } else {
             *servers.ran.lock().expect("runs").entry(request.clone()).or_default() += 1;
+            if let Some(counts) = fields.get("x-dunelink-token-counts") {
+                let tokens = counts.split(',').filter_map(|count| count.trim().parse::<u64>().ok()).sum();
+                servers.tokens.lock().expect("tokens").push((Instant::now(), tokens));
+            }
             thread::sleep(work);
             let seal = servers.number.fetch_add(1, Ordering::Relaxed);
             format!(
@@ -402,17 +408,24 @@
     }
 }
 
-/// The operator's first configuration: one unsafe route to the service, and the limits of the pages.
-pub fn configuration(version: u64) -> String {
+/// A tenant of a configuration, as JSON.
+pub fn tenant(name: &str, key: &str, rate_per_s: u64, burst: u64) -> String {
+    format!(
+        "{{\"name\":\"{name}\",\"apiKeys\":[\"{key}\"],\"priority\":1,\"unit\":\"token_stream\",\
+         \"plainTokens\":200,\"ratePerS\":{rate_per_s},\"burst\":{burst}}}"
+    )
+}
+
+/// A configuration of the operator: one unsafe route to the service, and the limits of the pages.
+pub fn configuration(version: u64, tenants: &[String]) -> String {
     format!(
         "{{\"version\":{version},\"routes\":[{{\"name\":\"r-1\",\"host\":\"{HOST}\",\"pathPrefix\":\"/order/\",\
          \"kind\":\"unsafe\",\"timeoutMs\":12000,\"targetLatencyMs\":500,\"priority\":0,\
          \"service\":\"{SERVICE}\",\"maxAttempts\":1,\"public\":false,\"sticky\":false,\"resumable\":false}}],\
          \"services\":[{{\"name\":\"{SERVICE}\",\"healthPath\":\"/health\",\"maxConns\":360,\"protocol\":\"h1\",\
          \"tls\":false}}],\"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\
-         \"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\"tenants\":[{{\"name\":\"{TENANT}\",\
-         \"apiKeys\":[\"{KEY}\"],\"priority\":1,\"unit\":\"token_stream\",\"plainTokens\":200,\"ratePerS\":0,\
-         \"burst\":0}}]}}"
+         \"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\"tenants\":[{}]}}",
+        tenants.join(",")
     )
 }
 
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -3,6 +3,7 @@
 
 mod bodies;
 mod fleet;
+mod quota;
 
 use std::process::ExitCode;
 
@@ -10,6 +11,7 @@
     let with_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let played = match std::env::args().nth(1).as_deref() {
         Some("bodies") => bodies::play(with_trouble),
+        Some("quota") => quota::play(with_trouble),
         other => Err(std::io::Error::other(format!("unknown script {other:?}"))),
     };
     match played {
