--- a/review/standins-2/src/bodies.rs
+++ b/review/standins-2/src/bodies.rs
@@ -33,7 +33,9 @@
     let record = Record::create()?;
     let fleet = Fleet::start(3, FRONTS)?;
     let servers = start_servers(&fleet.network, 4, WORK)?;
-    if fleet.put_configuration(0, &configuration(3, &[tenant(TENANT, KEY, 0, 0)]), Duration::from_secs(15)) != Some(200) {
+    if fleet.put_configuration(0, &configuration(3, &[tenant(TENANT, KEY, 0, 0)]), Duration::from_secs(15))
+        != Some(200)
+    {
         return Err(io::Error::other("the first configuration was not acknowledged"));
     }
     if !fleet.wait_ready(FRONTS, Duration::from_secs(15)) {
--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -185,10 +185,7 @@
             "control" => ("\"control\"", format!("control = \"{}:{CONTROL_PORT}\"\n", process.ip)),
             "proxy" => (
                 "\"front\"",
-                format!(
-                    "front = \"{0}:{FRONT_PORT}\"\nreadiness = \"{0}:{READINESS_PORT}\"\n",
-                    process.ip
-                ),
+                format!("front = \"{0}:{FRONT_PORT}\"\nreadiness = \"{0}:{READINESS_PORT}\"\n", process.ip),
             ),
             _ => ("", String::new()),
         };
@@ -323,7 +320,8 @@
     (&stream).write_all(request)?;
     let mut reader = BufReader::new(&stream);
     let (first, fields) = read_head(&mut reader)?;
-    let status = first.split(' ').nth(1).and_then(|status| status.parse().ok()).ok_or(io::ErrorKind::InvalidData)?;
+    let status =
+        first.split(' ').nth(1).and_then(|status| status.parse().ok()).ok_or(io::ErrorKind::InvalidData)?;
     skip(&mut reader, fields.get("content-length").and_then(|length| length.parse().ok()).unwrap_or(0))?;
     Ok(Answer { status, fields })
 }
@@ -388,7 +386,9 @@
         }
         let request = fields.get("x-dunelink-request-id").cloned().unwrap_or_default();
         let answer = if fields.get("x-dunelink-expect-instance").is_some_and(|expected| expected != id) {
-            format!("HTTP/1.1 421 Misdirected Request\r\nX-Dunelink-Request-Id: {request}\r\nContent-Length: 0\r\n\r\n")
+            format!(
+                "HTTP/1.1 421 Misdirected Request\r\nX-Dunelink-Request-Id: {request}\r\nContent-Length: 0\r\n\r\n"
+            )
         } else {
             *servers.ran.lock().expect("runs").entry(request.clone()).or_default() += 1;
             if let Some(counts) = fields.get("x-dunelink-token-counts") {
--- a/review/standins-2/src/quota.rs
+++ b/review/standins-2/src/quota.rs
@@ -62,7 +62,10 @@
         let next = version + 2;
         let body = if change % 2 == 0 { without(next) } else { with(next) };
         let status = fleet.put_configuration(version, &body, Duration::from_secs(4));
-        record.line(&format!("version {next} {} the tenant: {status:?}", if change % 2 == 0 { "without" } else { "with" }));
+        record.line(&format!(
+            "version {next} {} the tenant: {status:?}",
+            if change % 2 == 0 { "without" } else { "with" }
+        ));
         if status != Some(200) {
             return Err(io::Error::other("a change was not acknowledged"));
         }
@@ -72,7 +75,13 @@
     done.store(true, Ordering::Relaxed);
     clients.into_iter().for_each(|client| drop(client.join()));
     let count = |index: usize| counts[index].load(Ordering::Relaxed);
-    record.line(&format!("answers: 200 {}, 429 {}, 401 {}, others {}", count(0), count(1), count(2), count(3)));
+    record.line(&format!(
+        "answers: 200 {}, 429 {}, 401 {}, others {}",
+        count(0),
+        count(1),
+        count(2),
+        count(3)
+    ));
     let runs = servers.tokens.lock().expect("tokens").clone();
     let most = most_in_window(runs, &record, started);
     let limit = (RATE_PER_S as f64 * WINDOW.as_secs_f64() + BURST as f64) * (1.0 + OVERSHOOT) + SLACK;
@@ -90,7 +99,8 @@
     let pause = Duration::from_secs_f64((TOKENS_IN + TOKENS_OUT) as f64 * CLIENTS as f64 / ASKED_PER_S);
     (0..CLIENTS)
         .map(|client| {
-            let (address, counts, done) = (addresses[client as usize % addresses.len()], counts.clone(), done.clone());
+            let (address, counts, done) =
+                (addresses[client as usize % addresses.len()], counts.clone(), done.clone());
             thread::spawn(move || {
                 let mut due = Instant::now() + pause.mul_f64(client as f64 / CLIENTS as f64);
                 for number in 0.. {
