Proxy: bodies, heads and buffered responses share a bounded memory

Cause: the proxy collected each body whole and kept it until the response had ended, also for unsafe requests that a server was at work on; nothing bounded the sum. Measured at the usual rate (188 MB): 44 bodies of 4 MB in flight are 176 MB. The allocator adds to it: after all requests had ended the heap kept 142 to 146 MB, since blocks of 4 MB move from mappings of their own into the heap once the first is freed.

Change: a body is copied into segments of at most 32 KiB whose memory is reserved from its first byte (0.35 of memoryMb for bodies, open requests and buffered responses). When it is used up, bodies of requests at servers are released first (unsafe ones, then idempotent ones), then unsent requests are refused with 503, the least urgent and long ones first; long bodies leave a quarter to short ones. A body is released at once when its response can't be followed by another attempt. A response that can't be buffered is relayed. Long partial events reserve memory. Connections to clients and servers are bounded by memory as well as by descriptors, their kernel receive buffers by SO_RCVBUF, and a client that does not read is cut off one idle timeout after its deadline.

--- a/crates/proxy/src/admission.rs
+++ b/crates/proxy/src/admission.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
-use http::{StatusCode, header};
+use dunelink_settings::{FleetConfig, Route};
+use http::{HeaderMap, StatusCode, Uri, header};
 
 use crate::configuration::{Configuration, RoutePolicy};
 use crate::node::Node;
-use crate::request::ClientRequest;
+use crate::request::{ClientRequest, bearer_token};
 use crate::request_failure::with_jitter;
 use crate::response::LocalReply;
 
@@ -54,10 +55,29 @@
         }
         admitted.map_err(|retry_after| quota_exceeded(retry_after.0))?;
     }
-    let priority = tenant.and_then(|tenant| fleet.tenants[tenant].priority).unwrap_or(route.priority);
+    let priority = effective_priority(fleet, route, tenant);
     Ok(Admission { policy: RoutePolicy::from(route), service, tenant, priority, units })
 }
 
+/// Returns the priority that the request with this head will have once it is admitted; 0 is the most urgent.
+/// A request that would not be admitted is the least urgent.
+pub fn expected_priority(configuration: &Configuration, target: &Uri, headers: &HeaderMap) -> u32 {
+    let fleet = &configuration.fleet;
+    let host = headers.get(header::HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
+    let Some(route) = fleet.route(host, target.path()) else { return u32::MAX };
+    let api_key = headers.get(header::AUTHORIZATION).and_then(bearer_token);
+    let tenant = api_key.and_then(|api_key| fleet.tenant_by_key(api_key));
+    match tenant.is_some() || route.public || !fleet.requires_api_keys() {
+        true => effective_priority(fleet, route, tenant),
+        false => u32::MAX,
+    }
+}
+
+/// Returns the priority of the tenant, or that of the route if the tenant has none.
+fn effective_priority(fleet: &FleetConfig, route: &Route, tenant: Option<usize>) -> u32 {
+    tenant.and_then(|tenant| fleet.tenants[tenant].priority).unwrap_or(route.priority)
+}
+
 fn quota_exceeded(retry_after_us: u64) -> LocalReply {
     LocalReply::new(StatusCode::TOO_MANY_REQUESTS)
         .with_retry_after(with_jitter(Duration::from_micros(retry_after_us)))
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -5,16 +5,15 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
 use dunelink_edge::response as edge_response;
 use dunelink_routing::{Outcome, ServerHandle};
 use http::header::HeaderValue;
 use http::{Request, Response, StatusCode};
 use http_body::Body;
-use http_body_util::Full;
 
 use crate::attempt_guard::AttemptGuard;
 use crate::exchange::{Exchange, MIN_REMAINING_TIME};
+use crate::memory::request_body::{BodySender, BodyStage};
 use crate::request_failure::RequestFailure;
 use crate::response::{
     DEADLINE_MS, EXPECT_INSTANCE, NOT_EXECUTED, PRIORITY, REQUEST_ID, RESPONSE_SEAL, ResponseBody,
@@ -60,8 +59,12 @@
             if !poll_fn(|cx| Poll::Ready(connection.is_reusable(cx))).await {
                 continue;
             }
+            let Some(body) = self.request.body.sender() else {
+                return self.finish_unsent(attempt, Outcome::Cancelled);
+            };
             let is_new = connection.is_new();
-            let (request, min_head_bytes) = self.upstream_request(connection.server_id());
+            let (request, min_head_bytes) = self.upstream_request(connection.server_id(), body);
+            self.request.body.set_stage(BodyStage::Sent { idempotent: self.admission.policy.idempotent });
             self.timer.set_silence_timeout(self.silence_timeout(), connection.activity());
             attempt.record_sent();
             match connection.send(request, min_head_bytes, &mut self.timer).await {
@@ -83,12 +86,21 @@
     }
 
     fn finish_unsent(&mut self, attempt: AttemptGuard, outcome: Outcome) -> AttemptResult {
+        self.restore_body_stage();
         self.tried_servers.push(attempt.server());
         self.unsent_attempts += 1;
         attempt.finish(outcome);
         AttemptResult::NotSent
     }
 
+    /// Records after an attempt that was not executed whether the request still has to be sent for the first
+    /// time.
+    fn restore_body_stage(&self) {
+        if self.possible_executions == 0 {
+            self.request.body.set_stage(BodyStage::NotSent);
+        }
+    }
+
     fn finish_lost(&mut self, attempt: AttemptGuard, failure: RequestFailure) -> AttemptResult {
         self.node.pool.close_idle(attempt.server());
         self.record_possible_execution(&attempt);
@@ -119,8 +131,8 @@
 
     /// Builds the request for a server. Also returns the minimum number of bytes that its head takes on the
     /// wire.
-    fn upstream_request(&self, server_id: &str) -> (Request<Full<Bytes>>, u64) {
-        let mut request = Request::new(Full::new(self.request.body.clone()));
+    fn upstream_request(&self, server_id: &str, body: BodySender) -> (Request<BodySender>, u64) {
+        let mut request = Request::new(body);
         *request.method_mut() = self.request.method.clone();
         *request.uri_mut() = self.request.target.clone();
         let mut headers = self.request.headers.clone();
@@ -170,12 +182,26 @@
         // has arrived.
         let is_streamed =
             length.map_or(!upstream.is_close_delimited, |length| length > MAX_BUFFERED_RESPONSE_BYTES as u64);
+        if !self.needs_body_after_response(status) {
+            self.request.body.release();
+        }
         if status.is_success() && (self.admission.policy.streaming || is_streamed) {
             self.record_possible_execution(&attempt);
             return AttemptResult::Stream(upstream, attempt);
         }
+        let buffer_bytes = length.map_or(MAX_BUFFERED_RESPONSE_BYTES, |length| length as usize);
+        let memory = match buffer_bytes <= MAX_BUFFERED_RESPONSE_BYTES {
+            true => self.node.request_bodies.reserve_response(buffer_bytes),
+            false => None,
+        };
+        // A response that can't be kept is relayed as it arrives.
+        let Some(memory) = memory else {
+            self.record_possible_execution(&attempt);
+            return AttemptResult::Stream(upstream, attempt);
+        };
         attempt.record_first_event();
-        let Some(body) = upstream.read_to_end(MAX_BUFFERED_RESPONSE_BYTES, &mut self.timer).await else {
+        let Some(body) = upstream.read_to_end(MAX_BUFFERED_RESPONSE_BYTES, memory, &mut self.timer).await
+        else {
             let timed_out = self.remaining() < MIN_REMAINING_TIME;
             return self.finish_lost(
                 attempt,
@@ -193,6 +219,12 @@
         AttemptResult::Response(response)
     }
 
+    /// Whether the request may have to be sent once more although a server has begun its response.
+    fn needs_body_after_response(&self, status: StatusCode) -> bool {
+        let policy = &self.admission.policy;
+        policy.resumable || policy.idempotent && !(policy.streaming && status.is_success())
+    }
+
     /// Whether this is the server's response to this request, with unambiguous framing and, if successful, a
     /// response seal.
     fn is_valid_response(&self, upstream: &UpstreamResponse) -> bool {
@@ -233,10 +265,10 @@
         let misdirected = upstream.head.status == StatusCode::MISDIRECTED_REQUEST;
         self.tried_servers.push(attempt.server());
         self.servers_sent_to += 1;
+        self.restore_body_stage();
         attempt.finish(if misdirected { Outcome::WrongInstance } else { Outcome::Rejected });
         // After a misdirected request another server listens at the address, so the connection is closed.
-        if !misdirected && upstream.read_to_end(MAX_BUFFERED_RESPONSE_BYTES, &mut self.timer).await.is_some()
-        {
+        if !misdirected && upstream.discard_body(MAX_BUFFERED_RESPONSE_BYTES, &mut self.timer).await {
             self.return_to_pool_now(upstream.connection).await;
         }
         AttemptResult::Rejected
--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -17,9 +17,11 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::admission::admit;
+use crate::admission::{admit, expected_priority};
 use crate::client_socket::{ClientSocket, RequestHeads, ResetOnClose};
 use crate::exchange::Exchange;
+use crate::memory::budget::Reservation;
+use crate::memory::request_body::RequestBody;
 use crate::node::Node;
 use crate::open_requests::OpenRequestGuard;
 use crate::request;
@@ -29,13 +31,15 @@
 /// Limit of a request's head while there is no configuration, in bytes.
 const DEFAULT_MAX_HEADER_BYTES: u64 = 16_384;
 /// Read buffer beyond the size of a head, in bytes. A larger buffer delivers bodies in fewer pieces.
-const EXTRA_BUFFER_BYTES: usize = 32 * 1_024;
+const EXTRA_BUFFER_BYTES: usize = 16 * 1_024;
 
 /// The state of a client connection that other tasks read or change.
 #[derive(Debug)]
 pub struct ClientConnection {
     /// Time since which no request is open on the connection; `None` while one is open.
     idle_since: Cell<Option<Instant>>,
+    /// Deadline of the open request, once it is known.
+    response_deadline: Cell<Option<Instant>>,
     /// Notified when the connection is to close once no request is open on it.
     close_requested: Notify,
     /// Notified when the connection is to close immediately.
@@ -51,6 +55,7 @@
     pub fn new() -> Rc<Self> {
         Rc::new(Self {
             idle_since: Cell::new(Some(Instant::now())),
+            response_deadline: Cell::default(),
             close_requested: Notify::new(),
             abort_requested: Notify::new(),
             heads: RequestHeads::default(),
@@ -79,10 +84,19 @@
     }
 
     /// Closes the connection if it has been idle for longer than `idle_timeout`, or if the head of a request
-    /// is still incomplete `header_timeout` after its first byte.
+    /// is still incomplete `header_timeout` after its first byte. Aborts it if its client does not read a
+    /// response for `idle_timeout` after the deadline of its request, or after its end was buffered.
     pub fn enforce_timeouts(&self, now: Instant, idle_timeout: Duration, header_timeout: Duration) {
-        let Some(idle_since) = self.idle_since.get() else { return };
         let is_over = |since: Instant, max: Duration| now.saturating_duration_since(since) > max;
+        let Some(idle_since) = self.idle_since.get() else {
+            if self.response_deadline.get().is_some_and(|deadline| is_over(deadline, idle_timeout)) {
+                self.abort_requested.notify_one();
+            }
+            return;
+        };
+        if is_over(idle_since, 2 * idle_timeout) {
+            self.abort_requested.notify_one();
+        }
         match self.heads.partial_since() {
             // Bytes that arrived while the previous request was open count from that request's end.
             Some(since) if is_over(since.max(idle_since), header_timeout) => {
@@ -100,6 +114,7 @@
 impl ActiveRequestGuard {
     fn new(connection: &Rc<ClientConnection>) -> Self {
         connection.idle_since.set(None);
+        connection.response_deadline.set(None);
         Self(connection.clone())
     }
 }
@@ -149,11 +164,12 @@
     active: ActiveRequestGuard,
 ) -> Response<ResponseBody> {
     let open_request = node.open_requests.track();
+    let (body, memory) = open_body(&node, &request);
     let heads = active.0.heads.clone();
     let version = request.version();
     let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
     let mut response = match heads.check_framing(request.headers()) {
-        Ok(()) => handle_request(&node, request, &open_request).await,
+        Ok(()) => handle_request(&node, request, body, &open_request, &active.0).await,
         Err(_) => LocalReply::new(StatusCode::BAD_REQUEST).closing_connection().into_response(None),
     };
     if chunked {
@@ -168,20 +184,31 @@
         let reset_on_close = active.0.reset_on_close.clone();
         response = response.map(|body| body.resetting_until_complete(reset_on_close));
     }
-    response.map(|body| body.with_guard(Box::new((open_request, active))))
+    response.map(|body| body.with_guard(Box::new((open_request, active, memory))))
+}
+
+/// Creates the body of a request and reserves the memory of the request, if there is any left.
+fn open_body(node: &Rc<Node>, request: &Request<Incoming>) -> (RequestBody, Option<Reservation>) {
+    let configuration = node.configuration();
+    let priority = configuration.map_or(u32::MAX, |configuration| {
+        expected_priority(&configuration, request.uri(), request.headers())
+    });
+    node.request_bodies.open(priority)
 }
 
 async fn handle_request(
     node: &Rc<Node>,
     request: Request<Incoming>,
+    body: RequestBody,
     open_request: &OpenRequestGuard,
+    connection: &ClientConnection,
 ) -> Response<ResponseBody> {
     let started_at = Instant::now();
     let configuration = node.configuration();
     let limits = configuration.as_ref().map(|configuration| &configuration.fleet.limits);
     let limits = limits.cloned().unwrap_or_default();
     let body_timeout = Duration::from_millis(limits.header_timeout_ms);
-    let request = match request::read(request, &limits, body_timeout).await {
+    let request = match request::read(request, body, &limits, body_timeout).await {
         Ok(request) => request,
         Err((reply, id)) => return reply.into_response(id.as_ref()),
     };
@@ -199,5 +226,6 @@
     };
     let exchange = Exchange::new(node.clone(), configuration, request, admission, started_at);
     open_request.set_admitted(&exchange.request.id, exchange.timer.deadline());
+    connection.response_deadline.set(Some(exchange.timer.deadline()));
     exchange.run().await
 }
--- a/crates/proxy/src/event_framer.rs
+++ b/crates/proxy/src/event_framer.rs
@@ -1,20 +1,34 @@
 //! Splits event streams that may be resumed at event boundaries.
 
+use std::rc::Rc;
+
 use bytes::{Bytes, BytesMut};
 use http::HeaderValue;
 
+use crate::memory::budget::Reservation;
+use crate::memory::request_bodies::RequestBodies;
+
 /// Maximum size of a buffered partial event in bytes. A stream with a longer event is forwarded without being
 /// resumable.
 const MAX_PARTIAL_EVENT_BYTES: usize = 256 * 1024;
 
+/// Size of a partial event up to which it is buffered without memory that is reserved for it, in bytes.
+const MAX_UNRESERVED_BYTES: usize = 16 * 1_024;
+/// Memory of a longer partial event, in bytes. The buffer may grow to twice its content.
+const PARTIAL_EVENT_MEMORY_BYTES: usize = 2 * MAX_PARTIAL_EVENT_BYTES;
+
 /// Splits a stream at event boundaries, so that only complete events are forwarded.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct EventFramer {
+    memory: Rc<RequestBodies>,
+    /// Memory for `partial` while it is long.
+    reservation: Option<Reservation>,
     /// Received bytes of an incomplete event.
     partial: BytesMut,
     /// Id of the last forwarded event; `None` if no event had one.
     last_id: Option<HeaderValue>,
-    /// Whether part of an event was forwarded because the event was too long to buffer.
+    /// Whether part of an event was forwarded because the event was too long to buffer, or there was no
+    /// memory for it.
     forwarded_partial: bool,
 }
 
@@ -24,8 +38,8 @@
 
 impl EventFramer {
     /// Creates a framer for a stream that starts after the event with this id.
-    pub fn starting_after(last_id: Option<HeaderValue>) -> Self {
-        Self { last_id, ..Self::default() }
+    pub fn starting_after(last_id: Option<HeaderValue>, memory: Rc<RequestBodies>) -> Self {
+        Self { memory, reservation: None, partial: BytesMut::new(), last_id, forwarded_partial: false }
     }
 
     /// Adds received data and returns the events that are complete.
@@ -39,17 +53,20 @@
         }
         self.partial.extend_from_slice(&data);
         let Some(event_end) = last_event_end(&self.partial) else {
-            self.forwarded_partial = self.partial.len() > MAX_PARTIAL_EVENT_BYTES;
-            return if self.forwarded_partial { Some(self.partial.split().freeze()) } else { None };
+            self.forwarded_partial = !self.may_buffer_partial();
+            return if self.forwarded_partial { Some(self.take_partial()) } else { None };
         };
         let complete = self.partial.split_to(event_end).freeze();
+        if self.partial.is_empty() {
+            self.take_partial();
+        }
         self.record_last_id(&complete);
         Some(complete)
     }
 
     /// Returns the remaining bytes at the regular end of a stream.
     pub fn take_remainder(&mut self) -> Option<Bytes> {
-        if self.partial.is_empty() { None } else { Some(self.partial.split().freeze()) }
+        if self.partial.is_empty() { None } else { Some(self.take_partial()) }
     }
 
     /// Discards the incomplete event and returns the event id to resume after.
@@ -61,7 +78,7 @@
         if self.forwarded_partial {
             return Err(PartialEventForwarded);
         }
-        self.partial.clear();
+        self.take_partial();
         Ok(self.last_id.clone())
     }
 
@@ -71,6 +88,23 @@
         (!self.forwarded_partial).then(|| self.last_id.clone())
     }
 
+    /// Whether the partial event is short enough to wait for its end, and there is memory for it.
+    fn may_buffer_partial(&mut self) -> bool {
+        if self.partial.len() <= MAX_UNRESERVED_BYTES {
+            return true;
+        }
+        if self.reservation.is_none() {
+            self.reservation = self.memory.reserve_response(PARTIAL_EVENT_MEMORY_BYTES);
+        }
+        self.reservation.is_some() && self.partial.len() <= MAX_PARTIAL_EVENT_BYTES
+    }
+
+    /// Takes the partial event out of the buffer and returns the memory for it.
+    fn take_partial(&mut self) -> Bytes {
+        self.reservation = None;
+        std::mem::take(&mut self.partial).freeze()
+    }
+
     /// Records the last id that occurs in complete events.
     fn record_last_id(&mut self, events: &[u8]) {
         let mut lines = events.rsplit(|octet| *octet == b'\n');
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -166,6 +166,9 @@
     /// Whether the route's policy and the attempts so far allow one more attempt.
     fn is_retryable(&self) -> bool {
         let policy = &self.admission.policy;
+        if self.request.body.is_released() {
+            return false;
+        }
         let may_run_again = self.possible_executions == 0
             || policy.idempotent && self.possible_executions < policy.max_attempts;
         may_run_again && self.servers_sent_to <= policy.max_attempts
@@ -208,6 +211,9 @@
             if let Some(shutdown) = self.shutdown_before_deadline() {
                 return Err(RequestFailure::shutting_down(shutdown.remaining_accept_time(Instant::now())));
             }
+            if self.request.body.is_released() {
+                return Err(RequestFailure::REJECTED);
+            }
             match self.choose_server() {
                 Decision::Send { server, attempt } => {
                     let attempt = AttemptGuard::new(self.node.clone(), attempt, server);
@@ -256,11 +262,16 @@
     }
 
     fn begin_stream(
-        self,
+        mut self,
         mut upstream: Box<UpstreamResponse>,
         attempt: AttemptGuard,
     ) -> Response<ResponseBody> {
         let length = http_body::Body::size_hint(&upstream.body).exact();
+        // A failure is never continued by the response of another server.
+        self.admission.policy.resumable &= upstream.head.status.is_success() && length.is_none();
+        if !self.admission.policy.resumable {
+            self.request.body.release();
+        }
         let mut head = std::mem::replace(&mut upstream.head, Response::new(()).into_parts().0);
         forwarded_response(
             &mut head,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -6,7 +6,7 @@
 //! tenant's quota, [`exchange`] sends it to servers, one attempt at a time, until there is a final response,
 //! [`upstream`] holds the connections to the servers, [`relay`] forwards event streams and resumes them at
 //! another server, and [`request_failure`] defines the response to the client when no server has given a
-//! usable one.
+//! usable one. [`memory`] bounds what all requests together keep.
 //!
 //! [`feed`] receives the configuration, the servers and the grants from the agent on the machine;
 //! [`readiness`] answers the platform's readiness checks; [`shutdown`] drains open requests before the
@@ -25,6 +25,7 @@
 pub mod exchange;
 pub mod feed;
 pub mod listener;
+pub mod memory;
 pub mod node;
 pub mod open_requests;
 pub mod readiness;
--- a/crates/proxy/src/listener.rs
+++ b/crates/proxy/src/listener.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 
 use crate::connection::{ClientConnection, serve};
+use crate::memory::plan::SOCKET_RECEIVE_BUFFER_BYTES;
 use crate::node::Node;
 
 /// Length of the kernel's queue of connections that are not accepted yet.
@@ -37,6 +38,8 @@
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
+    // Accepted sockets inherit the limit. Without it, requests are received correctly.
+    let _ = socket.set_recv_buffer_size(SOCKET_RECEIVE_BUFFER_BYTES);
     socket.bind(&address.into())?;
     socket.listen(BACKLOG)?;
     TcpListener::from_std(socket.into())
@@ -158,6 +161,7 @@
         loop {
             tokio::time::sleep(SWEEP_INTERVAL).await;
             self.node.pool.close_expired();
+            self.node.log_released_bodies();
             let limits = self.node.configuration().map(|configuration| configuration.fleet.limits.clone());
             let limits = limits.unwrap_or_default();
             let idle_timeout = Duration::from_millis(limits.idle_timeout_ms).mul_f64(IDLE_TIMEOUT_FACTOR);
--- /dev/null
+++ b/crates/proxy/src/memory/budget.rs
@@ -0,0 +1,78 @@
+//! A number of bytes that several holders share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use bytes::Bytes;
+
+/// Bytes that may be reserved in total. Clones share the same bytes.
+///
+/// The counter is atomic because reservations travel with [`Bytes`], which may move between threads.
+#[derive(Debug, Clone)]
+pub struct MemoryBudget {
+    limit: usize,
+    used: Arc<AtomicUsize>,
+}
+
+impl MemoryBudget {
+    /// Creates a budget of `limit` bytes.
+    pub fn new(limit: usize) -> Self {
+        Self { limit, used: Arc::default() }
+    }
+
+    /// Returns the number of bytes that may be reserved in total.
+    pub fn limit(&self) -> usize {
+        self.limit
+    }
+
+    /// Returns the number of reserved bytes.
+    pub fn used(&self) -> usize {
+        self.used.load(Ordering::Relaxed)
+    }
+
+    /// Reserves `bytes` if no more than `ceiling` are then reserved in total; `None` otherwise.
+    pub fn try_reserve(&self, bytes: usize, ceiling: usize) -> Option<Reservation> {
+        let ceiling = ceiling.min(self.limit);
+        let reserve = |used: usize| used.checked_add(bytes).filter(|used| *used <= ceiling);
+        self.used.fetch_update(Ordering::Relaxed, Ordering::Relaxed, reserve).ok()?;
+        Some(Reservation { bytes, used: self.used.clone() })
+    }
+}
+
+/// Reserved bytes, which are returned to the budget on drop.
+#[derive(Debug)]
+pub struct Reservation {
+    bytes: usize,
+    used: Arc<AtomicUsize>,
+}
+
+impl Reservation {
+    /// Returns the reserved bytes beyond `bytes` to the budget.
+    pub fn shrink_to(&mut self, bytes: usize) {
+        let excess = self.bytes.saturating_sub(bytes);
+        self.used.fetch_sub(excess, Ordering::Relaxed);
+        self.bytes -= excess;
+    }
+
+    /// Ties the reservation to `data`: it ends when the last clone of the result is dropped.
+    pub fn attach(self, data: Vec<u8>) -> Bytes {
+        Bytes::from_owner(ReservedData { data, _reservation: self })
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        self.used.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
+struct ReservedData {
+    data: Vec<u8>,
+    _reservation: Reservation,
+}
+
+impl AsRef<[u8]> for ReservedData {
+    fn as_ref(&self) -> &[u8] {
+        &self.data
+    }
+}
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -13,11 +13,13 @@
 use dunelink_routing::{Router, RouterSettings, ServerInfo};
 use dunelink_runtime::Clock;
 use dunelink_settings::BootSettings;
-use slog::Logger;
+use slog::{Logger, warn};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::configuration::Configuration;
+use crate::memory::plan::MemoryPlan;
+use crate::memory::request_bodies::{ReleaseCounts, RequestBodies};
 use crate::open_requests::OpenRequests;
 use crate::shutdown_schedule::ShutdownSchedule;
 use crate::upstream::ConnectionPool;
@@ -58,6 +60,10 @@
     configuration_confirmed: Cell<bool>,
     ready_servers: Cell<usize>,
     shutdown_schedule: Cell<Option<ShutdownSchedule>>,
+    /// Bodies of the open requests, within the memory for them.
+    pub request_bodies: Rc<RequestBodies>,
+    /// Released bodies that were logged.
+    logged_releases: Cell<ReleaseCounts>,
     /// Requests that were read and whose response is not fully written yet.
     pub open_requests: Rc<OpenRequests>,
     /// Served and failed attempts per server id since the last report.
@@ -86,7 +92,8 @@
         let incarnation = fastrand::u64(..);
         let clock = Clock::start();
         let quota_gate = QuotaGate::new(quota, incarnation, clock.now());
-        let max_server_connections = Self::usable_fds(&boot) - Self::max_client_connections(&boot);
+        let plan = MemoryPlan::new(&boot.limits);
+        let max_server_connections = Self::max_server_connections(&boot);
         Rc::new(Self {
             log,
             clock,
@@ -99,6 +106,8 @@
             configuration_confirmed: Cell::new(false),
             ready_servers: Cell::new(0),
             shutdown_schedule: Cell::new(None),
+            request_bodies: RequestBodies::new(plan.buffer_bytes),
+            logged_releases: Cell::default(),
             open_requests: OpenRequests::new(),
             observations: RefCell::default(),
             report_requested: Notify::new(),
@@ -112,11 +121,21 @@
         all.saturating_sub(RESERVED_FDS).max(64) as usize
     }
 
-    /// Returns the maximum number of client connections.
+    /// Returns the maximum number of client connections, for which there are file descriptors and memory.
     pub fn max_client_connections(boot: &BootSettings) -> usize {
+        Self::client_fds(boot).min(MemoryPlan::new(&boot.limits).max_connections)
+    }
+
+    fn client_fds(boot: &BootSettings) -> usize {
         (Self::usable_fds(boot) as f64 * CLIENT_FD_FRACTION) as usize
     }
 
+    /// Returns the maximum number of connections to servers, for which there are file descriptors and memory.
+    fn max_server_connections(boot: &BootSettings) -> usize {
+        let fds = Self::usable_fds(boot) - Self::client_fds(boot);
+        fds.min(MemoryPlan::new(&boot.limits).max_connections)
+    }
+
     /// Returns a random number that identifies this run of the process. Grants apply to a single incarnation.
     pub fn incarnation(&self) -> u64 {
         self.incarnation
@@ -221,6 +240,17 @@
         self.open_requests.count()
     }
 
+    /// Logs the request bodies that were released for lack of memory since the last call.
+    pub fn log_released_bodies(&self) {
+        let counts = self.request_bodies.release_counts();
+        let before = self.logged_releases.replace(counts);
+        if counts != before {
+            warn!(self.log, "memory for requests is used up"; "released_sent" => counts.sent - before.sent,
+                "refused" => counts.refused - before.refused, "used_bytes" => self.request_bodies.budget().used(),
+                "limit_bytes" => self.request_bodies.budget().limit());
+        }
+    }
+
     /// Counts the outcome of an attempt at a server for the next report.
     pub fn record_attempt(&self, server: &str, served: bool) {
         let mut observations = self.observations.borrow_mut();
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -52,14 +52,14 @@
 impl RelayedBody {
     /// Relays a response body of `length` bytes, or of unknown length if `None`.
     pub fn new(
-        exchange: Exchange,
+        mut exchange: Exchange,
         response: Box<UpstreamResponse>,
         attempt: AttemptGuard,
         length: Option<u64>,
     ) -> Self {
-        let resumable = exchange.admission.policy.resumable && length.is_none();
-        let events = resumable.then(|| EventFramer::starting_after(exchange.last_event_id()));
-        let mut exchange = exchange;
+        let resumable = exchange.admission.policy.resumable;
+        let memory = &exchange.node.request_bodies;
+        let events = resumable.then(|| EventFramer::starting_after(exchange.last_event_id(), memory.clone()));
         exchange.timer.set_silence_timeout(
             resumable.then(|| exchange.event_gap_timeout()),
             response.connection.activity(),
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -1,9 +1,7 @@
 //! Reads a client request and validates its head.
 
-use std::future::Future;
 use std::time::Duration;
 
-use bytes::Bytes;
 use dunelink_edge::fields::{drop_hop_fields, single_text_value};
 use dunelink_edge::request::{HostRequirement, validate_head};
 use dunelink_serving_model::PromptPart;
@@ -12,9 +10,11 @@
 use http::request::Parts;
 use http::{Method, Request, StatusCode, Uri};
 use http_body::Body;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use crate::memory::request_body::RequestBody;
+use crate::request_failure::RequestFailure;
 use crate::response::{
     DEADLINE_MS, EXPECT_INSTANCE, LocalReply, PROMPT_PREFIX, REQUEST_ID, TENANT, TOKEN_COUNTS,
 };
@@ -33,8 +33,8 @@
     pub target: Uri,
     /// Headers that are forwarded to a server, including `Host`.
     pub headers: HeaderMap,
-    /// Complete body.
-    pub body: Bytes,
+    /// Body, received completely.
+    pub body: RequestBody,
     /// Client-chosen id of this attempt, from `x-dunelink-request-id`.
     pub id: HeaderValue,
     /// How long the client waits for the response; `None` if it does not say.
@@ -83,17 +83,18 @@
     Some(PromptPart { id: u64::from_str_radix(digits, 16).ok()?, tokens: tokens.parse().ok()? })
 }
 
-/// Reads a request completely, its body within `body_timeout`.
+/// Reads a request completely and stores its body in `body`. The body has to arrive within `body_timeout`.
 ///
 /// # Errors
 ///
 /// The reply to the client, and the request's id if it has one.
 pub async fn read(
     request: Request<Incoming>,
+    body: RequestBody,
     limits: &ClientLimits,
     body_timeout: Duration,
 ) -> Result<ClientRequest, (LocalReply, Option<HeaderValue>)> {
-    let (mut head, body) = request.into_parts();
+    let (mut head, incoming) = request.into_parts();
     let id = single_value(&head.headers, &REQUEST_ID).cloned();
     // The head is ambiguous, so the end of the request's body is uncertain.
     if validate_head(&head, HostRequirement::Required).is_err() {
@@ -102,40 +103,57 @@
     let max_bytes = usize::try_from(limits.max_body_bytes).unwrap_or(usize::MAX);
     // The body is read even if the request will be rejected: a response sent before the client has finished
     // sending may be lost when the connection closes.
-    let body = match read_body(body, max_bytes, body_timeout).await {
-        Ok(body) => body,
-        Err(reply) => return Err((reply, id)),
-    };
+    if let Err(reply) = read_body(incoming, &body, max_bytes, body_timeout).await {
+        return Err((reply, id));
+    }
     match build_request(&mut head, id.clone(), body) {
         Some(request) => Ok(request),
         None => Err((LocalReply::new(StatusCode::BAD_REQUEST), id)),
     }
 }
 
-async fn read_body(body: Incoming, max_bytes: usize, body_timeout: Duration) -> Result<Bytes, LocalReply> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
+/// Reads the body, up to `max_bytes` and within `timeout`. A body that is released for lack of memory is read
+/// to its end, and the request is refused.
+async fn read_body(
+    incoming: Incoming,
+    body: &RequestBody,
+    max_bytes: usize,
+    timeout: Duration,
+) -> Result<(), LocalReply> {
+    if !incoming.is_end_stream() {
+        let received = tokio::time::timeout(timeout, receive(incoming, body, max_bytes)).await;
+        received
+            .unwrap_or(Err(StatusCode::REQUEST_TIMEOUT))
+            .map_err(|status| LocalReply::new(status).closing_connection())?;
     }
-    if body.size_hint().lower() > max_bytes as u64 {
-        return Err(LocalReply::new(StatusCode::PAYLOAD_TOO_LARGE).closing_connection());
-    }
-    match with_timeout(body_timeout, Limited::new(body, max_bytes).collect()).await {
-        Some(Ok(body)) => Ok(body.to_bytes()),
-        Some(Err(error)) if error.is::<LengthLimitError>() => {
-            Err(LocalReply::new(StatusCode::PAYLOAD_TOO_LARGE).closing_connection())
-        }
-        Some(Err(_)) => Err(LocalReply::new(StatusCode::BAD_REQUEST).closing_connection()),
-        None => Err(LocalReply::new(StatusCode::REQUEST_TIMEOUT).closing_connection()),
+    if body.is_released() {
+        return Err(RequestFailure::REJECTED.with_jitter().local_reply());
     }
+    body.finish();
+    Ok(())
 }
 
-async fn with_timeout<T>(timeout: Duration, future: impl Future<Output = T>) -> Option<T> {
-    tokio::time::timeout(timeout, future).await.ok()
+/// Receives a body of up to `max_bytes`.
+async fn receive(mut incoming: Incoming, body: &RequestBody, max_bytes: usize) -> Result<(), StatusCode> {
+    let stated_length = incoming.size_hint().exact();
+    if incoming.size_hint().lower() > max_bytes as u64 {
+        return Err(StatusCode::PAYLOAD_TOO_LARGE);
+    }
+    let mut received_bytes = 0;
+    while let Some(frame) = incoming.frame().await {
+        let data = frame.map_err(|_| StatusCode::BAD_REQUEST)?.into_data().unwrap_or_default();
+        body.push(&data, stated_length.map(|length| length.saturating_sub(received_bytes as u64)));
+        received_bytes += data.len();
+        if received_bytes > max_bytes {
+            return Err(StatusCode::PAYLOAD_TOO_LARGE);
+        }
+    }
+    Ok(())
 }
 
 /// Builds the request from its head and body; removes the headers that are not forwarded. `None` if a
 /// required field is missing, repeated or invalid.
-fn build_request(head: &mut Parts, id: Option<HeaderValue>, body: Bytes) -> Option<ClientRequest> {
+fn build_request(head: &mut Parts, id: Option<HeaderValue>, body: RequestBody) -> Option<ClientRequest> {
     let id = id.filter(|id| !id.is_empty())?;
     let client_timeout = match head.headers.contains_key(&DEADLINE_MS) {
         true => Some(parse_milliseconds(single_value(&head.headers, &DEADLINE_MS)?)?),
@@ -149,8 +167,8 @@
         headers.remove(name);
     }
     headers.insert(REQUEST_ID, id.clone());
-    if !body.is_empty() {
-        headers.insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
+    if body.length() > 0 {
+        headers.insert(header::CONTENT_LENGTH, HeaderValue::from(body.length()));
     }
     let target = head.uri.path_and_query()?.clone();
     Some(ClientRequest {
@@ -176,7 +194,8 @@
     Duration::try_from_secs_f64(millis / 1_000.0).ok()
 }
 
-fn bearer_token(value: &HeaderValue) -> Option<&str> {
+/// Returns the API key that an `Authorization` header contains.
+pub(crate) fn bearer_token(value: &HeaderValue) -> Option<&str> {
     let (scheme, token) = value.to_str().ok()?.split_once(' ')?;
     scheme.eq_ignore_ascii_case("bearer").then(|| token.trim())
 }
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -4,6 +4,7 @@
 //! response polls that future, which saves a separate task and a wake-up between two tasks per piece of data.
 
 use std::future::{Future, poll_fn};
+use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -17,14 +18,17 @@
 use http::header::{self, HeaderMap};
 use http::{Request, Response};
 use http_body::{Body, Frame};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, Connection, SendRequest};
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::Instant;
 
+use crate::memory::budget::Reservation;
+use crate::memory::plan::SOCKET_RECEIVE_BUFFER_BYTES;
+use crate::memory::request_body::BodySender;
+
 use super::event_boundary::EventBoundary;
 use super::pool::ConnectionPermit;
 use super::socket::{SocketState, UpstreamSocket};
@@ -36,14 +40,14 @@
 /// close may be lost.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.7;
 /// Maximum read buffer of a connection in bytes; it also limits the head of a response.
-const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
+const MAX_READ_BUFFER_BYTES: usize = 32 * 1024;
 /// How often a connection is polled until hyper reports that it is ready for the next request.
 const MAX_READY_POLLS: usize = 3;
 
 /// A connection to one incarnation of a server.
 pub struct UpstreamConnection {
-    sender: SendRequest<Full<Bytes>>,
-    connection: Connection<TokioIo<UpstreamSocket>, Full<Bytes>>,
+    sender: SendRequest<BodySender>,
+    connection: Connection<TokioIo<UpstreamSocket>, BodySender>,
     socket: Rc<SocketState>,
     is_closed: bool,
     is_new: bool,
@@ -83,6 +87,8 @@
     pub connection: Box<UpstreamConnection>,
     /// Tracks the events of a body that must not end within one; `None` if it may end anywhere.
     event_boundary: Option<EventBoundary>,
+    /// Bytes of the body that were read to its end.
+    read_bytes: usize,
 }
 
 /// Why a response body is incomplete.
@@ -96,6 +102,18 @@
     ClosedWithinEvent,
 }
 
+/// Connects to a server. What the kernel receives before it is read counts as memory of the process, so the
+/// socket's receive buffer is limited.
+async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    // Without the limit, responses are correct.
+    let _ = socket.set_recv_buffer_size(SOCKET_RECEIVE_BUFFER_BYTES as u32);
+    socket.connect(address).await
+}
+
 impl UpstreamConnection {
     /// Opens a connection to a server within `timeout`; `None` if that fails.
     pub async fn open(
@@ -105,7 +123,7 @@
         permit: ConnectionPermit,
         timeout: Duration,
     ) -> Option<Box<Self>> {
-        let stream = tokio::time::timeout(timeout, TcpStream::connect(address)).await.ok()?.ok()?;
+        let stream = tokio::time::timeout(timeout, connect(address)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
         let (socket, socket_state) = UpstreamSocket::new(stream).ok()?;
         let mut builder = Builder::new();
@@ -186,7 +204,7 @@
     /// minimum number of bytes that the head of the request takes on the wire.
     pub async fn send(
         mut self: Box<Self>,
-        request: Request<Full<Bytes>>,
+        request: Request<BodySender>,
         min_head_bytes: u64,
         timer: &mut RequestTimer,
     ) -> SendResult {
@@ -228,7 +246,14 @@
         }
         let is_close_delimited = edge_response::is_unframed(&head.headers);
         self.closes_after_response |= is_close_delimited;
-        UpstreamResponse { head, body, is_close_delimited, connection: self, event_boundary: None }
+        UpstreamResponse {
+            head,
+            body,
+            is_close_delimited,
+            connection: self,
+            event_boundary: None,
+            read_bytes: 0,
+        }
     }
 }
 
@@ -262,47 +287,51 @@
         Poll::Ready(frame.map(|frame| frame.map_err(ResponseBodyError::from)))
     }
 
-    /// Reads the complete body. `None` if it breaks off, is longer than `max_bytes`, or the timer fires
-    /// before its end.
-    pub async fn read_to_end(&mut self, max_bytes: usize, timer: &mut RequestTimer) -> Option<Bytes> {
-        let mut chunks = BodyChunks::default();
-        poll_fn(|cx| {
-            loop {
-                match self.poll_frame(cx) {
-                    Poll::Ready(Some(Ok(frame))) => {
-                        chunks.push(frame.into_data().unwrap_or_default());
-                        if chunks.length > max_bytes {
-                            return Poll::Ready(None);
-                        }
-                    }
-                    Poll::Ready(Some(Err(_))) => return Poll::Ready(None),
-                    Poll::Ready(None) => return Poll::Ready(Some(chunks.join())),
-                    Poll::Pending => return timer.poll(cx, self.connection.activity()).map(|_| None),
-                }
-            }
-        })
-        .await
+    /// Reads the complete body into the reserved memory. `None` if it breaks off, is longer than `max_bytes`,
+    /// or the timer fires before its end.
+    pub async fn read_to_end(
+        &mut self,
+        max_bytes: usize,
+        mut reservation: Reservation,
+        timer: &mut RequestTimer,
+    ) -> Option<Bytes> {
+        let stated_length = self.body.size_hint().exact().unwrap_or_default() as usize;
+        let mut data = Vec::with_capacity(stated_length.min(max_bytes));
+        let mut store = |received: &[u8]| data.extend_from_slice(received);
+        poll_fn(|cx| self.poll_to_end(&mut store, max_bytes, timer, cx)).await?;
+        data.shrink_to_fit();
+        reservation.shrink_to(data.len());
+        Some(reservation.attach(data))
     }
-}
-
-/// Chunks of a body; a single chunk is not copied.
-#[derive(Default)]
-struct BodyChunks {
-    chunks: Vec<Bytes>,
-    length: usize,
-}
 
-impl BodyChunks {
-    fn push(&mut self, chunk: Bytes) {
-        self.length += chunk.len();
-        self.chunks.push(chunk);
+    /// Reads the complete body and discards it. False if it breaks off, is longer than `max_bytes`, or the
+    /// timer fires before its end.
+    pub async fn discard_body(&mut self, max_bytes: usize, timer: &mut RequestTimer) -> bool {
+        poll_fn(|cx| self.poll_to_end(&mut |_| {}, max_bytes, timer, cx)).await.is_some()
     }
 
-    fn join(&mut self) -> Bytes {
-        match self.chunks.len() {
-            0 => Bytes::new(),
-            1 => self.chunks.remove(0),
-            _ => self.chunks.concat().into(),
+    /// Passes the complete body to `store`.
+    fn poll_to_end(
+        &mut self,
+        store: &mut impl FnMut(&[u8]),
+        max_bytes: usize,
+        timer: &mut RequestTimer,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<()>> {
+        loop {
+            match self.poll_frame(cx) {
+                Poll::Ready(Some(Ok(frame))) => {
+                    let received = frame.into_data().unwrap_or_default();
+                    self.read_bytes += received.len();
+                    if self.read_bytes > max_bytes {
+                        return Poll::Ready(None);
+                    }
+                    store(&received);
+                }
+                Poll::Ready(Some(Err(_))) => return Poll::Ready(None),
+                Poll::Ready(None) => return Poll::Ready(Some(())),
+                Poll::Pending => return timer.poll(cx, self.connection.activity()).map(|_| None),
+            }
         }
     }
 }
--- a/crates/proxy/tests/common/client.rs
+++ b/crates/proxy/tests/common/client.rs
@@ -64,6 +64,11 @@
         self.stream.write_all(text.as_bytes()).await.unwrap();
     }
 
+    /// Sends text, or as much of it as the proxy accepts before it closes the connection.
+    pub(crate) async fn try_send(&mut self, text: &str) {
+        let _ = self.stream.write_all(text.as_bytes()).await;
+    }
+
     /// Sends a request with a body, the given id and the default timeout.
     pub(crate) async fn send_request(&mut self, path: &str, id: &str) {
         self.send_request_with(path, id, "").await;
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 pub(crate) mod agent;
 pub(crate) mod client;
+pub(crate) mod process;
 pub(crate) mod server;
 pub(crate) mod stalled;
 
--- a/crates/proxy/tests/common/server.rs
+++ b/crates/proxy/tests/common/server.rs
@@ -53,6 +53,10 @@
     pub(crate) connections: Rc<Cell<usize>>,
     /// Whether the server responds before it reads a request's body, and reads the body afterwards.
     pub(crate) responds_before_body: Rc<Cell<bool>>,
+    /// Whether the server discards the bodies that it has read.
+    pub(crate) discards_bodies: Rc<Cell<bool>>,
+    /// Number of requests that the server list states the server processes concurrently.
+    pub(crate) slots: Cell<u32>,
     /// Number of connections that have ended.
     pub(crate) closed_connections: Rc<Cell<usize>>,
 }
@@ -71,11 +75,14 @@
             received: Rc::default(),
             connections: Rc::default(),
             responds_before_body: Rc::default(),
+            discards_bodies: Rc::default(),
+            slots: Cell::new(8),
             closed_connections: Rc::default(),
         };
         let (received, connections, closed_connections) =
             (server.received.clone(), server.connections.clone(), server.closed_connections.clone());
         let responds_early = server.responds_before_body.clone();
+        let discards_bodies = server.discards_bodies.clone();
         let script: Rc<Script> = Rc::new(script);
         tokio::task::spawn_local(async move {
             loop {
@@ -83,9 +90,9 @@
                 connections.set(connections.get() + 1);
                 let (received, closed_connections, script) =
                     (received.clone(), closed_connections.clone(), script.clone());
-                let responds_early = responds_early.clone();
+                let (responds_early, discards_bodies) = (responds_early.clone(), discards_bodies.clone());
                 tokio::task::spawn_local(async move {
-                    serve(stream, &received, &*script, &responds_early).await;
+                    serve(stream, &received, &*script, &responds_early, &discards_bodies).await;
                     closed_connections.set(closed_connections.get() + 1);
                 });
             }
@@ -103,7 +110,7 @@
             service: "s".to_owned(),
             address: self.address.to_string(),
             zone: "z".to_owned(),
-            slots: 8,
+            slots: self.slots.get(),
             ready: true,
             cold_remaining_ms: 0,
             software_version: "v1".to_owned(),
@@ -117,6 +124,7 @@
     received: &RefCell<Vec<ReceivedRequest>>,
     script: &Script,
     responds_early: &Cell<bool>,
+    discards_bodies: &Cell<bool>,
 ) {
     let mut buffer = Vec::new();
     let mut earlier_on_connection = 0;
@@ -124,6 +132,9 @@
         if !responds_early.get() && read_body(&mut stream, &mut buffer, &mut request).await.is_none() {
             return;
         }
+        if discards_bodies.get() {
+            request.body = Vec::new();
+        }
         request.earlier_on_connection = earlier_on_connection;
         earlier_on_connection += 1;
         let id = request.header("x-dunelink-request-id").unwrap_or_default().to_owned();
