Control: the bodies of the operator's requests share a bounded memory

What does not fit is read, discarded and answered with 503. The budget of the proxy moves to the runtime crate, which both use; the measuring of a process's memory moves to the testkit.

Tests of proxy and runtime pass.

--- a/crates/control/src/operator_api.rs
+++ b/crates/control/src/operator_api.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use dunelink_runtime::MemoryBudget;
+use dunelink_settings::MachineLimits;
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue, LOCATION, RETRY_AFTER};
 use hyper::service::service_fn;
@@ -27,6 +29,12 @@
 const MAX_BODY_BYTES: usize = 4 * 1024 * 1024 + 512 * 1024;
 /// Most connections open at a time.
 const MAX_CONNECTIONS: usize = 64;
+/// Share of the process's memory for the bodies of all requests that are being received: more than eight
+/// configurations of the greatest length.
+const BODIES_FRACTION: f64 = 0.2;
+/// Memory of the process that is assumed if the settings state none, in megabytes.
+const DEFAULT_MEMORY_MB: u64 = 256;
+const BYTES_PER_MB: u64 = 1_048_576;
 /// Time within which the head of a request must arrive; it also bounds how long a connection may be idle.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time within which the body of a request must arrive.
@@ -44,8 +52,14 @@
 
 type HttpResponse = Response<Full<Bytes>>;
 
-/// Serves the operator's API, forever.
-pub async fn serve(listener: TcpListener, engine: Engine) {
+/// Returns the memory for the bodies of requests, on a machine with these limits.
+pub fn body_budget(limits: &MachineLimits) -> MemoryBudget {
+    let megabytes = if limits.memory_mb > 0 { limits.memory_mb } else { DEFAULT_MEMORY_MB };
+    MemoryBudget::new((megabytes.saturating_mul(BYTES_PER_MB) as f64 * BODIES_FRACTION) as usize)
+}
+
+/// Serves the operator's API, forever. The bodies of requests that are being received share `bodies`.
+pub async fn serve(listener: TcpListener, engine: Engine, bodies: MemoryBudget) {
     let open_connections = Rc::new(Cell::new(0_usize));
     loop {
         let Ok((socket, _)) = listener.accept().await else {
@@ -55,21 +69,21 @@
         if open_connections.get() >= MAX_CONNECTIONS {
             continue;
         }
-        let (open_connections, engine) = (open_connections.clone(), engine.clone());
+        let (open_connections, engine, bodies) = (open_connections.clone(), engine.clone(), bodies.clone());
         open_connections.set(open_connections.get() + 1);
         spawn_local(async move {
-            serve_connection(socket, engine).await;
+            serve_connection(socket, engine, bodies).await;
             open_connections.set(open_connections.get() - 1);
         });
     }
 }
 
-async fn serve_connection(socket: TcpStream, engine: Engine) {
+async fn serve_connection(socket: TcpStream, engine: Engine, bodies: MemoryBudget) {
     // Without the option, responses are only slower.
     let _ = socket.set_nodelay(true);
     let service = service_fn(move |request| {
-        let engine = engine.clone();
-        async move { Ok::<_, Infallible>(handle_request(request, &engine).await) }
+        let (engine, bodies) = (engine.clone(), bodies.clone());
+        async move { Ok::<_, Infallible>(handle_request(request, &engine, &bodies).await) }
     });
     let mut server = hyper::server::conn::http1::Builder::new();
     server.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT).title_case_headers(true);
@@ -77,10 +91,10 @@
     let _ = server.serve_connection(TokioIo::new(socket), service).await;
 }
 
-async fn handle_request(request: Request<Incoming>, engine: &Engine) -> HttpResponse {
+async fn handle_request(request: Request<Incoming>, engine: &Engine, bodies: &MemoryBudget) -> HttpResponse {
     let path = request.uri().path().to_owned();
     match (request.method(), path.as_str()) {
-        (&Method::POST, "/api/Config.Replace") => replace_configuration(request, engine, &path).await,
+        (&Method::POST, "/api/Config.Replace") => replace_configuration(request, engine, bodies, &path).await,
         (&Method::GET, "/api/Config.Read") => {
             reply_response(engine.inspect(|node, now| node.read_configuration(now)), &path)
         }
@@ -94,14 +108,20 @@
     }
 }
 
-async fn replace_configuration(request: Request<Incoming>, engine: &Engine, path: &str) -> HttpResponse {
+async fn replace_configuration(
+    request: Request<Incoming>,
+    engine: &Engine,
+    bodies: &MemoryBudget,
+    path: &str,
+) -> HttpResponse {
     let base = request.headers().get(BASE_VERSION_HEADER).and_then(|value| value.to_str().ok());
     let base: Option<u64> = base.and_then(|text| text.trim().parse().ok());
     // The body is read even if another machine decides: an early response could be lost when the connection
     // closes.
-    let body = match read_body(request).await {
-        Ok(body) => body,
-        Err(rejection) => return *rejection,
+    let body = match timeout(BODY_TIMEOUT, read_body(request.into_body(), bodies)).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(error)) => return error.response(),
+        Err(_) => return BodyError::Incomplete.response(),
     };
     let bytes = body.len();
     let holds_lease = engine.inspect(|node, now| node.holds_lease(now));
@@ -118,18 +138,49 @@
     reply_response(outcome, path)
 }
 
-async fn read_body(request: Request<Incoming>) -> Result<Bytes, Box<HttpResponse>> {
-    let limited = Limited::new(request.into_body(), MAX_BODY_BYTES);
-    match timeout(BODY_TIMEOUT, limited.collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            let text = format!("a configuration is at most {MAX_BODY_BYTES} bytes: make it smaller\n");
-            Err(Box::new(text_response(StatusCode::PAYLOAD_TOO_LARGE, text)))
+/// Why the body of a request was not received.
+enum BodyError {
+    TooLong,
+    /// It ended early, or did not arrive in time.
+    Incomplete,
+    /// The bodies of other requests take up the memory for them.
+    NoMemory,
+}
+
+impl BodyError {
+    fn response(&self) -> HttpResponse {
+        match self {
+            Self::TooLong => {
+                let text = format!("a configuration is at most {MAX_BODY_BYTES} bytes: make it smaller\n");
+                text_response(StatusCode::PAYLOAD_TOO_LARGE, text)
+            }
+            Self::Incomplete => unavailable_response("the body did not come whole: send it again\n"),
+            Self::NoMemory => unavailable_response("too many requests at the same time: send it again\n"),
+        }
+    }
+}
+
+/// Receives a body. If there is no memory for it, its rest is received and discarded.
+async fn read_body(mut incoming: Incoming, bodies: &MemoryBudget) -> Result<Bytes, BodyError> {
+    let mut received_bytes = 0;
+    let mut data = Vec::new();
+    let mut reservation = bodies.try_reserve(0, bodies.limit());
+    while let Some(frame) = incoming.frame().await {
+        let piece = frame.map_err(|_| BodyError::Incomplete)?.into_data().unwrap_or_default();
+        received_bytes += piece.len();
+        if received_bytes > MAX_BODY_BYTES {
+            return Err(BodyError::TooLong);
         }
-        Ok(Err(_)) | Err(_) => {
-            Err(Box::new(unavailable_response("the body did not come whole: send it again\n")))
+        reservation = reservation
+            .and_then(|mut reserved| reserved.try_grow(piece.len(), bodies.limit()).then_some(reserved));
+        match reservation {
+            Some(_) => data.extend_from_slice(&piece),
+            None => data = Vec::new(),
         }
     }
+    let reservation = reservation.ok_or(BodyError::NoMemory)?;
+    data.shrink_to_fit();
+    Ok(reservation.attach(data))
 }
 
 fn reply_response(reply: Reply, path: &str) -> HttpResponse {
--- a/crates/control/src/program.rs
+++ b/crates/control/src/program.rs
@@ -161,7 +161,11 @@
     spawn_local(engine.clone().run_deadlines());
     spawn_local(engine.clone().run_periodic_sends());
     spawn_local(feed_server::serve(bind(internal, log).await, engine.clone()));
-    spawn_local(operator_api::serve(bind(control, log).await, engine.clone()));
+    spawn_local(operator_api::serve(
+        bind(control, log).await,
+        engine.clone(),
+        operator_api::body_budget(&boot.limits),
+    ));
     if let Some(api) = &boot.cloud_api {
         spawn_local(list_reader::run(api.clone(), engine.clone()));
         spawn_local(list_reader::serve_leader_requests(api.clone(), engine.clone()));
--- /dev/null
+++ b/crates/control/tests/operator_memory.rs
@@ -0,0 +1,42 @@
+//! The memory of a control process stays below `limits.memoryMb`, whatever arrives at the operator's API.
+
+use std::time::Duration;
+
+use testkit::system::{Connection, Fleet, MemoryMeter, Plan};
+use tokio::time::sleep;
+
+const CONTROL_BINARY: &str = env!("CARGO_BIN_EXE_dunelink-control");
+/// `limits.memoryMb` of a core machine.
+const MEMORY_MB: u64 = 256;
+/// More than any operator uses at the same time, and fewer than the API accepts.
+const CONNECTIONS: usize = 60;
+/// Just below the longest body that the API accepts.
+const STATED_BYTES: usize = 4_700_000;
+const SENT_BYTES: usize = 4_600_000;
+/// Time in which the process reads what was sent.
+const READING_TIME: Duration = Duration::from_secs(2);
+
+/// Guards against the end of the process over its memory (Fault): orders that stop just before their end were kept,
+/// whatever their sum.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn orders_that_stop_before_their_end_stay_within_the_memory() {
+    let mut fleet = Fleet::start(CONTROL_BINARY, Plan { cores: 1, fronts: 0 }).await;
+    let node = fleet.control(0);
+    let memory = MemoryMeter::start(fleet.core(0).id().unwrap(), node.port());
+    let head = format!(
+        "POST /api/Config.Replace HTTP/1.1\r\nHost: control\r\nX-Dunelink-Base-Version: 0\r\n\
+         Content-Length: {STATED_BYTES}\r\n\r\n"
+    );
+    let part = [head.into_bytes(), vec![b' '; SENT_BYTES]].concat();
+    let mut connections = Vec::new();
+    for _ in 0..CONNECTIONS {
+        let mut connection = Connection::open(node).await.expect("a connection");
+        connection.send_bytes(&part).await.expect("the process reads the body");
+        connections.push(connection);
+    }
+    sleep(READING_TIME).await;
+    let max_mb = memory.max_mb();
+    eprintln!("most memory: {max_mb} MB");
+    assert!(max_mb < MEMORY_MB, "the process took {max_mb} MB");
+    assert_eq!(fleet.operator().read().await.status(), 404, "another request is answered meanwhile");
+}
--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dunelink_runtime::Reservation;
 use http::header::{self, HeaderValue};
 use http::{Request, Response, StatusCode, Version};
 use http_body::Body;
@@ -20,7 +21,6 @@
 use crate::admission::{admit, expected_priority};
 use crate::client_socket::{ClientSocket, RequestHeads, ResetOnClose};
 use crate::exchange::Exchange;
-use crate::memory::budget::Reservation;
 use crate::memory::request_body::RequestBody;
 use crate::node::Node;
 use crate::open_requests::OpenRequestGuard;
--- a/crates/proxy/src/event_framer.rs
+++ b/crates/proxy/src/event_framer.rs
@@ -3,9 +3,9 @@
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
+use dunelink_runtime::Reservation;
 use http::HeaderValue;
 
-use crate::memory::budget::Reservation;
 use crate::memory::request_bodies::RequestBodies;
 
 /// Maximum size of a buffered partial event in bytes. A stream with a longer event is forwarded without being
--- a/crates/proxy/src/memory/request_bodies.rs
+++ b/crates/proxy/src/memory/request_bodies.rs
@@ -5,7 +5,8 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use super::budget::{MemoryBudget, Reservation};
+use dunelink_runtime::{MemoryBudget, Reservation};
+
 use super::request_body::{BodyStage, BodyState, RequestBody};
 
 /// A body that is longer than this is a long one, in bytes. Long bodies are refused before short ones.
--- a/crates/proxy/src/memory/request_body.rs
+++ b/crates/proxy/src/memory/request_body.rs
@@ -8,9 +8,9 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
+use dunelink_runtime::Reservation;
 use http_body::{Body, Frame, SizeHint};
 
-use super::budget::Reservation;
 use super::request_bodies::RequestBodies;
 
 /// Maximum size of a segment, in bytes.
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -15,6 +15,7 @@
 use bytes::Bytes;
 use dunelink_edge::response as edge_response;
 use dunelink_routing::ServerHandle;
+use dunelink_runtime::Reservation;
 use http::header::{self, HeaderMap};
 use http::{Request, Response};
 use http_body::{Body, Frame};
@@ -25,7 +26,6 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::Instant;
 
-use crate::memory::budget::Reservation;
 use crate::memory::plan::SOCKET_RECEIVE_BUFFER_BYTES;
 use crate::memory::request_body::BodySender;
 
--- a/crates/proxy/tests/memory.rs
+++ b/crates/proxy/tests/memory.rs
@@ -8,10 +8,11 @@
 
 use common::agent::Agent;
 use common::client::Client;
-use common::process::{MemoryMeter, ProxyProcess};
+use common::process::ProxyProcess;
 use common::server::{ReceivedRequest, Server, Step, chunk, respond, stream_head};
 use common::{Limits, Route, configuration_with_limits, routes, run};
 use rustix::process::Signal;
+use testkit::system::MemoryMeter;
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
@@ -55,6 +56,7 @@
 
     fn assert_within_limit(&self) {
         let max_mb = self.memory.max_mb();
+        eprintln!("most memory: {max_mb} MB");
         assert!(max_mb < MEMORY_MB, "the proxy took {max_mb} MB");
     }
 
--- a/crates/proxy/tests/request_bodies.rs
+++ b/crates/proxy/tests/request_bodies.rs
@@ -4,9 +4,9 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 
-use dunelink_proxy::memory::budget::Reservation;
 use dunelink_proxy::memory::request_bodies::{ReleaseCounts, RequestBodies};
 use dunelink_proxy::memory::request_body::{BodySender, BodyStage, RequestBody};
+use dunelink_runtime::Reservation;
 use http_body::Body;
 
 const KIB: usize = 1_024;
--- a/crates/proxy/src/memory/budget.rs
+++ b/crates/runtime/src/memory_budget.rs
@@ -32,10 +32,8 @@
 
     /// Reserves `bytes` if no more than `ceiling` are then reserved in total; `None` otherwise.
     pub fn try_reserve(&self, bytes: usize, ceiling: usize) -> Option<Reservation> {
-        let ceiling = ceiling.min(self.limit);
-        let reserve = |used: usize| used.checked_add(bytes).filter(|used| *used <= ceiling);
-        self.used.fetch_update(Ordering::Relaxed, Ordering::Relaxed, reserve).ok()?;
-        Some(Reservation { bytes, used: self.used.clone() })
+        let mut reservation = Reservation { bytes: 0, budget: self.clone() };
+        reservation.try_grow(bytes, ceiling).then_some(reservation)
     }
 }
 
@@ -43,14 +41,23 @@
 #[derive(Debug)]
 pub struct Reservation {
     bytes: usize,
-    used: Arc<AtomicUsize>,
+    budget: MemoryBudget,
 }
 
 impl Reservation {
+    /// Adds `bytes` to the reservation if no more than `ceiling` are then reserved in total. Whether it did.
+    pub fn try_grow(&mut self, bytes: usize, ceiling: usize) -> bool {
+        let ceiling = ceiling.min(self.budget.limit);
+        let grow = |used: usize| used.checked_add(bytes).filter(|used| *used <= ceiling);
+        let grown = self.budget.used.fetch_update(Ordering::Relaxed, Ordering::Relaxed, grow).is_ok();
+        self.bytes += if grown { bytes } else { 0 };
+        grown
+    }
+
     /// Returns the reserved bytes beyond `bytes` to the budget.
     pub fn shrink_to(&mut self, bytes: usize) {
         let excess = self.bytes.saturating_sub(bytes);
-        self.used.fetch_sub(excess, Ordering::Relaxed);
+        self.budget.used.fetch_sub(excess, Ordering::Relaxed);
         self.bytes -= excess;
     }
 
@@ -62,7 +69,7 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        self.used.fetch_sub(self.bytes, Ordering::Relaxed);
+        self.budget.used.fetch_sub(self.bytes, Ordering::Relaxed);
     }
 }
 
--- a/crates/testkit/src/system/mod.rs
+++ b/crates/testkit/src/system/mod.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod configuration;
 pub mod fleet;
+pub mod memory;
 pub mod message;
 pub mod model_server;
 pub mod network;
@@ -23,6 +24,7 @@
 pub use client::{Answer, Connection, Event, Request, TestClient};
 pub use configuration::{Configuration, Route};
 pub use fleet::{Fleet, Plan};
+pub use memory::MemoryMeter;
 pub use model_server::{ModelServer, Received};
 pub use network::Network;
 pub use operator::{OperatorClient, Outcome};
--- a/crates/testkit/src/system/process.rs
+++ b/crates/testkit/src/system/process.rs
@@ -60,6 +60,11 @@
         }
     }
 
+    /// Its id, if it runs.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Kills it without notice.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
