--- a/crates/proxy/tests/common/process.rs
+++ b/crates/proxy/tests/common/process.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 
 use rustix::process::{Pid, Signal, kill_process};
 use testkit::system::MemoryMeter;
@@ -16,8 +17,8 @@
 /// A proxy in a process of its own, and the addresses that it listens on.
 pub(crate) struct ProxyProcess {
     child: Child,
-    /// Kept open because the process logs to it.
-    _log: BufReader<ChildStderr>,
+    /// Lines that the process has logged.
+    log: Arc<Mutex<Vec<String>>>,
     pub(crate) front: SocketAddr,
     pub(crate) readiness: SocketAddr,
 }
@@ -39,23 +40,40 @@
             let value = line.split(field).nth(1).unwrap().split_whitespace().next().unwrap();
             value.trim_matches('"').parse().unwrap()
         };
-        Self { front: address("front="), readiness: address("readiness="), child, _log: log }
+        Self { front: address("front="), readiness: address("readiness="), child, log: collect_lines(log) }
     }
 
     /// Passes a configuration and servers to the proxy, and waits until it is ready.
-    pub(crate) async fn configure(&self, agent: &Agent, configuration: &str, servers: &[&Server]) {
+    pub(crate) async fn configure(
+        &self,
+        agent: &Agent,
+        version: u64,
+        configuration: &str,
+        servers: &[&Server],
+    ) {
         agent.send_configuration(configuration);
         agent.send_grants(1);
         agent.set_servers(servers);
-        agent.send_heartbeat(0, 1);
+        agent.send_heartbeat(0, version);
         while readiness_status(self.readiness).await != 200 {}
     }
 
     pub(crate) fn kill(&mut self) {
-        self.child.kill().unwrap();
+        // An error means that it has ended.
+        let _ = self.child.kill();
         self.child.wait().unwrap();
     }
 
+    /// Returns the lines that the process has logged so far and that contain `text`.
+    pub(crate) fn log_lines(&self, text: &str) -> Vec<String> {
+        self.log.lock().unwrap().iter().filter(|line| line.contains(text)).cloned().collect()
+    }
+
+    /// Whether the process has ended.
+    pub(crate) fn has_ended(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_some()
+    }
+
     pub(crate) fn signal(&self, signal: Signal) {
         kill_process(Pid::from_child(&self.child), signal).unwrap();
     }
@@ -71,3 +89,15 @@
         self.kill();
     }
 }
+
+/// Reads the log in a thread of its own until the process ends.
+fn collect_lines(log: BufReader<ChildStderr>) -> Arc<Mutex<Vec<String>>> {
+    let lines = Arc::<Mutex<Vec<String>>>::default();
+    let collected = lines.clone();
+    std::thread::spawn(move || {
+        for line in log.lines().map_while(Result::ok) {
+            collected.lock().unwrap().push(line);
+        }
+    });
+    lines
+}
--- a/crates/proxy/tests/killed_process.rs
+++ b/crates/proxy/tests/killed_process.rs
@@ -23,7 +23,7 @@
         let server = start_server("i-1", vec![Step::StopReading(release.clone())]).await;
         let agent = Agent::listen().await;
         let mut proxy = ProxyProcess::spawn(&agent, "");
-        proxy.configure(&agent, &configuration(), &[&server]).await;
+        proxy.configure(&agent, 1, &configuration(), &[&server]).await;
         let mut client = Client::connect(proxy.front).await;
         client.send_request_with_body("/once/x", "a1", &"b".repeat(BODY_BYTES)).await;
         wait_until(|| server.count() == 1).await;
--- a/crates/proxy/tests/memory.rs
+++ b/crates/proxy/tests/memory.rs
@@ -49,7 +49,7 @@
         let unsafe_route = Route { timeout_ms: 12_000, ..Route::new("/slow-once/", "unsafe") };
         let routes: Vec<Route> = routes().into_iter().chain([unsafe_route]).collect();
         let limits = Limits { max_body_bytes: MAX_BODY_BYTES, header_timeout_ms: 3_000 };
-        proxy.configure(&agent, &configuration_with_limits(1, &routes, "", &limits), &[&server]).await;
+        proxy.configure(&agent, 1, &configuration_with_limits(1, &routes, "", &limits), &[&server]).await;
         let memory = proxy.measure_memory();
         Self { proxy, memory, server, _agent: agent }
     }
--- a/crates/runtime/src/link.rs
+++ b/crates/runtime/src/link.rs
@@ -14,6 +14,9 @@
 
 /// Buffer space reserved for each read from the socket.
 const READ_CHUNK_BYTES: usize = 16 * 1024;
+/// Largest first message of an accepted connection, in bytes, with its length prefix. It names the peer, which
+/// is not known before.
+const MAX_FIRST_MESSAGE_BYTES: usize = 64 * 1024;
 /// An empty buffer with a larger capacity than this is freed.
 const MAX_IDLE_BUFFER_BYTES: usize = 64 * 1024;
 
@@ -26,6 +29,9 @@
     /// The peer sent an invalid frame or message.
     #[error(transparent)]
     Frame(#[from] FrameError),
+    /// The first message of an accepted connection is too large to be a hello.
+    #[error("the first message is over {MAX_FIRST_MESSAGE_BYTES} bytes: check which program connects here")]
+    FirstMessageTooLarge,
     /// The peer closed the connection.
     #[error("the peer closed the connection; it will be reopened")]
     Closed,
@@ -39,6 +45,8 @@
 pub struct LinkReader {
     socket: OwnedReadHalf,
     buffer: BytesMut,
+    /// Whether the next message is the first one of an accepted connection.
+    expects_first_message: bool,
 }
 
 impl LinkReader {
@@ -50,9 +58,13 @@
     pub async fn read<M: for<'b> Decode<'b, ()>>(&mut self) -> Result<M, LinkError> {
         loop {
             if let Some(message) = decode(&mut self.buffer)? {
+                self.expects_first_message = false;
                 self.release_idle_buffer();
                 return Ok(message);
             }
+            if self.expects_first_message && self.buffer.len() > MAX_FIRST_MESSAGE_BYTES {
+                return Err(LinkError::FirstMessageTooLarge);
+            }
             self.buffer.reserve(READ_CHUNK_BYTES);
             if self.socket.read_buf(&mut self.buffer).await? == 0 {
                 return Err(LinkError::Closed);
@@ -132,22 +144,30 @@
     user_timeout: Duration,
 ) -> Result<(LinkReader, LinkWriter), LinkError> {
     match tokio::time::timeout(timeout, TcpStream::connect(address)).await {
-        Ok(connected) => accept(connected?, user_timeout),
+        Ok(connected) => set_up(connected?, user_timeout, false),
         Err(_) => Err(LinkError::Timeout(timeout)),
     }
 }
 
-/// Sets up a connected socket for framed messages. The kernel closes the connection when sent data stays
+/// Sets up an accepted socket for framed messages; the first one may have 64 KiB at most. The kernel closes the connection when sent data stays
 /// unacknowledged for `user_timeout`.
 ///
 /// # Errors
 ///
 /// The socket options can't be set.
 pub fn accept(socket: TcpStream, user_timeout: Duration) -> Result<(LinkReader, LinkWriter), LinkError> {
+    set_up(socket, user_timeout, true)
+}
+
+fn set_up(
+    socket: TcpStream,
+    user_timeout: Duration,
+    is_accepted: bool,
+) -> Result<(LinkReader, LinkWriter), LinkError> {
     socket.set_nodelay(true)?;
     socket2::SockRef::from(&socket).set_tcp_user_timeout(Some(user_timeout))?;
     let (reader, writer) = socket.into_split();
-    let reader = LinkReader { socket: reader, buffer: BytesMut::new() };
+    let reader = LinkReader { socket: reader, buffer: BytesMut::new(), expects_first_message: is_accepted };
     let writer = LinkWriter { socket: writer, buffer: BytesMut::new() };
     Ok((reader, writer))
 }
--- a/crates/runtime/tests/links.rs
+++ b/crates/runtime/tests/links.rs
@@ -4,7 +4,8 @@
 
 use dunelink_protocol::{AgentMessage, FeedPosition, ProxyReport, RosterOffset};
 use dunelink_runtime::{LinkError, accept, dial};
-use tokio::net::TcpListener;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -34,3 +35,17 @@
     let result = reader.read_with_timeout::<AgentMessage>(TIMEOUT).await;
     assert!(matches!(result, Err(LinkError::Timeout(_))));
 }
+
+/// Guards against the end of the process over its memory (Fault): a peer that has not said who it is could make
+/// it buffer 16 MiB on each connection.
+#[tokio::test]
+async fn first_message_of_an_unknown_peer_is_short() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
+    let mut peer = TcpStream::connect(listener.local_addr().expect("bound")).await.expect("connects");
+    let (socket, _) = listener.accept().await.expect("accepted");
+    let (mut reader, _writer) = accept(socket, TIMEOUT).expect("options are set");
+    let frame = [&1_000_000_u32.to_le_bytes()[..], &[0; 200_000]].concat();
+    peer.write_all(&frame).await.expect("written");
+    let result = reader.read_with_timeout::<AgentMessage>(TIMEOUT).await;
+    assert!(matches!(result, Err(LinkError::FirstMessageTooLarge)), "{result:?}");
+}
