Quotas: a tenant that leaves the configuration and returns continues with what it has used

Cause: the proxy forgot the tenant and began at 0 admitted units under the same incarnation, so the leader took what it had issued before for unused and gave it back to the bucket; the bucket itself was new at each return, with 0.3 of its depth.

Change: proxy and leader keep a departed tenant for one window; its bucket fills at its rate meanwhile. A state that is created anew has an incarnation of its own. A leader elected meanwhile gets the history of departed tenants too. Updates say that departed tenants pass nothing beyond what was issued. For 1 s after a return the demand before it counts.

Not covered: a return after all proxies restarted and the leader changed within the window.

--- a/crates/grants/src/allocator.rs
+++ b/crates/grants/src/allocator.rs
@@ -61,7 +61,12 @@
     /// Number of nodes that earlier leaders knew.
     inherited_node_count: u32,
     nodes: BTreeMap<String, Node>,
+    /// Buckets by tenant, also of those that left the configuration within the last window.
     buckets: BTreeMap<String, Bucket>,
+    /// What nodes reported at the takeover of tenants that the configuration did not have.
+    departed_usage: BTreeMap<String, InheritedUsage>,
+    /// The time span before the takeover for which every node knows what it admitted.
+    history_span: Micros,
     /// Number of the last round of grants. Also selects the node that is issued to first.
     round: u64,
 }
@@ -81,6 +86,8 @@
             inherited_node_count: 0,
             nodes: BTreeMap::new(),
             buckets: BTreeMap::new(),
+            departed_usage: BTreeMap::new(),
+            history_span: 0,
             round: 0,
         }
     }
@@ -206,20 +213,21 @@
         let no_usage = InheritedUsage::default();
         for quota in limited_quotas {
             let usage = inherited_state.tenants.get(&quota.name).unwrap_or(&no_usage);
-            let level = usage.level(quota, &self.bounds, inherited_state.history_span);
-            // Credit that was offered from a bucket was in it.
-            let level = if self.inherited_complete { level } else { level.min(usage.credit) };
+            let level = self.inherited_level(usage, quota, inherited_state.history_span);
             let missing_rate_per_s = (quota.rate_per_s - usage.granted_rate_per_s).max(0.0);
             self.buckets.insert(quota.name.clone(), Bucket::from_takeover(level, missing_rate_per_s, now));
         }
+        self.history_span = inherited_state.history_span;
+        self.departed_usage = inherited_state.tenants.clone();
+        self.departed_usage.retain(|name, _| !self.buckets.contains_key(name));
         self.incomplete_takeover =
             Some(inherited_state).filter(|inherited_state| !inherited_state.is_complete);
     }
 
     /// Corrects the bucket levels once all missing nodes have reported, as their real usage is then known.
     fn complete_takeover(&mut self, now: Micros, limited_quotas: &[&TenantQuota]) {
+        let window_elapsed = now >= self.takeover_completed_at + self.window();
         let Some(inherited_state) = &mut self.incomplete_takeover else { return };
-        let window_elapsed = now >= self.takeover_completed_at + (self.bounds.window_s * SECOND) as Micros;
         let synced_count = self.nodes.values().filter(|node| node.is_synced).count();
         let is_complete =
             synced_count == self.nodes.len() && synced_count >= inherited_state.known_node_count as usize;
@@ -266,8 +274,10 @@
                 tenants.entry(node).or_default().push(grant);
             }
         }
-        let names: BTreeSet<&str> = limited_quotas.iter().map(|quota| quota.name.as_str()).collect();
-        self.buckets.retain(|name, _| names.contains(name.as_str()));
+        self.forget_departed_tenants(now);
+        // Nodes with an older configuration do not admit requests of departed tenants beyond what was issued.
+        let departed = self.buckets.iter().filter(|(_, bucket)| bucket.is_departed());
+        throttled.extend(departed.map(|(name, _)| ThrottledTenant { tenant: name.clone(), pass_share: 0.0 }));
         let reachable = self.nodes.iter().filter(|(_, node)| node.is_synced && !node.is_silent(now));
         reachable
             .map(|(name, node)| {
@@ -286,6 +296,47 @@
             .collect()
     }
 
+    /// Forgets the tenants that left the configuration more than a window ago. Until then, one that returns
+    /// continues with what it has used.
+    fn forget_departed_tenants(&mut self, now: Micros) {
+        let window = self.window();
+        let bucket_count = self.buckets.len();
+        let departed = self.buckets.values_mut().filter(|bucket| bucket.filled_at() < now);
+        departed.for_each(Bucket::set_departed);
+        self.buckets.retain(|_, bucket| bucket.filled_at() + window > now);
+        if self.buckets.len() < bucket_count {
+            let buckets = &self.buckets;
+            let nodes = self.nodes.values_mut();
+            nodes.for_each(|node| node.tenants.retain(|name, _| buckets.contains_key(name)));
+        }
+    }
+
+    fn window(&self) -> Micros {
+        (self.bounds.window_s * SECOND) as Micros
+    }
+
+    /// The bucket of a tenant that the configuration did not have before, or that returns after a change of
+    /// the leader.
+    fn new_bucket(&self, now: Micros, quota: &TenantQuota) -> Bucket {
+        let depth = self.bounds.depth(quota);
+        let new_limit = Bucket::for_new_limit(depth, now);
+        let Some(usage) = self.departed_usage.get(&quota.name) else { return new_limit };
+        let since_takeover = now.saturating_sub(self.takeover_completed_at);
+        if since_takeover >= self.window() {
+            return new_limit;
+        }
+        let level = self.inherited_level(usage, quota, self.history_span);
+        let filled = quota.rate_per_s * since_takeover as f64 / SECOND;
+        Bucket::from_takeover((level + filled).min(depth), 0.0, now)
+    }
+
+    /// The level of a tenant's bucket after what the nodes have reported to this leader at its start.
+    fn inherited_level(&self, usage: &InheritedUsage, quota: &TenantQuota, history_span: Micros) -> f64 {
+        let level = usage.level(quota, &self.bounds, history_span);
+        // Credit that was offered from a bucket was in it.
+        if self.inherited_complete { level } else { level.min(usage.credit) }
+    }
+
     /// Tenants that any node has reported.
     fn known_tenants(&self) -> BTreeSet<String> {
         let mut known = BTreeSet::new();
@@ -302,8 +353,10 @@
         let depth = self.bounds.depth(quota);
         let count = self.node_count(now);
         let floor_per_s = FLOOR_SHARE * quota.rate_per_s / f64::from(count.max(1));
-        let bucket =
-            self.buckets.entry(quota.name.clone()).or_insert_with(|| Bucket::for_new_limit(depth, now));
+        if !self.buckets.contains_key(&quota.name) {
+            self.buckets.insert(quota.name.clone(), self.new_bucket(now, quota));
+        }
+        let Some(bucket) = self.buckets.get_mut(&quota.name) else { return };
         let missing_nodes = count.saturating_sub(self.nodes.len() as u32);
         let mut reserved_per_s = f64::from(missing_nodes) * floor_per_s;
         if missing_nodes > 0 && now < self.takeover_completed_at + MAX_GRANT_LIFETIME_US + RATE_LAPSE_US {
@@ -347,6 +400,7 @@
         let max_level = if is_oversubscribed { depth - self.bounds.margin(quota) } else { depth };
         bucket.level = bucket.level.min(max_level - unused);
         let demand: f64 = active.iter().map(|(_, state)| state.rate_per_s).sum();
+        let demand = bucket.expected_demand(now, demand);
         let spare = bucket.level * if is_oversubscribed { OVERDRAFT_SHARE } else { CREDIT_SHARE };
         let count = active.len().max(1) as f64;
         let spare_per_node = spare / count;
--- a/crates/grants/src/bucket.rs
+++ b/crates/grants/src/bucket.rs
@@ -4,7 +4,7 @@
 
 use crate::bounds::OVERDRAFT_SHARE;
 use crate::history::INTERVAL_US;
-use crate::{Micros, QuotaBounds, SECOND, TenantQuota};
+use crate::{MILLISECOND, Micros, QuotaBounds, SECOND, TenantQuota};
 
 /// Initial fill level, as a share of the depth, of the bucket of a tenant whose limit was set during this
 /// leader's term.
@@ -21,22 +21,54 @@
     /// Units per second that may have been granted to nodes that the leader has not heard from since its
     /// start.
     pub(crate) missing_rate_per_s: f64,
+    /// Whether the tenant has left the configuration.
+    is_departed: bool,
+    /// The time until which the nodes may not have reported the demand of a tenant that returned.
+    demand_known_at: Micros,
+    /// The last demand of all nodes that was known, in units per second.
+    last_demand: f64,
 }
 
+/// Time in which the nodes report the demand of a tenant that returned to the configuration.
+const DEMAND_REPORT_TIME_US: Micros = 1_000 * MILLISECOND;
+
 impl Bucket {
     /// The bucket of a tenant that had no limit before.
     pub(crate) fn for_new_limit(depth: f64, now: Micros) -> Self {
+        Self::from_takeover(depth * INITIAL_FILL_SHARE, 0.0, now)
+    }
+
+    /// The bucket of a tenant as a new leader takes it over.
+    pub(crate) fn from_takeover(level: f64, missing_rate_per_s: f64, now: Micros) -> Self {
         Self {
-            level: depth * INITIAL_FILL_SHARE,
+            level,
             filled_at: now,
             reserved_per_s: 0.0,
-            missing_rate_per_s: 0.0,
+            missing_rate_per_s,
+            is_departed: false,
+            demand_known_at: 0,
+            last_demand: 0.0,
         }
     }
 
-    /// The bucket of a tenant as a new leader takes it over.
-    pub(crate) fn from_takeover(level: f64, missing_rate_per_s: f64, now: Micros) -> Self {
-        Self { level, filled_at: now, reserved_per_s: 0.0, missing_rate_per_s }
+    /// Records that the configuration lacks the tenant.
+    pub(crate) fn set_departed(&mut self) {
+        self.is_departed = true;
+    }
+
+    /// Whether the configuration lacks the tenant.
+    pub(crate) fn is_departed(&self) -> bool {
+        self.is_departed
+    }
+
+    /// Returns the demand to count with, in units per second, when the nodes report `reported`. After a return
+    /// it is at least the demand that was known before.
+    pub(crate) fn expected_demand(&mut self, now: Micros, reported: f64) -> f64 {
+        if now < self.demand_known_at {
+            return reported.max(self.last_demand);
+        }
+        self.last_demand = reported;
+        reported
     }
 
     /// When the bucket was last filled.
@@ -54,6 +86,9 @@
         let span_s = now.saturating_sub(self.filled_at) as f64 / SECOND;
         self.level = (self.level + (rate_per_s - reserved_per_s).max(0.0) * span_s).min(depth);
         self.filled_at = now;
+        if std::mem::take(&mut self.is_departed) {
+            self.demand_known_at = now + DEMAND_REPORT_TIME_US;
+        }
         self.reserved_per_s = reserved_per_s;
     }
 }
--- a/crates/grants/src/gate.rs
+++ b/crates/grants/src/gate.rs
@@ -157,6 +157,9 @@
 /// State of one tenant at this node.
 #[derive(Debug)]
 struct TenantState {
+    /// Differs from that of each other state that a node has had for the tenant: totals of admitted units are
+    /// only comparable within one.
+    incarnation: u64,
     quota: TenantQuota,
     grant: Grant,
     /// Units admitted since the process started.
@@ -203,6 +206,18 @@
     /// See [`Self::take_shortage`].
     has_shortage: bool,
     tenants: HashMap<String, TenantState>,
+    /// Tenants that left the configuration within the last window. They may return, and what they used then
+    /// still counts.
+    departed: HashMap<String, DepartedTenant>,
+    /// Number of tenant states created so far.
+    created_states: u64,
+}
+
+/// The state of a tenant that left the configuration.
+#[derive(Debug)]
+struct DepartedTenant {
+    state: TenantState,
+    departed_at: Micros,
 }
 
 impl QuotaGate {
@@ -221,20 +236,45 @@
             has_node_count: false,
             has_shortage: false,
             tenants: HashMap::new(),
+            departed: HashMap::new(),
+            created_states: 0,
         }
     }
 
-    /// Replaces the tenants by those of a configuration. Tenants that remain keep their state.
+    /// Replaces the tenants by those of a configuration. Tenants that remain, or that return within a window,
+    /// keep their state.
     pub fn set_tenants(&mut self, now: Micros, tenants: &[TenantQuota]) {
+        let window = (self.bounds.window_s * SECOND) as Micros;
+        self.departed.retain(|_, tenant| tenant.departed_at + window > now);
         let mut previous = std::mem::take(&mut self.tenants);
         for quota in tenants.iter().filter(|quota| quota.rate_per_s > 0.0) {
-            let mut state = previous
-                .remove(&quota.name)
-                .unwrap_or_else(|| TenantState::new(now, quota.clone(), self.incarnation));
+            let returned = self.departed.remove(&quota.name).map(|tenant| tenant.state);
+            let known = previous.remove(&quota.name).or(returned);
+            let mut state = known.unwrap_or_else(|| self.create_state(now, quota));
             state.fill_floor(now, &self.bounds, self.nodes);
             state.quota = quota.clone();
             self.tenants.insert(quota.name.clone(), state);
         }
+        let departed = previous.into_iter();
+        self.departed
+            .extend(departed.map(|(name, state)| (name, DepartedTenant { state, departed_at: now })));
+    }
+
+    fn create_state(&mut self, now: Micros, quota: &TenantQuota) -> TenantState {
+        let incarnation = self.incarnation.wrapping_add(self.created_states);
+        self.created_states += 1;
+        TenantState::new(now, quota.clone(), incarnation)
+    }
+
+    /// The states of the tenants and of those that left the configuration.
+    fn all_states_mut(&mut self) -> impl Iterator<Item = (&String, &mut TenantState)> {
+        let departed = self.departed.iter_mut().map(|(name, tenant)| (name, &mut tenant.state));
+        self.tenants.iter_mut().chain(departed)
+    }
+
+    fn fill_floors(&mut self, now: Micros) {
+        let (bounds, nodes) = (self.bounds, self.nodes);
+        self.all_states_mut().for_each(|(_, state)| state.fill_floor(now, &bounds, nodes));
     }
 
     /// Applies grants, or a new leader's request for the history.
@@ -242,14 +282,12 @@
         if update.term < self.term {
             return ApplyOutcome::Ignored;
         }
-        for state in self.tenants.values_mut() {
-            state.fill_floor(now, &self.bounds, self.nodes);
-        }
+        self.fill_floors(now);
         let is_first_request = update.requests_history && update.term > self.term;
         (self.term, self.round, self.history_requested) =
             (update.term, update.round, update.requests_history);
         if is_first_request {
-            self.tenants.values_mut().for_each(|state| state.freeze_for_history(now));
+            self.all_states_mut().for_each(|(_, state)| state.freeze_for_history(now));
             return ApplyOutcome::HistoryRequested;
         }
         if update.requests_history {
@@ -258,14 +296,14 @@
         self.nodes = update.node_count.max(1);
         self.has_node_count = true;
         let valid_until = self.grant_expiry(now, update);
-        let granted =
-            update.tenants.iter().filter(|grant| grant.incarnation == self.incarnation && is_valid(grant));
+        let granted = update.tenants.iter().filter(|grant| is_valid(grant));
         let granted: HashMap<&str, &TenantGrant> =
             granted.map(|grant| (grant.tenant.as_str(), grant)).collect();
         let throttled = update.throttled.iter().map(|limited| (limited.tenant.as_str(), limited.pass_share));
         let throttled: HashMap<&str, f64> = throttled.collect();
-        for (name, state) in &mut self.tenants {
-            if let Some(grant) = granted.get(name.as_str()) {
+        for (name, state) in self.all_states_mut() {
+            let grant = granted.get(name.as_str());
+            if let Some(grant) = grant.filter(|grant| grant.incarnation == state.incarnation) {
                 // The floor's units were reported as usable, so the ceiling now includes them.
                 state.floor_level = state.floor_level.min(0.0);
                 state.acknowledged = grant.acknowledged;
@@ -324,12 +362,13 @@
 
     /// The demand by tenant for the next report to the leader.
     pub fn demand_report(&mut self, now: Micros) -> NodeDemand {
-        let (bounds, nodes) = (self.bounds, self.nodes);
-        self.tenants.values_mut().for_each(|state| state.fill_floor(now, &bounds, nodes));
+        self.fill_floors(now);
         let intervals = if self.history_requested { history::interval_count(&self.bounds) } else { 0 };
-        let incarnation = self.incarnation;
-        let reports =
-            self.tenants.iter().map(|(name, state)| state.demand_report(now, name, incarnation, intervals));
+        let states = self.tenants.iter();
+        // A new leader has to know what tenants used that may return.
+        let departed = self.departed.iter().filter(|_| self.history_requested);
+        let states = states.chain(departed.map(|(name, tenant)| (name, &tenant.state)));
+        let reports = states.map(|(name, state)| state.demand_report(now, name, intervals));
         // If there are few tenants, they are reported before they have any demand, so that their first
         // requests find a grant.
         let reports_all = self.tenants.len() <= MAX_TENANTS_ALL_REPORTED;
@@ -355,6 +394,7 @@
     /// each process.
     fn new(now: Micros, quota: TenantQuota, incarnation: u64) -> Self {
         Self {
+            incarnation,
             quota,
             grant: Grant::default(),
             admitted: 0.0,
@@ -369,13 +409,13 @@
     }
 
     /// The report of this tenant, with the last `intervals` intervals of its history.
-    fn demand_report(&self, now: Micros, name: &str, incarnation: u64, intervals: usize) -> TenantDemand {
+    fn demand_report(&self, now: Micros, name: &str, intervals: usize) -> TenantDemand {
         TenantDemand {
             tenant: name.to_owned(),
             rate_per_s: self.demand.rate(now),
             admitted: self.admitted,
             mean_request_units: self.mean_request_units,
-            incarnation,
+            incarnation: self.incarnation,
             acknowledged: self.acknowledged,
             available: self.unused_units(),
             granted_rate_per_s: if now < self.grant.rate_lapses_at() { self.grant.rate_per_s } else { 0.0 },
--- a/crates/grants/tests/support/mod.rs
+++ b/crates/grants/tests/support/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code)] // Each test file uses a part.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use dunelink_grants::{Allocator, QuotaBounds, QuotaGate, TenantQuota};
 use dunelink_protocol::{GrantUpdate, NodeDemand};
@@ -52,6 +52,10 @@
     pub(crate) now: u64,
     /// Interval between two exchanges with the leader.
     pub(crate) exchange_interval: u64,
+    /// Whether the leader's configuration has the tenants.
+    leader_has_tenants: bool,
+    /// The nodes whose configuration lacks the tenants. They refuse their requests.
+    nodes_without_tenants: HashSet<usize>,
 }
 
 impl Fleet {
@@ -71,6 +75,8 @@
             random: fastrand::Rng::with_seed(seed),
             now: SECOND,
             exchange_interval: DEFAULT_EXCHANGE_INTERVAL_US,
+            leader_has_tenants: true,
+            nodes_without_tenants: HashSet::new(),
         };
         for node in 0..nodes {
             let gate = fleet.new_gate();
@@ -91,6 +97,22 @@
         gate
     }
 
+    /// Adds the tenants to the leader's configuration, or removes them from it.
+    pub(crate) fn configure_leader(&mut self, has_tenants: bool) {
+        self.leader_has_tenants = has_tenants;
+    }
+
+    /// Adds the tenants to a node's configuration, or removes them from it.
+    pub(crate) fn configure_node(&mut self, node: usize, has_tenants: bool) {
+        let quotas = if has_tenants { self.quotas.as_slice() } else { &[] };
+        self.gates[node].set_tenants(self.now, quotas);
+        if has_tenants {
+            self.nodes_without_tenants.remove(&node);
+        } else {
+            self.nodes_without_tenants.insert(node);
+        }
+    }
+
     /// Restarts a proxy, which loses its state.
     pub(crate) fn restart(&mut self, node: usize) {
         self.gates[node] = self.new_gate();
@@ -158,6 +180,9 @@
     }
 
     fn request(&mut self, tenant: usize, node: usize) {
+        if self.nodes_without_tenants.contains(&node) {
+            return;
+        }
         match self.gates[node].admit(self.now, &self.quotas[tenant].name, REQUEST_UNITS) {
             Ok(()) => self.admitted_at.entry(tenant).or_default().push(self.now),
             Err(after) if self.clients_retry => self.retries_due.push(self.now + after.0),
@@ -193,7 +218,8 @@
             .filter(|(node, _)| is_reachable(*node))
             .map(|(node, gate)| (node, gate.demand_report(now)))
             .collect();
-        self.in_transit = leader.exchange(now, &self.quotas, reports);
+        let quotas = if self.leader_has_tenants { self.quotas.as_slice() } else { &[] };
+        self.in_transit = leader.exchange(now, quotas, reports);
     }
 
     /// Delivers grants at once, as those of a former leader that arrive late.
