A failure that is relayed does not continue the stream of another server

Cause: since the bound on memory a failure that can't be buffered is relayed. When it answers a stream that is being resumed, its body would have been appended to the stream (MIXED). Found by reading the change again; nobody met it.

Change: only a successful response continues a stream. The share of the memory limit is computed in one place.

--- a/crates/control/src/operator_api.rs
+++ b/crates/control/src/operator_api.rs
@@ -32,9 +32,6 @@
 /// Share of the process's memory for the bodies of all requests that are being received: more than eight
 /// configurations of the greatest length.
 const BODIES_FRACTION: f64 = 0.2;
-/// Memory of the process that is assumed if the settings state none, in megabytes.
-const DEFAULT_MEMORY_MB: u64 = 256;
-const BYTES_PER_MB: u64 = 1_048_576;
 /// Time within which the head of a request must arrive; it also bounds how long a connection may be idle.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time within which the body of a request must arrive.
@@ -54,8 +51,7 @@
 
 /// Returns the memory for the bodies of requests, on a machine with these limits.
 pub fn body_budget(limits: &MachineLimits) -> MemoryBudget {
-    let megabytes = if limits.memory_mb > 0 { limits.memory_mb } else { DEFAULT_MEMORY_MB };
-    MemoryBudget::new((megabytes.saturating_mul(BYTES_PER_MB) as f64 * BODIES_FRACTION) as usize)
+    MemoryBudget::new(limits.memory_share_bytes(BODIES_FRACTION))
 }
 
 /// Serves the operator's API, forever. The bodies of requests that are being received share `bodies`.
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -126,7 +126,9 @@
         }
         loop {
             match self.next_attempt().await {
-                Ok(AttemptResult::Stream(upstream, attempt)) => return (self, Some((upstream, attempt))),
+                Ok(AttemptResult::Stream(upstream, attempt)) if upstream.head.status.is_success() => {
+                    return (self, Some((upstream, attempt)));
+                }
                 Ok(AttemptResult::NotSent) if self.unsent_attempts < MAX_UNSENT_ATTEMPTS => {}
                 Ok(AttemptResult::Rejected | AttemptResult::MaybeExecuted(_)) if self.try_retry() => {}
                 Ok(_) | Err(_) => return (self, None),
--- a/crates/proxy/src/memory/plan.rs
+++ b/crates/proxy/src/memory/plan.rs
@@ -2,9 +2,6 @@
 
 use dunelink_settings::MachineLimits;
 
-/// Memory limit that is assumed if the settings have none, in megabytes.
-const DEFAULT_MEMORY_MB: u64 = 256;
-const BYTES_PER_MB: u64 = 1_048_576;
 /// Share of the memory limit for request bodies, open requests and buffered responses. What these and the
 /// connections leave is for the state of the process, received bytes that the kernel still holds, and memory
 /// that the allocator keeps.
@@ -13,7 +10,7 @@
 const CONNECTION_FRACTION: f64 = 0.2;
 /// Memory of a connection without the request that is open on it, in bytes: its task, and the read buffer that
 /// it keeps.
-const CONNECTION_BYTES: u64 = 44 * 1_024;
+const CONNECTION_BYTES: usize = 44 * 1_024;
 /// Size of the kernel's receive buffer of a socket, in bytes. Received bytes that were not read yet count as
 /// memory of the process. The kernel doubles this value for its own overhead.
 pub const SOCKET_RECEIVE_BUFFER_BYTES: usize = 32 * 1_024;
@@ -30,11 +27,9 @@
 impl MemoryPlan {
     /// Divides the memory that the settings allow.
     pub fn new(limits: &MachineLimits) -> Self {
-        let megabytes = if limits.memory_mb > 0 { limits.memory_mb } else { DEFAULT_MEMORY_MB };
-        let all_bytes = megabytes.saturating_mul(BYTES_PER_MB) as f64;
         Self {
-            buffer_bytes: (all_bytes * BUFFER_FRACTION) as usize,
-            max_connections: (all_bytes * CONNECTION_FRACTION) as usize / CONNECTION_BYTES as usize,
+            buffer_bytes: limits.memory_share_bytes(BUFFER_FRACTION),
+            max_connections: limits.memory_share_bytes(CONNECTION_FRACTION) / CONNECTION_BYTES,
         }
     }
 }
--- a/crates/proxy/tests/streams.rs
+++ b/crates/proxy/tests/streams.rs
@@ -264,6 +264,22 @@
     });
 }
 
+/// Guards against MIXED: a failure that is too long to be buffered is relayed to clients, but does not continue
+/// the stream of another server.
+#[test]
+fn long_failure_of_resuming_server_does_not_continue_stream() {
+    run(async {
+        let (_server_1, _server_2, harness) = start_two_servers(
+            |_| vec![stream_head("first"), chunk(&event(0)), Step::Reset],
+            |_| respond(500, "", &"failure".repeat(50_000)),
+        )
+        .await;
+        let response = harness.client().await.call("/again/x", "a1").await;
+        assert_eq!((response.status, response.complete), (200, false));
+        assert_eq!(response.body, event(0));
+    });
+}
+
 #[test]
 fn client_disconnect_cancels_attempt() {
     run(async {
--- a/crates/settings/src/boot/mod.rs
+++ b/crates/settings/src/boot/mod.rs
@@ -104,6 +104,19 @@
     pub disk_mb: u64,
 }
 
+/// Memory limit of a process that the settings file does not state, in megabytes.
+const DEFAULT_MEMORY_MB: u64 = 256;
+const BYTES_PER_MB: u64 = 1_048_576;
+
+impl MachineLimits {
+    /// Returns a share of the memory limit of a process, in bytes. Without a limit in the settings file, one of
+    /// 256 MB is assumed.
+    pub fn memory_share_bytes(&self, share: f64) -> usize {
+        let megabytes = if self.memory_mb > 0 { self.memory_mb } else { DEFAULT_MEMORY_MB };
+        (megabytes.saturating_mul(BYTES_PER_MB) as f64 * share) as usize
+    }
+}
+
 /// Failures at the same time during which all contracts have to be met.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct FaultTolerance {
