Testkit: a rig is gone once its sockets are closed

Cause: a rig ended its runtime without waiting for the tasks. The last task drops its claim on the addresses before its sockets, so the next rig claims the same addresses while they are still bound.

Change: a rig waits until its runtime has ended. No check was changed.

--- a/crates/testkit/src/rig/mod.rs
+++ b/crates/testkit/src/rig/mod.rs
@@ -456,6 +456,14 @@
     }
 }
 
+/// Time within which the tasks of a runtime end.
+const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Ends a runtime and waits until its tasks have closed their sockets: the next rig may use the same addresses.
+pub fn close(runtime: Runtime) {
+    runtime.shutdown_timeout(SHUTDOWN_TIMEOUT);
+}
+
 impl Drop for Rig {
     fn drop(&mut self) {
         for node in &mut self.nodes {
@@ -465,7 +473,7 @@
             }
         }
         if let Some(runtime) = self.runtime.take() {
-            runtime.shutdown_background();
+            close(runtime);
         }
         let _ = std::fs::remove_dir_all(&self.plan.folder);
     }
