Control tests: the test of many orders waits until the program listens

Cause: the test started the program and did not wait for it. Change: it waits until there is a leader; its bound is the same.

--- a/crates/control/tests/operator_memory.rs
+++ b/crates/control/tests/operator_memory.rs
@@ -21,6 +21,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn orders_that_stop_before_their_end_stay_within_the_memory() {
     let mut fleet = Fleet::start(CONTROL_BINARY, Plan { cores: 1, fronts: 0 }).await;
+    fleet.led().await;
     let node = fleet.control(0);
     let memory = MemoryMeter::start(fleet.core(0).id().unwrap(), node.port());
     let head = format!(
