--- a/crates/proxy/src/admission.rs
+++ b/crates/proxy/src/admission.rs
@@ -37,12 +37,8 @@
     request: &ClientRequest,
 ) -> Result<Admission, LocalReply> {
     let fleet = &configuration.fleet;
-    let host = request.headers.get(header::HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
-    let route = fleet.route(host, request.target.path()).ok_or(LocalReply::new(StatusCode::NOT_FOUND))?;
-    let tenant = request.api_key.as_deref().and_then(|api_key| fleet.tenant_by_key(api_key));
-    if tenant.is_none() && !route.public && fleet.requires_api_keys() {
-        return Err(LocalReply::new(StatusCode::UNAUTHORIZED));
-    }
+    let (route, tenant) = authorize(fleet, &request.headers, &request.target, request.api_key.as_deref())
+        .map_err(LocalReply::new)?;
     let service = route.choose_target(fastrand::f64());
     let now = node.clock.now();
     node.retry_budget.borrow_mut().record_request(now, &fleet.services[service].name);
@@ -63,13 +59,28 @@
 /// A request that would not be admitted is the least urgent.
 pub fn expected_priority(configuration: &Configuration, target: &Uri, headers: &HeaderMap) -> u32 {
     let fleet = &configuration.fleet;
-    let host = headers.get(header::HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
-    let Some(route) = fleet.route(host, target.path()) else { return u32::MAX };
     let api_key = headers.get(header::AUTHORIZATION).and_then(bearer_token);
+    authorize(fleet, headers, target, api_key)
+        .map_or(u32::MAX, |(route, tenant)| effective_priority(fleet, route, tenant))
+}
+
+/// Finds the route of a request and the tenant of its API key.
+///
+/// # Errors
+///
+/// The status of the reply: 404 or 401.
+fn authorize<'a>(
+    fleet: &'a FleetConfig,
+    headers: &HeaderMap,
+    target: &Uri,
+    api_key: Option<&str>,
+) -> Result<(&'a Route, Option<usize>), StatusCode> {
+    let host = headers.get(header::HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
+    let route = fleet.route(host, target.path()).ok_or(StatusCode::NOT_FOUND)?;
     let tenant = api_key.and_then(|api_key| fleet.tenant_by_key(api_key));
     match tenant.is_some() || route.public || !fleet.requires_api_keys() {
-        true => effective_priority(fleet, route, tenant),
-        false => u32::MAX,
+        true => Ok((route, tenant)),
+        false => Err(StatusCode::UNAUTHORIZED),
     }
 }
 
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -182,7 +182,7 @@
         // has arrived.
         let is_streamed =
             length.map_or(!upstream.is_close_delimited, |length| length > MAX_BUFFERED_RESPONSE_BYTES as u64);
-        if !self.needs_body_after_response(status) {
+        if !self.admission.policy.idempotent {
             self.request.body.release();
         }
         if status.is_success() && (self.admission.policy.streaming || is_streamed) {
@@ -219,12 +219,6 @@
         AttemptResult::Response(response)
     }
 
-    /// Whether the request may have to be sent once more although a server has begun its response.
-    fn needs_body_after_response(&self, status: StatusCode) -> bool {
-        let policy = &self.admission.policy;
-        policy.resumable || policy.idempotent && !(policy.streaming && status.is_success())
-    }
-
     /// Whether this is the server's response to this request, with unambiguous framing and, if successful, a
     /// response seal.
     fn is_valid_response(&self, upstream: &UpstreamResponse) -> bool {
--- a/crates/proxy/src/memory/request_bodies.rs
+++ b/crates/proxy/src/memory/request_bodies.rs
@@ -83,27 +83,28 @@
 
     /// Reserves memory for a response that is buffered; `None` if it has to be relayed instead.
     pub fn reserve_response(&self, bytes: usize) -> Option<Reservation> {
-        let ceiling = self.fraction(BUFFERED_RESPONSE_FRACTION);
-        loop {
-            if let Some(reservation) = self.budget.try_reserve(bytes, ceiling) {
-                return Some(reservation);
-            }
-            if !self.release_sent() {
-                return None;
-            }
-        }
+        self.reserve_below(self.fraction(BUFFERED_RESPONSE_FRACTION), bytes, || false)
     }
 
     /// Reserves `bytes` for a body that has `received` so far. `None` if this request is the one to refuse.
     pub(super) fn reserve(&self, key: u64, received: usize, bytes: usize) -> Option<Reservation> {
         let is_long = received + bytes > MAX_SHORT_BODY_BYTES;
         let ceiling = if is_long { self.fraction(LONG_BODY_FRACTION) } else { self.budget.limit() };
+        let reservation = self.reserve_below(ceiling, bytes, || self.refuse_after(key, received + bytes));
+        if reservation.is_none() {
+            self.count(|counts| counts.refused += 1);
+        }
+        reservation
+    }
+
+    /// Reserves `bytes` if no more than `ceiling` are then in use. Until they are free, it releases bodies of
+    /// requests that were sent, and then what `refuse` releases; `None` if that releases nothing more.
+    fn reserve_below(&self, ceiling: usize, bytes: usize, refuse: impl Fn() -> bool) -> Option<Reservation> {
         loop {
             if let Some(reservation) = self.budget.try_reserve(bytes, ceiling) {
                 return Some(reservation);
             }
-            if !self.release_sent() && !self.refuse_after(key, received + bytes) {
-                self.count(|counts| counts.refused += 1);
+            if !self.release_sent() && !refuse() {
                 return None;
             }
         }
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -92,7 +92,6 @@
         let incarnation = fastrand::u64(..);
         let clock = Clock::start();
         let quota_gate = QuotaGate::new(quota, incarnation, clock.now());
-        let plan = MemoryPlan::new(&boot.limits);
         let max_server_connections = Self::max_server_connections(&boot);
         Rc::new(Self {
             log,
@@ -106,7 +105,7 @@
             configuration_confirmed: Cell::new(false),
             ready_servers: Cell::new(0),
             shutdown_schedule: Cell::new(None),
-            request_bodies: RequestBodies::new(plan.buffer_bytes),
+            request_bodies: RequestBodies::new(MemoryPlan::new(&boot.limits).buffer_bytes),
             logged_releases: Cell::default(),
             open_requests: OpenRequests::new(),
             observations: RefCell::default(),
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -87,8 +87,6 @@
     pub connection: Box<UpstreamConnection>,
     /// Tracks the events of a body that must not end within one; `None` if it may end anywhere.
     event_boundary: Option<EventBoundary>,
-    /// Bytes of the body that were read to its end.
-    read_bytes: usize,
 }
 
 /// Why a response body is incomplete.
@@ -246,14 +244,7 @@
         }
         let is_close_delimited = edge_response::is_unframed(&head.headers);
         self.closes_after_response |= is_close_delimited;
-        UpstreamResponse {
-            head,
-            body,
-            is_close_delimited,
-            connection: self,
-            event_boundary: None,
-            read_bytes: 0,
-        }
+        UpstreamResponse { head, body, is_close_delimited, connection: self, event_boundary: None }
     }
 }
 
@@ -297,8 +288,7 @@
     ) -> Option<Bytes> {
         let stated_length = self.body.size_hint().exact().unwrap_or_default() as usize;
         let mut data = Vec::with_capacity(stated_length.min(max_bytes));
-        let mut store = |received: &[u8]| data.extend_from_slice(received);
-        poll_fn(|cx| self.poll_to_end(&mut store, max_bytes, timer, cx)).await?;
+        self.read_all(|received| data.extend_from_slice(received), max_bytes, timer).await?;
         data.shrink_to_fit();
         reservation.shrink_to(data.len());
         Some(reservation.attach(data))
@@ -307,32 +297,35 @@
     /// Reads the complete body and discards it. False if it breaks off, is longer than `max_bytes`, or the
     /// timer fires before its end.
     pub async fn discard_body(&mut self, max_bytes: usize, timer: &mut RequestTimer) -> bool {
-        poll_fn(|cx| self.poll_to_end(&mut |_| {}, max_bytes, timer, cx)).await.is_some()
+        self.read_all(|_| {}, max_bytes, timer).await.is_some()
     }
 
     /// Passes the complete body to `store`.
-    fn poll_to_end(
+    async fn read_all(
         &mut self,
-        store: &mut impl FnMut(&[u8]),
+        mut store: impl FnMut(&[u8]),
         max_bytes: usize,
         timer: &mut RequestTimer,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<()>> {
-        loop {
-            match self.poll_frame(cx) {
-                Poll::Ready(Some(Ok(frame))) => {
-                    let received = frame.into_data().unwrap_or_default();
-                    self.read_bytes += received.len();
-                    if self.read_bytes > max_bytes {
-                        return Poll::Ready(None);
+    ) -> Option<()> {
+        let mut read_bytes = 0;
+        poll_fn(|cx| {
+            loop {
+                match self.poll_frame(cx) {
+                    Poll::Ready(Some(Ok(frame))) => {
+                        let received = frame.into_data().unwrap_or_default();
+                        read_bytes += received.len();
+                        if read_bytes > max_bytes {
+                            return Poll::Ready(None);
+                        }
+                        store(&received);
                     }
-                    store(&received);
+                    Poll::Ready(Some(Err(_))) => return Poll::Ready(None),
+                    Poll::Ready(None) => return Poll::Ready(Some(())),
+                    Poll::Pending => return timer.poll(cx, self.connection.activity()).map(|_| None),
                 }
-                Poll::Ready(Some(Err(_))) => return Poll::Ready(None),
-                Poll::Ready(None) => return Poll::Ready(Some(())),
-                Poll::Pending => return timer.poll(cx, self.connection.activity()).map(|_| None),
             }
-        }
+        })
+        .await
     }
 }
 
--- a/crates/runtime/src/link.rs
+++ b/crates/runtime/src/link.rs
@@ -149,8 +149,8 @@
     }
 }
 
-/// Sets up an accepted socket for framed messages; the first one may have 64 KiB at most. The kernel closes the connection when sent data stays
-/// unacknowledged for `user_timeout`.
+/// Sets up an accepted socket for framed messages; the first one may have 64 KiB at most. The kernel closes the
+/// connection when sent data stays unacknowledged for `user_timeout`.
 ///
 /// # Errors
 ///
