--- a/crates/grants/src/allocator.rs
+++ b/crates/grants/src/allocator.rs
@@ -11,6 +11,7 @@
 
 use crate::bounds::{FLOOR_SHARE, OVERDRAFT_SHARE, RATE_LAPSE_US};
 use crate::bucket::{Bucket, InheritedUsage};
+use crate::departed::DepartedUsage;
 use crate::node_tenant::{BucketSupply, IssuedGrant, NodeTenant};
 use crate::takeover::{InheritedState, Takeover};
 use crate::{MILLISECOND, Micros, QuotaBounds, SECOND, TenantQuota};
@@ -64,9 +65,7 @@
     /// Buckets by tenant, also of those that left the configuration within the last window.
     buckets: BTreeMap<String, Bucket>,
     /// What nodes reported at the takeover of tenants that the configuration did not have.
-    departed_usage: BTreeMap<String, InheritedUsage>,
-    /// The time span before the takeover for which every node knows what it admitted.
-    history_span: Micros,
+    departed_usage: DepartedUsage,
     /// Number of the last round of grants. Also selects the node that is issued to first.
     round: u64,
 }
@@ -86,8 +85,7 @@
             inherited_node_count: 0,
             nodes: BTreeMap::new(),
             buckets: BTreeMap::new(),
-            departed_usage: BTreeMap::new(),
-            history_span: 0,
+            departed_usage: DepartedUsage::default(),
             round: 0,
         }
     }
@@ -213,13 +211,14 @@
         let no_usage = InheritedUsage::default();
         for quota in limited_quotas {
             let usage = inherited_state.tenants.get(&quota.name).unwrap_or(&no_usage);
-            let level = self.inherited_level(usage, quota, inherited_state.history_span);
+            let (span, is_complete) = (inherited_state.history_span, self.inherited_complete);
+            let level = usage.inherited_level(quota, &self.bounds, span, is_complete);
             let missing_rate_per_s = (quota.rate_per_s - usage.granted_rate_per_s).max(0.0);
             self.buckets.insert(quota.name.clone(), Bucket::from_takeover(level, missing_rate_per_s, now));
         }
-        self.history_span = inherited_state.history_span;
-        self.departed_usage = inherited_state.tenants.clone();
-        self.departed_usage.retain(|name, _| !self.buckets.contains_key(name));
+        let mut departed = inherited_state.tenants.clone();
+        departed.retain(|name, _| !self.buckets.contains_key(name));
+        self.departed_usage = DepartedUsage::new(departed, inherited_state.history_span, now);
         self.incomplete_takeover =
             Some(inherited_state).filter(|inherited_state| !inherited_state.is_complete);
     }
@@ -315,28 +314,6 @@
         (self.bounds.window_s * SECOND) as Micros
     }
 
-    /// The bucket of a tenant that the configuration did not have before, or that returns after a change of
-    /// the leader.
-    fn new_bucket(&self, now: Micros, quota: &TenantQuota) -> Bucket {
-        let depth = self.bounds.depth(quota);
-        let new_limit = Bucket::for_new_limit(depth, now);
-        let Some(usage) = self.departed_usage.get(&quota.name) else { return new_limit };
-        let since_takeover = now.saturating_sub(self.takeover_completed_at);
-        if since_takeover >= self.window() {
-            return new_limit;
-        }
-        let level = self.inherited_level(usage, quota, self.history_span);
-        let filled = quota.rate_per_s * since_takeover as f64 / SECOND;
-        Bucket::from_takeover((level + filled).min(depth), 0.0, now)
-    }
-
-    /// The level of a tenant's bucket after what the nodes have reported to this leader at its start.
-    fn inherited_level(&self, usage: &InheritedUsage, quota: &TenantQuota, history_span: Micros) -> f64 {
-        let level = usage.level(quota, &self.bounds, history_span);
-        // Credit that was offered from a bucket was in it.
-        if self.inherited_complete { level } else { level.min(usage.credit) }
-    }
-
     /// Tenants that any node has reported.
     fn known_tenants(&self) -> BTreeSet<String> {
         let mut known = BTreeSet::new();
@@ -353,10 +330,9 @@
         let depth = self.bounds.depth(quota);
         let count = self.node_count(now);
         let floor_per_s = FLOOR_SHARE * quota.rate_per_s / f64::from(count.max(1));
-        if !self.buckets.contains_key(&quota.name) {
-            self.buckets.insert(quota.name.clone(), self.new_bucket(now, quota));
-        }
-        let Some(bucket) = self.buckets.get_mut(&quota.name) else { return };
+        let bucket = self.buckets.entry(quota.name.clone()).or_insert_with(|| {
+            self.departed_usage.new_bucket(now, quota, &self.bounds, self.inherited_complete)
+        });
         let missing_nodes = count.saturating_sub(self.nodes.len() as u32);
         let mut reserved_per_s = f64::from(missing_nodes) * floor_per_s;
         if missing_nodes > 0 && now < self.takeover_completed_at + MAX_GRANT_LIFETIME_US + RATE_LAPSE_US {
--- a/crates/grants/src/bucket.rs
+++ b/crates/grants/src/bucket.rs
@@ -137,6 +137,19 @@
         self.unused = unused;
     }
 
+    /// The level of the bucket at the takeover. `is_complete` tells whether all nodes have reported.
+    pub(crate) fn inherited_level(
+        &self,
+        quota: &TenantQuota,
+        bounds: &QuotaBounds,
+        history_span: Micros,
+        is_complete: bool,
+    ) -> f64 {
+        let level = self.level(quota, bounds, history_span);
+        // Credit that was offered from a bucket was in it.
+        if is_complete { level } else { level.min(self.credit) }
+    }
+
     /// The highest level at which, in every span of the window, the nodes have admitted no more than the
     /// bucket's depth plus what its rate filled in during that span. Units that nodes may still admit count
     /// as used. Nothing is known about the time before `history_span`: the bucket may have been empty then.
--- a/crates/grants/src/lib.rs
+++ b/crates/grants/src/lib.rs
@@ -25,6 +25,7 @@
 mod allocator;
 mod bounds;
 mod bucket;
+mod departed;
 mod gate;
 mod history;
 mod node_tenant;
