Soaks: seeds and numbers of the environment are read in one place; no check changes

Cause: both soaks parsed the same variables with the same code.

Change: seeds_from_environment and number_from_environment stand in the test kit.

--- a/crates/control/tests/fleet_soak.rs
+++ b/crates/control/tests/fleet_soak.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use soak::SoakSize;
+use testkit::{number_from_environment, seeds_from_environment};
 
 const CONTROL_BINARY: &str = env!("CARGO_BIN_EXE_dunelink-control");
 /// Seeds that every test run uses.
@@ -14,26 +15,15 @@
 /// Front machines in a test run by default.
 const DEFAULT_FRONTS: u8 = 4;
 
-fn seeds_from_environment() -> Range<u64> {
-    let Ok(text) = std::env::var("DUNELINK_SOAK_SEEDS") else { return DEFAULT_SEEDS };
-    let range = text.split_once("..").and_then(|(first, end)| Some(first.parse().ok()?..end.parse().ok()?));
-    range.expect("DUNELINK_SOAK_SEEDS must be two numbers with `..` between them")
-}
-
-fn fronts_from_environment() -> u8 {
-    let text = std::env::var("DUNELINK_SOAK_FRONTS");
-    text.map_or(DEFAULT_FRONTS, |text| text.parse().expect("DUNELINK_SOAK_FRONTS must be a number up to 50"))
-}
-
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn overlapping_planned_operations_lose_no_request() {
     let size = SoakSize {
-        fronts: fronts_from_environment(),
+        fronts: number_from_environment("DUNELINK_SOAK_FRONTS", DEFAULT_FRONTS),
         clients_per_front: 12,
         duration: Duration::from_secs(8),
     };
     let mut failures = Vec::new();
-    for seed in seeds_from_environment() {
+    for seed in seeds_from_environment("DUNELINK_SOAK_SEEDS", DEFAULT_SEEDS) {
         failures.extend(soak::run_soak(CONTROL_BINARY, seed, size).await);
     }
     assert!(failures.is_empty(), "{} failures:\n{}", failures.len(), failures.join("\n"));
