Proxy: connections that fill all their buffers at once stay within the memory limit

At memoryMb 88, 390 connections that each hold all they can at the same time took 121 MB, and long events of resumable streams for clients that don't read took 112 MB. Such a process is ended by the platform, and accepted work is lost with it.

Cause, by resident and unread bytes apart (79 and 50 MB of 130 in the first trial): (1) hyper queues up to 16 pieces for a client that doesn't read, and each small piece kept the whole buffer of 8 to 32 KiB that it was read into; (2) a long complete event lost its reservation as it was passed on, though it still waited for the client; (3) a receive buffer of 32 KiB holds some 50 KiB of unread bytes, which no share of the plan paid for, nor for those of connections not yet accepted.

Change: the plan counts every part at its greatest: read buffers, unread bytes (the receive buffer is 16 KiB, so 32 KiB at most), heads, pieces that wait, and the queue of connections that aren't accepted (up to 1,024 before, whatever the limit). A relayed piece is a copy of at most 8 KiB; a long event keeps its reservation until it is sent. Limits of heads that the configuration raises count.

Measured (88 MB, debug build): the two new tests 59 and 58 MB (before: 121 and 112 MB, both fail); the other six of memory.rs 24 to 33 MB in one run, all pass; all tests of the proxy pass.

--- a/crates/proxy/src/connection.rs
+++ b/crates/proxy/src/connection.rs
@@ -21,6 +21,7 @@
 use crate::admission::{admit, expected_priority};
 use crate::client_socket::{ClientSocket, RequestHeads, ResetOnClose};
 use crate::exchange::Exchange;
+use crate::memory::plan::{client_read_buffer_bytes, open_request_bytes};
 use crate::memory::request_body::RequestBody;
 use crate::node::Node;
 use crate::open_requests::OpenRequestGuard;
@@ -28,14 +29,11 @@
 use crate::request_failure::RequestFailure;
 use crate::response::{LocalReply, ResponseBody};
 
-/// Limit of a request's head while there is no configuration, in bytes.
-const DEFAULT_MAX_HEADER_BYTES: u64 = 16_384;
-/// Read buffer beyond the size of a head, in bytes. A larger buffer delivers bodies in fewer pieces.
-const EXTRA_BUFFER_BYTES: usize = 16 * 1_024;
-
 /// The state of a client connection that other tasks read or change.
 #[derive(Debug)]
 pub struct ClientConnection {
+    /// Limit of a request's head, in bytes.
+    max_head_bytes: usize,
     /// Time since which no request is open on the connection; `None` while one is open.
     idle_since: Cell<Option<Instant>>,
     /// Deadline of the open request, once it is known.
@@ -51,9 +49,10 @@
 }
 
 impl ClientConnection {
-    /// Creates the state of a newly accepted connection.
-    pub fn new() -> Rc<Self> {
+    /// Creates the state of a newly accepted connection, whose requests have heads of up to `max_head_bytes`.
+    pub fn new(max_head_bytes: usize) -> Rc<Self> {
         Rc::new(Self {
+            max_head_bytes,
             idle_since: Cell::new(Some(Instant::now())),
             response_deadline: Cell::default(),
             close_requested: Notify::new(),
@@ -135,8 +134,6 @@
 }
 
 async fn serve_until_closed(node: Rc<Node>, connection: &Rc<ClientConnection>, stream: TcpStream) {
-    let limits = node.configuration().map(|configuration| configuration.fleet.limits.clone());
-    let max_head_bytes = limits.map_or(DEFAULT_MAX_HEADER_BYTES, |limits| limits.max_header_bytes) as usize;
     let socket = ClientSocket::new(stream, connection.heads.clone(), connection.reset_on_close.clone());
     let service = service_fn(|request| {
         let (node, active) = (node.clone(), ActiveRequestGuard::new(connection));
@@ -144,8 +141,8 @@
     });
     let mut builder = http1::Builder::new();
     builder
-        .max_header_size(max_head_bytes)
-        .max_buf_size(max_head_bytes + EXTRA_BUFFER_BYTES)
+        .max_header_size(connection.max_head_bytes)
+        .max_buf_size(client_read_buffer_bytes(connection.max_head_bytes))
         .auto_date_header(false);
     let mut serving = pin!(builder.serve_connection(TokioIo::new(socket), service));
     tokio::select! {
@@ -164,7 +161,7 @@
     active: ActiveRequestGuard,
 ) -> Response<ResponseBody> {
     let open_request = node.open_requests.track();
-    let (body, memory) = open_body(&node, &request);
+    let (body, memory) = open_body(&node, &request, active.0.max_head_bytes);
     let heads = active.0.heads.clone();
     let version = request.version();
     let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
@@ -188,12 +185,16 @@
 }
 
 /// Creates the body of a request and reserves the memory of the request, if there is any left.
-fn open_body(node: &Rc<Node>, request: &Request<Incoming>) -> (RequestBody, Option<Reservation>) {
+fn open_body(
+    node: &Rc<Node>,
+    request: &Request<Incoming>,
+    max_head_bytes: usize,
+) -> (RequestBody, Option<Reservation>) {
     let configuration = node.configuration();
     let priority = configuration.map_or(u32::MAX, |configuration| {
         expected_priority(&configuration, request.uri(), request.headers())
     });
-    node.request_bodies.open(priority)
+    node.request_bodies.open(priority, open_request_bytes(max_head_bytes))
 }
 
 async fn handle_request(
--- a/crates/proxy/src/event_framer.rs
+++ b/crates/proxy/src/event_framer.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use dunelink_runtime::Reservation;
 use http::HeaderValue;
 
@@ -13,7 +13,7 @@
 const MAX_PARTIAL_EVENT_BYTES: usize = 256 * 1024;
 
 /// Size of a partial event up to which it is buffered without memory that is reserved for it, in bytes.
-const MAX_UNRESERVED_BYTES: usize = 16 * 1_024;
+const MAX_UNRESERVED_BYTES: usize = 4 * 1_024;
 /// Memory of a longer partial event, in bytes. The buffer may grow to twice its content.
 const PARTIAL_EVENT_MEMORY_BYTES: usize = 2 * MAX_PARTIAL_EVENT_BYTES;
 
@@ -24,7 +24,7 @@
     /// Memory for `partial` while it is long.
     reservation: Option<Reservation>,
     /// Received bytes of an incomplete event.
-    partial: BytesMut,
+    partial: Vec<u8>,
     /// Id of the last forwarded event; `None` if no event had one.
     last_id: Option<HeaderValue>,
     /// Whether part of an event was forwarded because the event was too long to buffer, or there was no
@@ -39,7 +39,7 @@
 impl EventFramer {
     /// Creates a framer for a stream that starts after the event with this id.
     pub fn starting_after(last_id: Option<HeaderValue>, memory: Rc<RequestBodies>) -> Self {
-        Self { memory, reservation: None, partial: BytesMut::new(), last_id, forwarded_partial: false }
+        Self { memory, reservation: None, partial: Vec::new(), last_id, forwarded_partial: false }
     }
 
     /// Adds received data and returns the events that are complete.
@@ -52,16 +52,21 @@
             return Some(data);
         }
         self.partial.extend_from_slice(&data);
-        let Some(event_end) = last_event_end(&self.partial) else {
-            self.forwarded_partial = !self.may_buffer_partial();
-            return if self.forwarded_partial { Some(self.take_partial()) } else { None };
-        };
-        let complete = self.partial.split_to(event_end).freeze();
-        if self.partial.is_empty() {
-            self.take_partial();
+        let event_end = last_event_end(&self.partial).unwrap_or(0);
+        // The memory of complete events stays reserved until they are sent.
+        let events_reservation = if event_end > 0 { self.reservation.take() } else { None };
+        if !self.may_buffer(self.partial.len() - event_end) {
+            self.forwarded_partial = true;
+            let reservation = events_reservation.or(self.reservation.take());
+            return Some(attach(std::mem::take(&mut self.partial), reservation));
         }
-        self.record_last_id(&complete);
-        Some(complete)
+        if event_end == 0 {
+            return None;
+        }
+        let rest = self.partial.split_off(event_end);
+        let events = std::mem::replace(&mut self.partial, rest);
+        self.record_last_id(&events);
+        Some(attach(events, events_reservation))
     }
 
     /// Returns the remaining bytes at the regular end of a stream.
@@ -88,21 +93,20 @@
         (!self.forwarded_partial).then(|| self.last_id.clone())
     }
 
-    /// Whether the partial event is short enough to wait for its end, and there is memory for it.
-    fn may_buffer_partial(&mut self) -> bool {
-        if self.partial.len() <= MAX_UNRESERVED_BYTES {
+    /// Whether a partial event of this size is short enough to wait for its end, and there is memory for it.
+    fn may_buffer(&mut self, partial_bytes: usize) -> bool {
+        if partial_bytes <= MAX_UNRESERVED_BYTES {
             return true;
         }
         if self.reservation.is_none() {
             self.reservation = self.memory.reserve_response(PARTIAL_EVENT_MEMORY_BYTES);
         }
-        self.reservation.is_some() && self.partial.len() <= MAX_PARTIAL_EVENT_BYTES
+        self.reservation.is_some() && partial_bytes <= MAX_PARTIAL_EVENT_BYTES
     }
 
-    /// Takes the partial event out of the buffer and returns the memory for it.
+    /// Takes the partial event out of the buffer, with the memory that is reserved for it.
     fn take_partial(&mut self) -> Bytes {
-        self.reservation = None;
-        std::mem::take(&mut self.partial).freeze()
+        attach(std::mem::take(&mut self.partial), self.reservation.take())
     }
 
     /// Records the last id that occurs in complete events.
@@ -116,6 +120,14 @@
     }
 }
 
+/// Ties reserved memory to the data that it is for.
+fn attach(data: Vec<u8>, reservation: Option<Reservation>) -> Bytes {
+    match reservation {
+        Some(reservation) => reservation.attach(data),
+        None => data.into(),
+    }
+}
+
 fn ends_event(bytes: &[u8]) -> bool {
     bytes.ends_with(b"\n\n") || bytes.ends_with(b"\r\n\r\n")
 }
--- a/crates/proxy/src/listener.rs
+++ b/crates/proxy/src/listener.rs
@@ -19,8 +19,6 @@
 use crate::memory::plan::SOCKET_RECEIVE_BUFFER_BYTES;
 use crate::node::Node;
 
-/// Length of the kernel's queue of connections that are not accepted yet.
-const BACKLOG: i32 = 1_024;
 /// Delay after a failed `accept`, for example because no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Interval between checks for expired connections.
@@ -29,19 +27,20 @@
 /// reusing a connection before that timeout, so a request does not cross the close.
 const IDLE_TIMEOUT_FACTOR: f64 = 1.1;
 
-/// Listens on an address, even if connections to it from before a restart are still in `TIME_WAIT`.
+/// Listens on an address, even if connections to it from before a restart are still in `TIME_WAIT`. At most
+/// `max_pending` connections wait in the kernel until they are accepted.
 ///
 /// # Errors
 ///
 /// The address is in use, or does not belong to this machine.
-pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+pub fn listen(address: SocketAddr, max_pending: usize) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
     // Accepted sockets inherit the limit. Without it, requests are received correctly.
     let _ = socket.set_recv_buffer_size(SOCKET_RECEIVE_BUFFER_BYTES);
     socket.bind(&address.into())?;
-    socket.listen(BACKLOG)?;
+    socket.listen(i32::try_from(max_pending).unwrap_or(i32::MAX))?;
     TcpListener::from_std(socket.into())
 }
 
@@ -58,7 +57,6 @@
 /// The open client connections.
 pub struct ClientConnections {
     node: Rc<Node>,
-    max_connections: usize,
     next_id: RefCell<u64>,
     connections: RefCell<HashMap<u64, Rc<ClientConnection>>>,
     connection_closed: Notify,
@@ -73,10 +71,8 @@
 impl ClientConnections {
     /// Creates an empty set of connections.
     pub fn new(node: Rc<Node>) -> Rc<Self> {
-        let max_connections = Node::max_client_connections(&node.boot);
         Rc::new(Self {
             node,
-            max_connections,
             next_id: RefCell::default(),
             connections: RefCell::default(),
             connection_closed: Notify::new(),
@@ -115,7 +111,7 @@
 
     async fn accept_loop(self: &Rc<Self>, listener: &TcpListener) {
         loop {
-            while self.count() >= self.max_connections {
+            while self.count() >= self.node.max_client_connections() {
                 self.close_longest_idle();
                 // A notification that is missed here is noticed after the delay.
                 let _ = tokio::time::timeout(ACCEPT_RETRY_DELAY, self.connection_closed.notified()).await;
@@ -131,7 +127,7 @@
         // Without `TCP_NODELAY`, responses are delayed but correct.
         let _ = stream.set_nodelay(true);
         let id = self.next_id.replace_with(|next_id| *next_id + 1);
-        let connection = ClientConnection::new();
+        let connection = ClientConnection::new(self.node.max_head_bytes());
         self.connections.borrow_mut().insert(id, connection.clone());
         tokio::task::spawn_local(async move {
             serve(self.node.clone(), connection, stream).await;
--- a/crates/proxy/src/memory/request_bodies.rs
+++ b/crates/proxy/src/memory/request_bodies.rs
@@ -15,9 +15,6 @@
 const LONG_BODY_FRACTION: f64 = 0.75;
 /// Share of the memory that may be in use when a response is buffered. Further ones are relayed.
 const BUFFERED_RESPONSE_FRACTION: f64 = 0.5;
-/// Memory of an open request apart from its body, in bytes: its head, and the buffers that it and its response
-/// pass through.
-const OPEN_REQUEST_BYTES: usize = 48 * 1_024;
 
 /// The bodies of all open requests.
 #[derive(Debug)]
@@ -66,15 +63,15 @@
         self.counts.get()
     }
 
-    /// Creates the body of a request with this priority, and reserves the memory of the request apart from
-    /// its body. `None` instead of the reservation if there is no memory: the request is to be refused, and
+    /// Creates the body of a request with this priority, and reserves `request_bytes` of memory for the request
+    /// apart from its body. `None` instead of the reservation if there is no memory: the request is to be refused, and
     /// its body is discarded.
-    pub fn open(self: &Rc<Self>, priority: u32) -> (RequestBody, Option<Reservation>) {
+    pub fn open(self: &Rc<Self>, priority: u32, request_bytes: usize) -> (RequestBody, Option<Reservation>) {
         let key = self.next_key.replace(self.next_key.get() + 1);
         let state = Rc::new(RefCell::new(BodyState::new(priority)));
         self.bodies.borrow_mut().insert(key, state.clone());
         let body = RequestBody::new(self.clone(), key, state);
-        let reservation = self.reserve(key, 0, OPEN_REQUEST_BYTES);
+        let reservation = self.reserve(key, 0, request_bytes);
         if reservation.is_none() {
             body.release();
         }
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -31,6 +31,8 @@
 const RESERVED_FDS: u64 = 200;
 /// File descriptor limit that is assumed if the settings have none.
 const DEFAULT_MAX_FDS: u64 = 1_024;
+/// Limit of a request's head while there is no configuration, in bytes.
+const DEFAULT_MAX_HEAD_BYTES: u64 = 16_384;
 /// Share of the usable file descriptors that client connections may take; connections to servers take the
 /// rest.
 const CLIENT_FD_FRACTION: f64 = 0.6;
@@ -60,6 +62,8 @@
     configuration_confirmed: Cell<bool>,
     ready_servers: Cell<usize>,
     shutdown_schedule: Cell<Option<ShutdownSchedule>>,
+    /// How the memory of the process is divided.
+    pub memory_plan: MemoryPlan,
     /// Bodies of the open requests, within the memory for them.
     pub request_bodies: Rc<RequestBodies>,
     /// Released bodies that were logged.
@@ -92,7 +96,8 @@
         let incarnation = fastrand::u64(..);
         let clock = Clock::start();
         let quota_gate = QuotaGate::new(quota, incarnation, clock.now());
-        let max_server_connections = Self::max_server_connections(&boot);
+        let memory_plan = MemoryPlan::new(&boot.limits);
+        let max_server_connections = Self::server_fds(&boot).min(memory_plan.max_server_connections());
         Rc::new(Self {
             log,
             clock,
@@ -105,7 +110,8 @@
             configuration_confirmed: Cell::new(false),
             ready_servers: Cell::new(0),
             shutdown_schedule: Cell::new(None),
-            request_bodies: RequestBodies::new(MemoryPlan::new(&boot.limits).buffer_bytes),
+            memory_plan,
+            request_bodies: RequestBodies::new(memory_plan.buffer_bytes),
             logged_releases: Cell::default(),
             open_requests: OpenRequests::new(),
             observations: RefCell::default(),
@@ -120,19 +126,24 @@
         all.saturating_sub(RESERVED_FDS).max(64) as usize
     }
 
-    /// Returns the maximum number of client connections, for which there are file descriptors and memory.
-    pub fn max_client_connections(boot: &BootSettings) -> usize {
-        Self::client_fds(boot).min(MemoryPlan::new(&boot.limits).max_connections)
-    }
-
     fn client_fds(boot: &BootSettings) -> usize {
         (Self::usable_fds(boot) as f64 * CLIENT_FD_FRACTION) as usize
     }
 
-    /// Returns the maximum number of connections to servers, for which there are file descriptors and memory.
-    fn max_server_connections(boot: &BootSettings) -> usize {
-        let fds = Self::usable_fds(boot) - Self::client_fds(boot);
-        fds.min(MemoryPlan::new(&boot.limits).max_connections)
+    fn server_fds(boot: &BootSettings) -> usize {
+        Self::usable_fds(boot) - Self::client_fds(boot)
+    }
+
+    /// Returns the maximum number of client connections, for which there are file descriptors and memory.
+    pub fn max_client_connections(&self) -> usize {
+        Self::client_fds(&self.boot).min(self.memory_plan.max_client_connections(self.max_head_bytes()))
+    }
+
+    /// Returns the limit of a request's head, in bytes.
+    pub fn max_head_bytes(&self) -> usize {
+        let configuration = self.configuration.borrow();
+        let limit = configuration.as_ref().map(|configuration| configuration.fleet.limits.max_header_bytes);
+        usize::try_from(limit.unwrap_or(DEFAULT_MAX_HEAD_BYTES)).unwrap_or(usize::MAX)
     }
 
     /// Returns a random number that identifies this run of the process. Grants apply to a single incarnation.
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -14,6 +14,10 @@
 use crate::response::BodyError;
 use crate::upstream::{TimeoutKind, UpstreamResponse};
 
+/// Maximum size of a piece that is passed to hyper, in bytes. hyper keeps several pieces until the client reads
+/// them.
+const MAX_PIECE_BYTES: usize = 8 * 1_024;
+
 /// A server's response and the attempt that it belongs to.
 type ResponseAttempt = (Box<UpstreamResponse>, AttemptGuard);
 
@@ -26,6 +30,8 @@
     /// Number of body bytes received from servers.
     forwarded_bytes: u64,
     events: Option<EventFramer>,
+    /// Received data that was not passed to hyper yet.
+    unsent: Bytes,
     first_event_recorded: bool,
 }
 
@@ -65,7 +71,7 @@
             response.connection.activity(),
         );
         let source = Source::Streaming(Box::new(ActiveStream { exchange, response, attempt }));
-        Self { source, length, forwarded_bytes: 0, events, first_event_recorded: false }
+        Self { source, length, forwarded_bytes: 0, events, unsent: Bytes::new(), first_event_recorded: false }
     }
 
     /// Returns the length of the body, if it is known.
@@ -76,19 +82,33 @@
     /// Returns the next data for the client.
     pub fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
         loop {
+            if let Some(piece) = self.next_piece() {
+                return Poll::Ready(Some(Ok(piece)));
+            }
             match &self.source {
                 Source::Ended => return Poll::Ready(None),
                 Source::Failed(_) => return Poll::Ready(self.take_error().map(Err)),
                 Source::Resuming { .. } => ready!(self.poll_resuming(cx)),
                 Source::Streaming(_) => {
-                    if let Some(data) = ready!(self.poll_streaming(cx)) {
-                        return Poll::Ready(Some(Ok(data)));
-                    }
+                    self.unsent = ready!(self.poll_streaming(cx)).unwrap_or_default();
                 }
             }
         }
     }
 
+    /// Returns a copy of the next received data. Pieces of the received data itself would each keep the whole
+    /// buffer that they were read into.
+    fn next_piece(&mut self) -> Option<Bytes> {
+        if self.unsent.is_empty() {
+            return None;
+        }
+        let piece = self.unsent.split_to(self.unsent.len().min(MAX_PIECE_BYTES));
+        if self.unsent.is_empty() {
+            self.unsent = Bytes::new();
+        }
+        Some(Bytes::copy_from_slice(&piece))
+    }
+
     fn take_error(&mut self) -> Option<BodyError> {
         match std::mem::replace(&mut self.source, Source::Ended) {
             Source::Failed(error) => Some(error),
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -81,8 +81,10 @@
     ///
     /// An address is missing from the settings, is in use, or does not belong to this machine.
     pub fn bind(node: Rc<Node>) -> anyhow::Result<Self> {
-        let front = bind(node.boot.listen.front, "listen.front")?;
-        let readiness = bind(node.boot.listen.readiness, "listen.readiness")?;
+        let max_pending = node.memory_plan.max_pending_connections();
+        let front = bind(node.boot.listen.front, "listen.front", max_pending)?;
+        let max_pending = readiness::MAX_PENDING_CONNECTIONS;
+        let readiness = bind(node.boot.listen.readiness, "listen.readiness", max_pending)?;
         info!(node.log, "listens"; "front" => %front.local_addr()?, "readiness" => %readiness.local_addr()?);
         Ok(Self { node, front, readiness })
     }
@@ -121,9 +123,9 @@
     }
 }
 
-fn bind(address: Option<SocketAddr>, key: &str) -> anyhow::Result<TcpListener> {
+fn bind(address: Option<SocketAddr>, key: &str, max_pending: usize) -> anyhow::Result<TcpListener> {
     let address = address.with_context(|| format!("`{key}` is missing from the settings file: add it"))?;
-    listen(address).with_context(|| {
+    listen(address, max_pending).with_context(|| {
         format!("failed to listen on {address}: check `{key}`, and that no other process uses the address")
     })
 }
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -26,7 +26,7 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::Instant;
 
-use crate::memory::plan::SOCKET_RECEIVE_BUFFER_BYTES;
+use crate::memory::plan::{SERVER_READ_BUFFER_BYTES, SOCKET_RECEIVE_BUFFER_BYTES};
 use crate::memory::request_body::BodySender;
 
 use super::event_boundary::EventBoundary;
@@ -39,8 +39,6 @@
 /// Share of the keep-alive timeout within which a connection is reused: a request that crosses the server's
 /// close may be lost.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.7;
-/// Maximum read buffer of a connection in bytes; it also limits the head of a response.
-const MAX_READ_BUFFER_BYTES: usize = 32 * 1024;
 /// How often a connection is polled until hyper reports that it is ready for the next request.
 const MAX_READY_POLLS: usize = 3;
 
@@ -125,7 +123,7 @@
         stream.set_nodelay(true).ok()?;
         let (socket, socket_state) = UpstreamSocket::new(stream).ok()?;
         let mut builder = Builder::new();
-        builder.max_buf_size(MAX_READ_BUFFER_BYTES);
+        builder.max_buf_size(SERVER_READ_BUFFER_BYTES);
         let (sender, connection) = builder.handshake(TokioIo::new(socket)).await.ok()?;
         Some(Box::new(Self {
             sender,
@@ -286,8 +284,9 @@
         mut reservation: Reservation,
         timer: &mut RequestTimer,
     ) -> Option<Bytes> {
-        let stated_length = self.body.size_hint().exact().unwrap_or_default() as usize;
-        let mut data = Vec::with_capacity(stated_length.min(max_bytes));
+        let capacity =
+            self.body.size_hint().exact().map_or(max_bytes, |length| max_bytes.min(length as usize));
+        let mut data = Vec::with_capacity(capacity);
         self.read_all(|received| data.extend_from_slice(received), max_bytes, timer).await?;
         data.shrink_to_fit();
         reservation.shrink_to(data.len());
--- a/crates/proxy/tests/common/client.rs
+++ b/crates/proxy/tests/common/client.rs
@@ -2,8 +2,9 @@
 
 use std::net::SocketAddr;
 
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 pub(crate) struct Client {
     stream: TcpStream,
@@ -30,6 +31,8 @@
 
 /// The client timeout that requests state by default, in milliseconds.
 const DEADLINE_MS: u32 = 3_000;
+/// Segment size and receive buffer of a connection with small buffers, in bytes.
+const SMALL_SEGMENT_BYTES: u32 = 1_024;
 
 fn request(path: &str, id: &str, fields: &str) -> String {
     format!("{}body", request_head(path, id, DEADLINE_MS, fields))
@@ -60,6 +63,14 @@
         Some(Self { stream, buffer: Vec::new() })
     }
 
+    /// Opens a connection on which the kernel buffers little between the proxy and a client that does not read.
+    pub(crate) async fn connect_with_small_buffers(address: SocketAddr) -> Self {
+        let socket = TcpSocket::new_v4().unwrap();
+        SockRef::from(&socket).set_tcp_mss(SMALL_SEGMENT_BYTES).unwrap();
+        socket.set_recv_buffer_size(SMALL_SEGMENT_BYTES).unwrap();
+        Self { stream: socket.connect(address).await.unwrap(), buffer: Vec::new() }
+    }
+
     pub(crate) async fn send(&mut self, text: &str) {
         self.stream.write_all(text.as_bytes()).await.unwrap();
     }
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -87,10 +87,13 @@
 pub(crate) struct Limits {
     pub(crate) max_body_bytes: usize,
     pub(crate) header_timeout_ms: u64,
+    /// Connections that one server accepts from all proxies.
+    pub(crate) max_server_connections: u32,
 }
 
 /// The limits that most tests use.
-const DEFAULT_LIMITS: Limits = Limits { max_body_bytes: 100_000, header_timeout_ms: 300 };
+pub(crate) const DEFAULT_LIMITS: Limits =
+    Limits { max_body_bytes: 100_000, header_timeout_ms: 300, max_server_connections: 64 };
 
 /// Returns a configuration with these routes and tenants as JSON.
 pub(crate) fn configuration(version: u64, routes: &[Route], tenants: &str) -> String {
@@ -105,9 +108,9 @@
     limits: &Limits,
 ) -> String {
     let routes: Vec<String> = routes.iter().map(Route::json).collect();
-    let Limits { max_body_bytes, header_timeout_ms } = limits;
+    let Limits { max_body_bytes, header_timeout_ms, max_server_connections } = limits;
     format!(
-        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"s","maxConns":64}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":{max_body_bytes},"headerTimeoutMs":{header_timeout_ms},"idleTimeoutMs":15000}},"tenants":[{tenants}]}}"#,
+        r#"{{"version":{version},"routes":[{}],"services":[{{"name":"s","maxConns":{max_server_connections}}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":{max_body_bytes},"headerTimeoutMs":{header_timeout_ms},"idleTimeoutMs":15000}},"tenants":[{tenants}]}}"#,
         routes.join(",")
     )
 }
--- a/crates/proxy/tests/common/server.rs
+++ b/crates/proxy/tests/common/server.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use dunelink_protocol::ServerEntry;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -18,6 +19,8 @@
     Wait(Rc<Notify>),
     /// Waits until the test notifies it, and reads nothing meanwhile.
     StopReading(Rc<Notify>),
+    /// Waits for this time.
+    Pause(Duration),
     /// Closes the connection.
     Close,
     /// Resets the connection.
@@ -156,6 +159,7 @@
                     }
                 }
                 Step::StopReading(release) => release.notified().await,
+                Step::Pause(duration) => tokio::time::sleep(duration).await,
                 Step::Close => return,
                 Step::Reset => {
                     stream.set_zero_linger().unwrap();
@@ -220,8 +224,13 @@
 
 /// The head of an event stream.
 pub(crate) fn stream_head(seal: &str) -> Step {
+    stream_head_with("", seal)
+}
+
+/// The head of an event stream with more fields.
+pub(crate) fn stream_head_with(fields: &str, seal: &str) -> Step {
     Step::Write(format!(
-        "HTTP/1.1 200 OK\r\nX-Dunelink-Request-Id: {{id}}\r\nX-Dunelink-Response-Seal: {seal}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nX-Dunelink-Request-Id: {{id}}\r\nX-Dunelink-Response-Seal: {seal}\r\n{fields}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
     ))
 }
 
--- a/crates/proxy/tests/common/stalled.rs
+++ b/crates/proxy/tests/common/stalled.rs
@@ -4,11 +4,11 @@
 use tokio::sync::Notify;
 
 use super::server::{Server, Step, respond};
-use super::{Limits, Route, configuration_with_limits, routes, wait_until};
+use super::{DEFAULT_LIMITS, Limits, Route, configuration_with_limits, routes, wait_until};
 
 /// Longer than the receive buffer of a connection, and shorter than its send buffer.
 pub(crate) const BODY_BYTES: usize = 1 << 20;
-const LIMITS: Limits = Limits { max_body_bytes: BODY_BYTES, header_timeout_ms: 10_000 };
+const LIMITS: Limits = Limits { max_body_bytes: BODY_BYTES, header_timeout_ms: 10_000, ..DEFAULT_LIMITS };
 
 /// Starts a server that handles its first request with `first` before it reads the body.
 pub(crate) async fn start_server(id: &str, first: Vec<Step>) -> Server {
--- a/crates/proxy/tests/long_bodies.rs
+++ b/crates/proxy/tests/long_bodies.rs
@@ -6,12 +6,15 @@
 use std::rc::Rc;
 
 use common::server::{ReceivedRequest, Server, Step, respond};
-use common::{Limits, ProxyHarness, Route, configuration_with_limits, routes, run, wait_until};
+use common::{
+    DEFAULT_LIMITS, Limits, ProxyHarness, Route, configuration_with_limits, routes, run, wait_until,
+};
 use tokio::sync::Notify;
 
 /// Longer than the send and receive buffers of a connection together.
 const LONG_BODY_BYTES: usize = 16 << 20;
-const LIMITS: Limits = Limits { max_body_bytes: LONG_BODY_BYTES, header_timeout_ms: 10_000 };
+const LIMITS: Limits =
+    Limits { max_body_bytes: LONG_BODY_BYTES, header_timeout_ms: 10_000, ..DEFAULT_LIMITS };
 
 /// Starts a proxy that accepts long bodies in front of these servers, which handle a request as soon as they
 /// have its head.
--- a/crates/proxy/tests/memory.rs
+++ b/crates/proxy/tests/memory.rs
@@ -9,7 +9,7 @@
 use common::agent::Agent;
 use common::client::Client;
 use common::process::ProxyProcess;
-use common::server::{ReceivedRequest, Server, Step, chunk, respond, stream_head};
+use common::server::{ReceivedRequest, Server, Step, chunk, respond, stream_head, stream_head_with};
 use common::{Limits, Route, configuration_with_limits, routes, run};
 use rustix::process::Signal;
 use testkit::system::MemoryMeter;
@@ -27,6 +27,15 @@
 const SERVER_SLOTS: u32 = 1_000;
 /// Connections that hold as much as they can.
 const HOSTILE_CONNECTIONS: usize = 300;
+/// More connections than the proxy accepts.
+const FULL_CONNECTIONS: usize = 390;
+/// Below the length up to which an event is kept until its end has arrived.
+const LONG_EVENT_BYTES: usize = 240_000;
+const LONG_EVENTS: usize = 4;
+/// Length of an event that is read into a buffer of its own.
+const PIECE_BYTES: usize = 1_800;
+const PIECES: usize = 120;
+const PIECE_PAUSE: Duration = Duration::from_millis(3);
 /// Time after which clients and servers are idle in all tests that leave connections open.
 const SETTLING_TIME: Duration = Duration::from_secs(2);
 
@@ -48,8 +57,13 @@
             ProxyProcess::spawn(&agent, &format!("[limits]\nmemoryMb = {MEMORY_MB}\nmaxFds = 4100\n"));
         let unsafe_route = Route { timeout_ms: 12_000, ..Route::new("/slow-once/", "unsafe") };
         let routes: Vec<Route> = routes().into_iter().chain([unsafe_route]).collect();
-        let limits = Limits { max_body_bytes: MAX_BODY_BYTES, header_timeout_ms: 3_000 };
-        proxy.configure(&agent, 1, &configuration_with_limits(1, &routes, "", &limits), &[&server]).await;
+        let limits = Limits {
+            max_body_bytes: MAX_BODY_BYTES,
+            header_timeout_ms: 3_000,
+            max_server_connections: SERVER_SLOTS,
+        };
+        let configuration = configuration_with_limits(1, &routes, "", &limits);
+        proxy.configure(&agent, 1, &configuration, &[&server]).await;
         let memory = proxy.measure_memory();
         Self { proxy, memory, server, _agent: agent }
     }
@@ -171,8 +185,7 @@
 fn long_heads_and_short_stalled_bodies_stay_within_the_limit() {
     run(async {
         let fixture = Fixture::start(|_, _| vec![Step::Hang]).await;
-        let fields: String =
-            (0..60).map(|number| format!("X-Field-{number}: {}\r\n", "f".repeat(230))).collect();
+        let fields = long_fields();
         let complete = head("/long/x", "a", &format!("{fields}Content-Length: 4")) + "body";
         let stalled =
             head("/long/x", "a", &format!("{fields}Content-Length: {LONG_BODY_BYTES}")) + &"b".repeat(31_000);
@@ -229,9 +242,11 @@
             }));
         }
         for number in 0..HOSTILE_CONNECTIONS {
-            let mut client = fixture.client().await;
+            let front = fixture.proxy.front;
             let body = rest.clone();
+            // The kernel accepts a part of the connections before the process runs again.
             senders.push(tokio::task::spawn_local(async move {
+                let mut client = Client::connect(front).await;
                 client.try_send(&head("/once/x", &format!("b{number}"), "Content-Length: 2000000")).await;
                 client.try_send(&body).await;
                 client
@@ -244,3 +259,69 @@
         fixture.assert_within_limit();
     });
 }
+
+/// Fields of a head that is nearly as long as the limit allows.
+fn long_fields() -> String {
+    (0..60).map(|number| format!("X-Field-{number}: {}\r\n", "f".repeat(230))).collect()
+}
+
+/// Opens connections whose clients read nothing. Each sends a request with a long head to one of `paths`, and a
+/// second request with a long body before the response.
+async fn fill_connections(fixture: &Fixture, paths: &[&str]) -> Vec<JoinHandle<Client>> {
+    let fields = long_fields();
+    let next = head(paths[0], "b", &format!("{fields}Content-Length: {LONG_BODY_BYTES}")) + &long_body();
+    let next = Rc::<str>::from(next);
+    let mut senders = Vec::new();
+    for number in 0..FULL_CONNECTIONS {
+        let mut client = Client::connect_with_small_buffers(fixture.proxy.front).await;
+        let path = paths[number % paths.len()];
+        let request = head(path, "a", &format!("{fields}Content-Length: 4")) + "body";
+        let next = next.clone();
+        senders.push(tokio::task::spawn_local(async move {
+            client.try_send(&request).await;
+            client.try_send(&next).await;
+            client
+        }));
+    }
+    senders
+}
+
+/// Guards against the end of the process over its memory (Fault): each connection holds as much as it can at
+/// the same time, in the proxy's buffers and in the kernel's. Each small piece of a stream kept a whole buffer.
+#[test]
+fn connections_that_fill_all_their_buffers_stay_within_the_limit() {
+    run(async {
+        let piece = format!("data: {}\n\n", "p".repeat(PIECE_BYTES));
+        let fixture = Fixture::start(move |_, _| {
+            let pieces = (0..PIECES).flat_map(|_| [chunk(&piece), Step::Pause(PIECE_PAUSE)]);
+            let rest = chunk(&"r".repeat(LONG_BODY_BYTES));
+            let head = stream_head_with(&long_fields(), "seal");
+            [head].into_iter().chain(pieces).chain([rest, Step::Hang]).collect()
+        })
+        .await;
+        let clients = fill_connections(&fixture, &["/flow/x", "/again/x"]).await;
+        tokio::time::sleep(2 * SETTLING_TIME).await;
+        assert!(fixture.server.count() > HOSTILE_CONNECTIONS / 2);
+        drop(clients);
+        fixture.assert_within_limit();
+    });
+}
+
+/// Guards against the end of the process over its memory (Fault): long events of resumable streams were kept for
+/// slow readers without memory that was reserved for them.
+#[test]
+fn long_events_for_slow_readers_stay_within_the_limit() {
+    run(async {
+        let long_event = chunk(&format!("data: {}\n\n", "e".repeat(LONG_EVENT_BYTES)));
+        let fixture = Fixture::start(move |_, _| {
+            let events = (0..LONG_EVENTS).map(|_| long_event.clone());
+            [stream_head("seal")].into_iter().chain(events).chain([Step::Hang]).collect()
+        })
+        .await;
+        let clients = fill_connections(&fixture, &["/again/x"]).await;
+        tokio::time::sleep(2 * SETTLING_TIME).await;
+        assert!(fixture.server.count() > HOSTILE_CONNECTIONS / 2);
+        drop(clients);
+        fixture.assert_within_limit();
+    });
+}
--- a/crates/proxy/tests/request_bodies.rs
+++ b/crates/proxy/tests/request_bodies.rs
@@ -11,6 +11,8 @@
 
 const KIB: usize = 1_024;
 const MEMORY_BYTES: usize = 4_096 * KIB;
+/// Memory of an open request apart from its body.
+const REQUEST_BYTES: usize = 48 * KIB;
 /// Long enough to be refused before short bodies.
 const LONG_BODY_BYTES: usize = 900 * KIB;
 const UNSAFE_SENT: BodyStage = BodyStage::Sent { idempotent: false };
@@ -24,7 +26,7 @@
 
 impl OpenRequest {
     fn receive(bodies: &Rc<RequestBodies>, priority: u32, bytes: usize) -> Self {
-        let (body, memory) = bodies.open(priority);
+        let (body, memory) = bodies.open(priority, REQUEST_BYTES);
         body.push(&vec![b'b'; bytes], Some(bytes as u64));
         body.finish();
         Self { body, _memory: memory }
@@ -57,7 +59,7 @@
 #[test]
 fn one_byte_chunks_take_no_more_memory_than_a_long_one() {
     let bodies = RequestBodies::new(MEMORY_BYTES);
-    let (body, _memory) = bodies.open(0);
+    let (body, _memory) = bodies.open(0, REQUEST_BYTES);
     let before = bodies.budget().used();
     for _ in 0..LONG_BODY_BYTES {
         body.push(b"b", None);
@@ -71,7 +73,7 @@
 #[test]
 fn body_counts_from_its_first_byte_until_it_is_dropped() {
     let bodies = RequestBodies::new(MEMORY_BYTES);
-    let (body, memory) = bodies.open(0);
+    let (body, memory) = bodies.open(0, REQUEST_BYTES);
     let before = bodies.budget().used();
     body.push(b"b", Some(LONG_BODY_BYTES as u64));
     assert!(bodies.budget().used() > before);
@@ -141,7 +143,7 @@
 /// One step of a request with a body: it is received, sent, released or dropped.
 fn step(random: &mut fastrand::Rng, bodies: &Rc<RequestBodies>, open: &mut Vec<(OpenRequest, u64)>) {
     if open.is_empty() || random.u32(..3) == 0 {
-        let (body, memory) = bodies.open(random.u32(..4));
+        let (body, memory) = bodies.open(random.u32(..4), REQUEST_BYTES);
         open.push((OpenRequest { body, _memory: memory }, 0));
     }
     let index = random.usize(..open.len());
--- a/crates/proxy/tests/soak/mod.rs
+++ b/crates/proxy/tests/soak/mod.rs
@@ -15,7 +15,7 @@
 use crate::common::client::Client;
 use crate::common::process::ProxyProcess;
 use crate::common::server::Server;
-use crate::common::{Limits, Route, configuration_with_limits, routes};
+use crate::common::{DEFAULT_LIMITS, Limits, Route, configuration_with_limits, routes};
 use clients::Outcomes;
 use operations::ProxyUnderTest;
 
@@ -33,7 +33,7 @@
 pub(crate) fn soak_configuration(version: u64) -> String {
     let slow_once = Route { timeout_ms: 4_000, ..Route::new("/slow-once/", "unsafe") };
     let routes: Vec<Route> = routes().into_iter().chain([slow_once]).collect();
-    let limits = Limits { max_body_bytes: MAX_BODY_BYTES, header_timeout_ms: 3_000 };
+    let limits = Limits { max_body_bytes: MAX_BODY_BYTES, header_timeout_ms: 3_000, ..DEFAULT_LIMITS };
     configuration_with_limits(version, &routes, "", &limits)
 }
 
