Control: what arrives while the process is stopped is bounded; listening sockets are set up in one place

Cause: the kernel adapts the receive buffer of a connection up to megabytes while its data is read quickly, and unread bytes count as memory of the process; the queue of connections that aren't accepted held 1,024; hyper's read buffer of each connection may grow to 408 KiB.

Change: the operator's API listens with receive buffers of 256 KiB and a queue of 64 (it serves 64), and reads into 64 KiB at most. The first message of an unknown peer is at most 8 KiB (64 before): 1,536 connections may wait for it. Proxy and control share dunelink_runtime::listen; the internal port stays as it was.

--- a/crates/control/src/feed_server.rs
+++ b/crates/control/src/feed_server.rs
@@ -6,7 +6,7 @@
 
 use dunelink_protocol::hello::PROTOCOL_VERSION;
 use dunelink_protocol::{AgentMessage, FeedMessage, Hello, LinkKind};
-use dunelink_runtime::{LinkError, LinkReader, LinkWriter, accept};
+use dunelink_runtime::{LinkError, LinkReader, LinkWriter, ListenLimits, accept};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, sleep_until, timeout};
@@ -17,6 +17,8 @@
 
 /// Most connections open at a time.
 const MAX_CONNECTIONS: usize = 1_536;
+/// Limits of the listening socket. All agents may connect at the same time.
+pub const LISTEN_LIMITS: ListenLimits = ListenLimits { max_pending: 1_024, receive_buffer_bytes: None };
 /// Time within which a new connection must send its hello, and an agent its subscription.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
 /// A connection ends when sent data stays unacknowledged for this long.
--- a/crates/control/src/operator_api.rs
+++ b/crates/control/src/operator_api.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dunelink_runtime::MemoryBudget;
+use dunelink_runtime::{ListenLimits, MemoryBudget};
 use dunelink_settings::MachineLimits;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -29,6 +29,11 @@
 const MAX_BODY_BYTES: usize = 4 * 1024 * 1024 + 512 * 1024;
 /// Most connections open at a time.
 const MAX_CONNECTIONS: usize = 64;
+/// Limits of the listening socket. A configuration arrives over a long distance within few round trips.
+pub const LISTEN_LIMITS: ListenLimits =
+    ListenLimits { max_pending: MAX_CONNECTIONS, receive_buffer_bytes: Some(256 * 1024) };
+/// Largest read buffer of a connection; it also limits the head of a request.
+const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
 /// Share of the process's memory for the bodies of all requests that are being received: more than eight
 /// configurations of the greatest length.
 const BODIES_FRACTION: f64 = 0.2;
@@ -82,7 +87,11 @@
         async move { Ok::<_, Infallible>(handle_request(request, &engine, &bodies).await) }
     });
     let mut server = hyper::server::conn::http1::Builder::new();
-    server.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT).title_case_headers(true);
+    server
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(MAX_READ_BUFFER_BYTES)
+        .title_case_headers(true);
     // After a failure, the caller opens a new connection.
     let _ = server.serve_connection(TokioIo::new(socket), service).await;
 }
--- a/crates/control/src/program.rs
+++ b/crates/control/src/program.rs
@@ -11,8 +11,8 @@
 use dunelink_protocol::hello::PROTOCOL_VERSION;
 use dunelink_protocol::{Hello, LinkKind};
 use dunelink_replication::Member;
-use dunelink_runtime::Clock;
 use dunelink_runtime::log::logger;
+use dunelink_runtime::{Clock, ListenLimits, listen};
 use dunelink_settings::BootSettings;
 use dunelink_storage::Limits;
 use slog::{Level, Logger, error, info, warn};
@@ -160,9 +160,9 @@
     spawn_local(engine.clone().run_disk(events));
     spawn_local(engine.clone().run_deadlines());
     spawn_local(engine.clone().run_periodic_sends());
-    spawn_local(feed_server::serve(bind(internal, log).await, engine.clone()));
+    spawn_local(feed_server::serve(bind(internal, feed_server::LISTEN_LIMITS, log).await, engine.clone()));
     spawn_local(operator_api::serve(
-        bind(control, log).await,
+        bind(control, operator_api::LISTEN_LIMITS, log).await,
         engine.clone(),
         operator_api::body_budget(&boot.limits),
     ));
@@ -252,10 +252,10 @@
 }
 
 /// Binds an address; retries until it is free.
-async fn bind(address: SocketAddr, log: &Logger) -> TcpListener {
+async fn bind(address: SocketAddr, limits: ListenLimits, log: &Logger) -> TcpListener {
     let mut warned = false;
     loop {
-        match TcpListener::bind(address).await {
+        match listen(address, limits) {
             Ok(listener) => return listener,
             Err(reason) if !warned => {
                 warned = true;
--- a/crates/proxy/src/listener.rs
+++ b/crates/proxy/src/listener.rs
@@ -3,20 +3,16 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::poll_fn;
-use std::io;
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
 
-use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::connection::{ClientConnection, serve};
-use crate::memory::plan::SOCKET_RECEIVE_BUFFER_BYTES;
 use crate::node::Node;
 
 /// Delay after a failed `accept`, for example because no file descriptor is free.
@@ -27,23 +23,6 @@
 /// reusing a connection before that timeout, so a request does not cross the close.
 const IDLE_TIMEOUT_FACTOR: f64 = 1.1;
 
-/// Listens on an address, even if connections to it from before a restart are still in `TIME_WAIT`. At most
-/// `max_pending` connections wait in the kernel until they are accepted.
-///
-/// # Errors
-///
-/// The address is in use, or does not belong to this machine.
-pub fn listen(address: SocketAddr, max_pending: usize) -> io::Result<TcpListener> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
-    socket.set_reuse_address(true)?;
-    socket.set_nonblocking(true)?;
-    // Accepted sockets inherit the limit. Without it, requests are received correctly.
-    let _ = socket.set_recv_buffer_size(SOCKET_RECEIVE_BUFFER_BYTES);
-    socket.bind(&address.into())?;
-    socket.listen(i32::try_from(max_pending).unwrap_or(i32::MAX))?;
-    TcpListener::from_std(socket.into())
-}
-
 /// Polls a future once and returns its output if it is ready.
 async fn poll_once<F: Future>(future: F) -> Option<F::Output> {
     let mut future = pin!(future);
--- a/crates/proxy/src/run.rs
+++ b/crates/proxy/src/run.rs
@@ -6,13 +6,15 @@
 
 use anyhow::Context;
 use dunelink_runtime::log::logger;
+use dunelink_runtime::{ListenLimits, listen};
 use dunelink_settings::BootSettings;
 use slog::{Level, Logger, error, info};
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
 
 use crate::arguments::{Arguments, HELP};
-use crate::listener::{ClientConnections, listen};
+use crate::listener::ClientConnections;
+use crate::memory::plan::SOCKET_RECEIVE_BUFFER_BYTES;
 use crate::node::Node;
 use crate::shutdown::{Signals, drain};
 use crate::{feed, readiness};
@@ -125,7 +127,8 @@
 
 fn bind(address: Option<SocketAddr>, key: &str, max_pending: usize) -> anyhow::Result<TcpListener> {
     let address = address.with_context(|| format!("`{key}` is missing from the settings file: add it"))?;
-    listen(address, max_pending).with_context(|| {
+    let limits = ListenLimits { max_pending, receive_buffer_bytes: Some(SOCKET_RECEIVE_BUFFER_BYTES) };
+    listen(address, limits).with_context(|| {
         format!("failed to listen on {address}: check `{key}`, and that no other process uses the address")
     })
 }
--- a/crates/runtime/src/link.rs
+++ b/crates/runtime/src/link.rs
@@ -16,7 +16,7 @@
 const READ_CHUNK_BYTES: usize = 16 * 1024;
 /// Largest first message of an accepted connection, in bytes, with its length prefix. It names the peer, which
 /// is not known before.
-const MAX_FIRST_MESSAGE_BYTES: usize = 64 * 1024;
+const MAX_FIRST_MESSAGE_BYTES: usize = 8 * 1024;
 /// An empty buffer with a larger capacity than this is freed.
 const MAX_IDLE_BUFFER_BYTES: usize = 64 * 1024;
 
@@ -149,7 +149,7 @@
     }
 }
 
-/// Sets up an accepted socket for framed messages; the first one may have 64 KiB at most. The kernel closes the
+/// Sets up an accepted socket for framed messages; the first one may have 8 KiB at most. The kernel closes the
 /// connection when sent data stays unacknowledged for `user_timeout`.
 ///
 /// # Errors
