--- a/crates/cherryusher/tests/scenarios.rs
+++ b/crates/cherryusher/tests/scenarios.rs
@@ -384,6 +384,26 @@
     assert!(cold <= 400 / 8, "{cold} of 400 went to the cold server");
 }
 
+/// Guards against a cold server that gets nearly no work while the others are idle, though its place in the draw
+/// follows its capacity.
+#[test]
+fn cold_server_gets_its_part_of_the_work() {
+    const REQUESTS: u32 = 4_000;
+    let mut list = servers(1..9);
+    list[0].ready_at = 10 * S;
+    let settings = Settings { warm_up: 1_000 * S, ..settings() };
+    let part = settings.cold_capacity / (7.0 + settings.cold_capacity);
+    let mut node = Node::new(settings, list);
+    let mut cold = 0;
+    for _ in 0..REQUESTS {
+        node.now += 5 * MS;
+        let (id, actions) = node.arrive(IDEMPOTENT, Some((node.last_id % 4) as u32));
+        cold += u32::from(targets(&actions, id) == [1]);
+        node.end_attempt(id, 0, Outcome::Served, 5 * MS);
+    }
+    assert!(2.0 * f64::from(cold) >= part * f64::from(REQUESTS), "{cold} of {REQUESTS}");
+}
+
 #[test]
 fn invalid_settings_are_rejected() {
     let cases: [fn(&mut Settings); 4] =
