Memory tests: the assertion, the start of control and the end of two tests stand once; no check changes

Cause: the tests of proxy and control measured, printed and asserted with the same code; two tests of each had the same ends.

Change: MemoryMeter::assert_below, start_control, assert_full_connections_fit. Bounds, waits and statuses are as they were.

--- a/crates/control/tests/operator_memory.rs
+++ b/crates/control/tests/operator_memory.rs
@@ -41,23 +41,23 @@
     connections
 }
 
-fn assert_within_limit(memory: &MemoryMeter) {
-    let max_mb = memory.max_mb();
-    eprintln!("most memory: {max_mb} MB");
-    assert!(max_mb < MEMORY_MB, "the process took {max_mb} MB");
+/// Starts a control machine. Returns its address for operators, and the measurement of its memory, too.
+async fn start_control() -> (Fleet, SocketAddr, MemoryMeter) {
+    let mut fleet = Fleet::start(CONTROL_BINARY, Plan { cores: 1, fronts: 0 }).await;
+    fleet.led().await;
+    let node = fleet.control(0);
+    let memory = MemoryMeter::start(fleet.core(0).id().unwrap(), node.port());
+    (fleet, node, memory)
 }
 
 /// Guards against the end of the process over its memory (Fault): orders that stop just before their end were kept,
 /// whatever their sum.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn orders_that_stop_before_their_end_stay_within_the_memory() {
-    let mut fleet = Fleet::start(CONTROL_BINARY, Plan { cores: 1, fronts: 0 }).await;
-    fleet.led().await;
-    let node = fleet.control(0);
-    let memory = MemoryMeter::start(fleet.core(0).id().unwrap(), node.port());
+    let (fleet, node, memory) = start_control().await;
     let _connections = send_partial_orders(node).await;
     sleep(READING_TIME).await;
-    assert_within_limit(&memory);
+    memory.assert_below(MEMORY_MB);
     assert_eq!(fleet.operator().read().await.status(), 404, "another request is answered meanwhile");
 }
 
@@ -65,10 +65,7 @@
 /// the kernel alone.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bytes_that_arrive_while_the_process_is_stopped_stay_within_the_memory() {
-    let mut fleet = Fleet::start(CONTROL_BINARY, Plan { cores: 1, fronts: 0 }).await;
-    fleet.led().await;
-    let node = fleet.control(0);
-    let memory = MemoryMeter::start(fleet.core(0).id().unwrap(), node.port());
+    let (mut fleet, node, memory) = start_control().await;
     let connections = send_partial_orders(node).await;
     fleet.core(0).signal(Signal::STOP);
     let mut senders = JoinSet::new();
@@ -87,5 +84,5 @@
     sleep(READING_TIME).await;
     fleet.core(0).signal(Signal::CONT);
     sleep(READING_TIME).await;
-    assert_within_limit(&memory);
+    memory.assert_below(MEMORY_MB);
 }
--- a/crates/proxy/tests/memory.rs
+++ b/crates/proxy/tests/memory.rs
@@ -73,9 +73,7 @@
     }
 
     fn assert_within_limit(&self) {
-        let max_mb = self.memory.max_mb();
-        eprintln!("most memory: {max_mb} MB");
-        assert!(max_mb < MEMORY_MB, "the proxy took {max_mb} MB");
+        self.memory.assert_below(MEMORY_MB);
     }
 
     async fn client(&self) -> Client {
@@ -269,9 +267,9 @@
     (0..60).map(|number| format!("X-Field-{number}: {}\r\n", "f".repeat(230))).collect()
 }
 
-/// Opens connections whose clients read nothing. Each sends a request with a long head to one of `paths`, and a
-/// second request with a long body before the response.
-async fn fill_connections(fixture: &Fixture, paths: &[&str]) -> Vec<JoinHandle<Client>> {
+/// Asserts that the proxy stays within its memory while clients read nothing. Each sends a request with a long head
+/// to one of `paths`, and a second request with a long body before the response.
+async fn assert_full_connections_fit(fixture: &Fixture, paths: &[&str]) {
     let fields = long_fields();
     let next = head(paths[0], "b", &format!("{fields}Content-Length: {LONG_BODY_BYTES}")) + &long_body();
     let next = Rc::<str>::from(next);
@@ -287,7 +285,10 @@
             client
         }));
     }
-    senders
+    tokio::time::sleep(2 * SETTLING_TIME).await;
+    assert!(fixture.server.count() > HOSTILE_CONNECTIONS / 2);
+    drop(senders);
+    fixture.assert_within_limit();
 }
 
 /// Guards against the end of the process over its memory (Fault): each connection holds as much as it can at
@@ -303,11 +304,7 @@
             [head].into_iter().chain(pieces).chain([rest, Step::Hang]).collect()
         })
         .await;
-        let clients = fill_connections(&fixture, &["/flow/x", "/again/x"]).await;
-        tokio::time::sleep(2 * SETTLING_TIME).await;
-        assert!(fixture.server.count() > HOSTILE_CONNECTIONS / 2);
-        drop(clients);
-        fixture.assert_within_limit();
+        assert_full_connections_fit(&fixture, &["/flow/x", "/again/x"]).await;
     });
 }
 
@@ -322,10 +319,6 @@
             [stream_head("seal")].into_iter().chain(events).chain([Step::Hang]).collect()
         })
         .await;
-        let clients = fill_connections(&fixture, &["/again/x"]).await;
-        tokio::time::sleep(2 * SETTLING_TIME).await;
-        assert!(fixture.server.count() > HOSTILE_CONNECTIONS / 2);
-        drop(clients);
-        fixture.assert_within_limit();
+        assert_full_connections_fit(&fixture, &["/again/x"]).await;
     });
 }
--- a/crates/testkit/src/system/memory.rs
+++ b/crates/testkit/src/system/memory.rs
@@ -41,6 +41,13 @@
     pub fn max_mb(&self) -> u64 {
         self.max_bytes.load(Ordering::Relaxed).div_ceil(BYTES_PER_MB)
     }
+
+    /// Asserts that the process has taken less than `limit_mb` so far, and prints what it took.
+    pub fn assert_below(&self, limit_mb: u64) {
+        let max_mb = self.max_mb();
+        eprintln!("most memory: {max_mb} MB");
+        assert!(max_mb < limit_mb, "the process took {max_mb} MB");
+    }
 }
 
 impl Drop for MemoryMeter {
